--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -34,6 +34,7 @@
     if not config.settings.must_ask:
         discovery.watch(True)
     await front.listen(config.listen)
+    node.pulse(loop.time())
     gc.freeze()
     logging.info("%s serves on %s:%d", config.name, *front.address)
     await stop.wait()
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -227,6 +227,7 @@
             wait = min(wait, parse_timeout(headers[b"request-timeout"]))
         key = parse_qs(query.decode("latin-1")).get("obj")
         if node.full() or crowded:
+            node.counts["over_cap"] += 1
             # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
             self._write(503, b"too many requests\n")
             return
@@ -336,6 +337,7 @@
     def took(self, connection: ClientConnection) -> None:
         """A connection came in; over the cap the longest idle one goes."""
         self.connections.add(connection)
+        self.node.counts["connected"] += 1
         self.idle[connection] = None
         if self.crowded:
             oldest = next(iter(self.idle))
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -17,6 +17,8 @@
 
 log = logging.getLogger(__name__)
 
+PULSE = 1.0  # s between two looks at the event loop's lag
+REPORT_EVERY = 5  # pulses between two lines of counts
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
 
 
@@ -84,6 +86,21 @@
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._drained: Callable[[], None] = lambda: None
+        self.counts: Counter[str] = Counter()  # since the last line of counts
+        self._lag = 0.0  # s: the latest pulse since then
+        self._pulses = 0
+
+    def pulse(self, due: float) -> None:
+        """Watch the event loop's lag; now and then log what was done, while there was something to do."""
+        now = self.loop.time()
+        self._lag, self._pulses = max(self._lag, now - due), self._pulses + 1
+        if self._pulses >= REPORT_EVERY and self.counts:
+            text = " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
+            log.info("counts: %s open=%d upstream=%d lag_ms=%.0f",
+                     text, len(self.open), self.pool.count, self._lag * 1000)  # fmt: skip
+            self.counts.clear()
+            self._lag, self._pulses = 0.0, 0
+        self.loop.call_at(now + PULSE, self.pulse, now + PULSE)
 
     def now(self) -> float:
         """Milliseconds; never goes back."""
@@ -121,6 +138,7 @@
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
+        self.counts["taken"] += 1
         request = self.open[event.request] = Open(client, event.deadline - MARGIN, render)
         wait = max(0.0, request.deadline - self.now()) / 1000
         request.limit = self.loop.call_later(wait, self._deadline, event.request)
@@ -133,6 +151,7 @@
     def gone(self, name: str) -> None:
         """The client has left."""
         if (request := self.open.get(name)) is not None and not request.answered:
+            self.counts["left" if request.attempts else "left_unsent"] += 1
             self._close(name, request)
             self.event(api.ClientGone(name))
 
@@ -167,8 +186,10 @@
                 wait = max(0.0, action.when - self.now()) / 1000
                 self.loop.call_later(wait, self.event, api.Timer(action.token))
             case api.Refuse():
+                self.counts["refused"] += 1
                 self._answer(action.request, lambda client: client.refused(action.retry_after))
             case api.Fail():
+                self.counts["failed"] += 1
                 self._answer(action.request, lambda client: client.failed())
             case api.Cancel():
                 self._cancel(action)
@@ -230,6 +251,7 @@
         item.over, item.attempt = True, None
         if item.timer is not None:
             item.timer.cancel()
+        self.counts[f"attempt_{answer.status.value}"] += 1
         if answer.status is api.Status.OK:
             self._answer(item.request, lambda client: client.served(answer.body, answer.content_type))
         request = self.open.get(item.request)
@@ -249,6 +271,7 @@
         for item in request.attempts:
             self._timeout(item)
         if name in self.open and not request.answered:
+            self.counts["overdue"] += 1
             self._answer(name, lambda client: client.failed())
             self.event(api.ClientGone(name))
 
