Share the concurrency limit over the backends there are, not over requests out

A node with more requests out than backends divided its limit by the requests out; the bound on one backend then fell to one as load rose, the limit never bound, and so never grew.

Ruled out: CPU, descriptors, upstream connections (18 of 396), loop lag, ejections (none while out stood).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -203,8 +203,9 @@
 
     def _dispatch(self, req: Request) -> None:
         """Without looking: JUT over the subset, but for members crowded by this node's own count."""
-        # Wider for a node that carries far more than its part, lest it crowd the few that fall to it.
-        k, names = max(1, self.width, self.out), self.order
+        # Wider for a node that carries far more than its part, lest it crowd the few that fall to it, but no
+        # wider than there are backends: the limit is shared over them.
+        k, names = max(1, min(max(self.width, self.out), len(self.order))), self.order
         # Own zone first, others as far as they are better by more than the price: hot or failing zones spill.
         far = self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
@@ -436,9 +437,9 @@
         self.least = LIMIT_LEAST * max(1.0, n / group)
         near = [x for x in self.up if self._near(x)] or self.up
         if not self.order:
-            wide, own = len(near), min(k, len(near))  # own zone's backends, and how many this node takes of them
+            wide, own = len(near), min(k, len(near))
             first = int(self.cfg.me * GOLDEN % 1.0 * wide)
-            even = [near[(first + j * wide // own) % wide] for j in range(own)]  # whole steps: none comes twice
+            even = [near[(first + j * wide // own) % wide] for j in range(own)]  # whole steps: none twice
             rest = sorted(now - set(even))
             self.order, before = even + self.rng.sample(rest, len(rest)), now
             self.spill = 1.0 - len(near) / max(1, n)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -151,6 +151,14 @@
     assert len([x for x in quiet.backends.values() if x.estimate]) <= 3
 
 
+def test_a_node_out_of_proportion_to_a_small_fleet_sends_as_much_as_its_limit_allows() -> None:
+    """Guards against a share of the limit for each request out, where more are out than backends exist."""
+    b = node(BASE, NAMES[:4])
+    b.limit = 20.0
+    got = [s.backend for i in range(20) for s in sends(_arrive(b, f"r{i}"))]
+    assert len(got) == 20 and max(Counter(got).values()) <= 6
+
+
 def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
     """Where requests go that are served at once, or turned away in the zone `bad`."""
     got: Counter[str] = Counter()
@@ -387,7 +395,7 @@
 
 
 def test_each_backend_stands_once_in_a_nodes_order() -> None:
-    """Guards against a home zone smaller than the subset, where one backend was laid into it several times."""
+    """Guards against a home zone smaller than the subset, where one backend was laid into it often."""
     priced = replace(BASE, zone="a", charges=api.Charges(cross_zone=0.015))
     for home in range(1, 8):
         for me in range(3):
