Steer the concurrency limit by answer time less the way there and back

Answers from far zones took 21 ms at the least against 0.9 ms from near ones, and the limit steers for a fifth of a 120 ms aim: the way alone used it up, and no limit shortens the way. It is now measured as the least answer time of the backend.

Ruled out: CPU, descriptors, loop lag (1 ms), capacity (near answers 17 ms at the median while the limit sat at its floor).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -21,6 +21,7 @@
 NEAR = 1 / 5  # the concurrency limit steers for answers that usually take this part of the tightest aim
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
 LIMIT_LEAST = 2.0  # lowest and first limit, for each backend that falls to this node if that is over one
+TRIP_DRIFT = 1.005  # the least answer time of a backend is let rise by this with each answer: routes change
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
 EJECT_MAX = 5  # doublings of the ejection time
@@ -302,7 +303,7 @@
         self._report(b, ev.report, False)
         if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
-            self._steer(req.cls, ev)
+            self._steer(req.cls, b, ev)
         if ev.closed or req.over:
             self._close(req)
         else:
@@ -334,13 +335,19 @@
             if ev.status is api.Status.CONNECT_FAILED:
                 b.busy = b.until
 
-    def _steer(self, cls: Class, ev: api.Outcome) -> None:
+    def _steer(self, cls: Class, b: Backend, ev: api.Outcome) -> None:
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
+        The way there and back is left out: no limit shortens it, and with far backends it alone would hold
+        the limit at its lowest.
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
         """
-        took = ev.duration if ev.status is api.Status.OK else cls.cfg.aim
+        if ev.status is api.Status.OK:
+            b.trip = min(b.trip * TRIP_DRIFT, ev.duration)
+            took = ev.duration - b.trip
+        else:
+            took = cls.cfg.aim
         cls.strain += EWMA / 2 * (math.log(max(took, 1e-3) / (NEAR * cls.cfg.aim)) - cls.strain)
         excess = max(c.strain for c in self.classes.values())
         if excess > 0 or self.out >= self.limit - 1.0:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from dillport import interface as api
@@ -15,6 +16,7 @@
     estimate: int = 0  # the paper's upper bound: own sends since it last showed idle
     out: int = 0  # own attempts still out
     slow: float = 1.0  # mean time of its answers over the usual time of their class
+    trip: float = math.inf  # least time of its answers of late: the way there and back
     fails: int = 0
     until: float = 0.0  # ejected until then
     busy: float = 0.0  # turned a request or a connection away: left alone until then, even in panic
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import replace
@@ -159,6 +160,24 @@
     assert len(got) == 20 and max(Counter(got).values()) <= 6
 
 
+def _limit_after(took: float, answers: int, b: Balancer) -> float:
+    """The limit once so many answers took so long, with as much out at all times as it allows."""
+    for i in range(answers):
+        now = b.now + 1.0
+        fill = range(math.ceil(b.limit) - b.out)
+        for s in [s for j in fill for s in sends(_arrive(b, f"{took}-{i}-{j}", now))]:
+            b.handle(now, api.Outcome(s.request, 0, s.backend, api.Status.OK, took, True))
+    return b.limit
+
+
+def test_a_long_way_does_not_hold_the_limit_at_its_lowest_but_crowding_does() -> None:
+    """Guards against far backends that look crowded: the way takes part of the aim, however idle."""
+    b = node(replace(BASE, classes=(SAFE,)), NAMES)
+    grown = _limit_after(120.0, 60, b)  # over NEAR of the aim, and all of it on the way
+    assert grown > 1.5 * b.least
+    assert _limit_after(380.0, 60, b) < grown / 1.5
+
+
 def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
     """Where requests go that are served at once, or turned away in the zone `bad`."""
     got: Counter[str] = Counter()
