Leave breaks, errors and full backends out of what steers the limit

Neither tells of crowding; time-outs do and stay.

Ruled out: crowding as the cause of the resets (rate the same before and in the burst).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -303,7 +303,8 @@
         self._report(b, ev.report, False)
         if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
             self._learn(req, attempt, ev)
-            self._steer(req.cls, b, ev)
+            if ev.status in (api.Status.OK, api.Status.TIMEOUT):  # others do not tell of crowding
+                self._steer(req.cls, b, ev)
         if ev.closed or req.over:
             self._close(req)
         else:
@@ -442,6 +443,7 @@
         k = SAMPLE * ROUNDS if self.looks else max(SUBSET_MIN, math.ceil(FEEDERS * n / group))
         k = self.width = min(n, k)
         self.least = LIMIT_LEAST * max(1.0, n / group)
+        self.limit = max(self.limit, self.least)
         near = [x for x in self.up if self._near(x)] or self.up
         if not self.order:
             wide, own = len(near), min(k, len(near))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -160,13 +160,13 @@
     assert len(got) == 20 and max(Counter(got).values()) <= 6
 
 
-def _limit_after(took: float, answers: int, b: Balancer) -> float:
+def _limit_after(took: float, answers: int, b: Balancer, status: api.Status = api.Status.OK) -> float:
     """The limit once so many answers took so long, with as much out at all times as it allows."""
     for i in range(answers):
         now = b.now + 1.0
         fill = range(math.ceil(b.limit) - b.out)
         for s in [s for j in fill for s in sends(_arrive(b, f"{took}-{i}-{j}", now))]:
-            b.handle(now, api.Outcome(s.request, 0, s.backend, api.Status.OK, took, True))
+            b.handle(now, api.Outcome(s.request, 0, s.backend, status, took, True))
     return b.limit
 
 
@@ -178,6 +178,17 @@
     assert _limit_after(380.0, 60, b) < grown / 1.5
 
 
+def test_breaks_and_backends_without_room_do_not_lower_the_limit_but_time_outs_do() -> None:
+    """Guards against a network that breaks one attempt in ten and is taken for a crowded fleet."""
+    for status in (api.Status.RESET, api.Status.ERROR, api.Status.CONNECT_FAILED, api.Status.FULL):
+        b = node(replace(BASE, classes=(SAFE,)), NAMES)
+        grown = _limit_after(120.0, 60, b)
+        assert grown > b.least and _limit_after(1.0, 5, b, status) >= grown
+    b = node(replace(BASE, classes=(SAFE,)), NAMES)
+    grown = _limit_after(120.0, 60, b)
+    assert _limit_after(400.0, 60, b, api.Status.TIMEOUT) < grown
+
+
 def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
     """Where requests go that are served at once, or turned away in the zone `bad`."""
     got: Counter[str] = Counter()
