Reload the discovery address on SIGHUP instead of dying

A reload now reads the file (the environment is as old as the process) and opens the watch at the new address at once, also where the old one was away and a new try was pending; a watch is known from the moment it is dialled, so none is left behind. A file that makes no sense changes nothing.

The two tests time out without the handler.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from dillport.interface import ListKind
-from dillport.net.config import Config, ConfigError, load
+from dillport.net.config import Config, ConfigError, discovery_now, load
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
 from dillport.net.node import Node
@@ -21,6 +21,17 @@
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
+def reload(discovery: Discovery) -> None:
+    """SIGHUP: the configuration file has been replaced; a bad one changes nothing."""
+    try:
+        address = discovery_now(os.environ)
+    except ConfigError as err:
+        logging.warning("reload: %s", " ".join(str(err).split()))
+        return
+    logging.info("reload: discovery at %s:%d", *address)
+    discovery.move(address)
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT, then answer what was taken and return."""
     loop = asyncio.get_running_loop()
@@ -30,6 +41,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
     node.list(config.known, ListKind.SAVED)
     if not config.settings.must_ask:
         discovery.watch(True)
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -122,8 +122,7 @@
         raise ConfigError(f"{name} makes no sense: {value!r:.120}") from None
 
 
-def load(env: Mapping[str, str]) -> Config:
-    """The configuration that the environment points to; raises ConfigError."""
+def _read(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is missing")
@@ -135,6 +134,17 @@
         raise ConfigError(f"{PREFIX}CONFIG is not JSON: {err}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{PREFIX}CONFIG is not an object")
+    return raw
+
+
+def discovery_now(env: Mapping[str, str]) -> Address:
+    """Where the file now says discovery is: the environment is as old as the process. Raises ConfigError."""
+    return _at(_read(env), {}, "discovery")
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """The configuration that the environment points to; raises ConfigError."""
+    raw = _read(env)
     if not isinstance(raw.get("settings"), dict):
         raise ConfigError("settings is missing")
     try:
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -34,8 +34,11 @@
         self.done = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask."""
+        """Ask, unless discovery moved or the watch was given up while the connection came up."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        if self.watch and not (self.owner.wanted and self.owner.call is self):
+            self.close()
+            return
         host, port = self.owner.address
         keep = "keep-alive" if self.watch else "close"
         self.transport.write(
@@ -113,8 +116,8 @@
 
     def __init__(self, node: Node, address: Address, revision: int) -> None:
         self.node, self.address, self.revision = node, address, revision
-        self.call: Call | None = None
-        self.wanted = self.connecting = False
+        self.call: Call | None = None  # the watch, from the moment it is dialled
+        self.wanted = False
         self.wait = WAIT_FIRST
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -124,18 +127,25 @@
         self.wanted = on
         if not on and self.call is not None:
             self.call.close()
-        elif on and self.call is None and not self.connecting:
+        elif on:
             self._connect()
 
+    def move(self, address: Address) -> None:
+        """Go to another address: the old one tells nothing more, so a watch there is opened anew at once."""
+        self.address, self.wait = address, WAIT_FIRST
+        old, self.call = self.call, None
+        if old is not None:
+            old.close()
+        self._connect()
+
     def fetch(self) -> None:
         """Ask for the whole list once."""
         self._start(Call(self, "/discovery/hosts", False))
 
     def _connect(self) -> None:
-        if not self.wanted:
-            return
-        self.connecting = True
-        self._start(Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True))
+        if self.wanted and self.call is None:
+            self.call = Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True)
+            self._start(self.call)
 
     def _start(self, call: Call) -> None:
         task = self.loop.create_task(self._dial(call))
@@ -149,9 +159,6 @@
         except (OSError, TimeoutError) as err:
             log.warning("discovery: no connection: %s", err or "timed out")
             self.lost(call)
-            return
-        if call.watch:
-            self.call, self.connecting = call, False
 
     def news(self, update: News) -> None:
         """Apply a line by its revision: a change that is not newer than the list held is an old one."""
@@ -166,11 +173,12 @@
     def lost(self, call: Call) -> None:
         """A call has ended: the module hears of it where it asks by itself, else the watch is tried again."""
         if call.watch:
-            self.call, self.connecting = None, False
+            if call is not self.call:  # left behind when discovery moved
+                return
+            self.call = None
         if self.node.settings.must_ask:
             if not call.done and self.wanted:
                 self.node.list_failed()
         elif call.watch and self.wanted:
-            self.connecting = True
             self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
             self.wait = min(2 * self.wait, WAIT_MOST)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -186,6 +186,7 @@
     port: int
     discovery: FakeDiscovery
     log: list[str]
+    config: Path
     clients: list[Client] = field(default_factory=list)
 
     async def client(self) -> Client:
@@ -212,6 +213,11 @@
         """SIGTERM."""
         self.process.send_signal(signal.SIGTERM)
 
+    def reload(self, text: str) -> None:
+        """Replace the configuration file, then SIGHUP."""
+        self.config.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     async def end(self) -> int:
         """Wait for the node's end; its exit code."""
         async with asyncio.timeout(WAIT):
@@ -255,7 +261,7 @@
     path = tmp / "config.json"
     path.write_text(json.dumps(configuration([b.member() for b in backends], discovery.port, **over)))
     process = await spawn(path)
-    rig = Rig(process, 0, discovery, [])
+    rig = Rig(process, 0, discovery, [], path)
     try:
         await rig.logged("serves on")
         found = re.search(r"serves on \S+:(\d+)", rig.log[-1])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,19 @@
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.upstream import Answer, Pool, parse_report
-from tests.sockets import PATIENT, WAIT, Backend, Client, Message, answer, configuration, echo, running, spawn
+from tests.sockets import (
+    PATIENT,
+    WAIT,
+    Backend,
+    Client,
+    FakeDiscovery,
+    Message,
+    answer,
+    configuration,
+    echo,
+    running,
+    spawn,
+)  # fmt: skip
 
 
 def run(test: Callable[[], Awaitable[None]]) -> None:
@@ -453,6 +465,57 @@
     run(test)
 
 
+def test_a_reload_moves_the_watch_at_once_and_survives_a_bad_file(tmp_path: Path) -> None:
+    """Guards against SIGHUP ending the node, and against drains that the new discovery alone tells."""
+
+    async def test() -> None:
+        backend, moved = Backend("b0"), FakeDiscovery()
+        await moved.start()
+        async with running(tmp_path, backend) as rig:
+            await rig.discovery.asked.get()
+            rig.discovery.news(43, backend.member())
+            client = await rig.client()
+            before = json.loads(rig.config.read_text())
+            nowhere = json.dumps(before | {"discovery": "nowhere"})
+            for text, why in (("{", "JSON"), ("[]", "object"), ("{}", "missing"), (nowhere, "no sense")):
+                rig.reload(text)
+                await rig.logged(why)
+            rig.reload(json.dumps(before | {"discovery": f"127.0.0.1:{moved.port}"}))
+            assert await moved.asked.get() == "/discovery/hosts?watch=1&from=43"
+            assert (await client.ask("/read")).code == 200
+            moved.news(44, backend.member(phase="terminating"))
+            await backend.lost.get()  # the idle connection goes: the news came through
+            assert (await client.ask("/read")).code == 503
+            assert rig.discovery.asked.empty()
+        assert moved.server is not None
+        moved.server.close()
+
+    run(test)
+
+
+def test_a_reload_finds_discovery_again_while_the_old_address_is_away(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend, moved = Backend("b0"), FakeDiscovery()
+        await moved.start()
+        async with running(tmp_path, backend) as rig:
+            await rig.discovery.asked.get()
+            assert rig.discovery.server is not None and rig.discovery.writer is not None
+            rig.discovery.server.close()
+            rig.discovery.writer.transport.abort()
+            await rig.logged("discovery: no connection")
+            before = json.loads(rig.config.read_text())
+            rig.reload(json.dumps(before | {"discovery": f"127.0.0.1:{moved.port}"}))
+            assert await moved.asked.get() == "/discovery/hosts?watch=1&from=41"
+            moved.news(45, backend.member())
+            assert moved.writer is not None
+            moved.writer.transport.abort()
+            assert await moved.asked.get() == "/discovery/hosts?watch=1&from=45"
+        assert moved.server is not None
+        moved.server.close()
+
+    run(test)
+
+
 def test_a_bad_line_costs_a_log_line_and_the_whole_list(tmp_path: Path) -> None:
     async def test() -> None:
         backend = Backend("b0")
