Keep the first draw to the chosen zone where the subset holds the whole fleet

Own zone first is the design, but the first draw took a whole subset, and on a fleet this small that is every backend of every zone. The draw now stays on the chosen side, then takes the other, both within the bound on one backend.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -211,10 +211,11 @@
         far = self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
             far = not self._near(req.attempts[0].backend.entry.backend)
+        crowd, side = math.inf if req.dense else self.limit / k, self.home
         if far:
-            names = names[self.home :] + names[: self.home]
-        crowd = math.inf if req.dense else self.limit / k
-        pool = (self._draw(req, k, names[:k], crowd) or self._draw(req, k, names[k : 2 * k])
+            names, side = names[self.home :] + names[: self.home], len(names) - self.home
+        first = min(k, side)  # a subset that is wider than the side would mix both
+        pool = (self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first : 2 * k], crowd)
                 or self._panic(req, k, names[: 2 * k], crowd))
         if pool:  # every node takes its part of what a backend may be given after it showed idle
             self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -201,6 +201,16 @@
     return got
 
 
+def test_own_zone_comes_first_also_where_the_subset_holds_the_whole_fleet() -> None:
+    """Guards against small fleets that cross zones at random, and against a home zone that is crowded."""
+    b = Balancer(replace(BASE, charges=api.Charges(cross_zone=0.015)), 1)
+    listed = [entry(name, zone="ab"[i % 2]) for i, name in enumerate(NAMES)]
+    b.handle(1000.0, api.ListUpdate(api.ListKind.FULL, listed))
+    b.spill, b.limit = 0.0, 16.0
+    zones = [b.backends[s.backend].entry.zone for i in range(16) for s in sends(_arrive(b, f"r{i}"))]
+    assert zones[:8] == ["a"] * 8 and zones.count("b") >= 4 and len(zones) == 16
+
+
 def test_own_zone_is_preferred_by_the_price_and_left_when_it_is_worse() -> None:
     """Guards against paying for crossings, and against a hot or failing zone that is kept to."""
 
