--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -212,7 +212,7 @@
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
             far = not self._near(req.attempts[0].backend.entry.backend)
         crowd, side = math.inf if req.dense else self.limit / k, self.home
-        if far:
+        if far and self.home < len(names):
             names, side = names[self.home :] + names[: self.home], len(names) - self.home
         first = min(k, side)  # a subset that is wider than the side would mix both
         pool = (self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first : 2 * k], crowd)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -211,6 +211,14 @@
     assert zones[:8] == ["a"] * 8 and zones.count("b") >= 4 and len(zones) == 16
 
 
+def test_a_share_for_other_zones_is_void_where_all_are_near() -> None:
+    """Guards against a first draw over nothing, which alone may bring cold backends."""
+    b = Balancer(BASE, 1)
+    b.handle(10_000.0, api.ListUpdate(api.ListKind.FULL, [entry("x", started_at=5_000.0)]))
+    b.spill = 1.0
+    assert any(sends(_arrive(b, f"r{i}", 10_000.0 + i)) for i in range(50))
+
+
 def test_own_zone_is_preferred_by_the_price_and_left_when_it_is_worse() -> None:
     """Guards against paying for crossings, and against a hot or failing zone that is kept to."""
 
