Let go of peers that send no proper request within 2.5 s

Found by reading the terms beside the front while looking for what bad peers could cost: a connection that sent nothing was kept for ever, a request once begun for 10 s; an error or a close is owed within 3 s.

All four cases of the new test fail without the change.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -22,7 +22,7 @@
 MAX_HEAD = 16 * 1024
 LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
 OVER = 16  # connections over the cap that still get an answer of their own
-SLOW = 10.0  # s for a request to come in whole once it has begun
+SLOW = 2.5  # s for a request to come in whole once it has begun, for the first one since the connection came
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
@@ -91,6 +91,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection in, over the cap too: it gets a plain answer and is closed."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
+        # A peer that sends nothing, or no proper request, is owed an error or a close within 3 s.
+        self.slow = self.front.loop.call_later(SLOW, self._too_slow)
         self.front.took(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -141,6 +143,8 @@
         self.slow = None
         if self.mid:
             self._turn_away(408, "request took too long")
+        elif self.request is None:
+            self.close()
 
     # --- httptools; a BadRequest that is raised here ends `feed_data`
 
