Do not hold the time-outs of hasty clients against backends

A time-out in less time than an answer may well take (half the aim, or the usual time and four deviations) now teaches nothing; with more time it does as before.

Ruled out: a few bad backends.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -292,6 +292,7 @@
         cut, again = max(c.aim / 2, req.cls.usual + 4 * req.cls.dev), c.effect is not api.Effect.UNSAFE
         if self.lost > LOSSY and c.late_worth > 0 and again and cut + req.cls.usual < left:
             stop, req.attempts[-1].cut = cut, True
+        req.attempts[-1].short = (stop or req.deadline - self.now) < cut
         self.acts.append(api.Send(req.id, b.entry.backend, stop))
 
     def _outcome(self, ev: api.Outcome) -> None:
@@ -302,7 +303,8 @@
         attempt.status, b = ev.status, attempt.backend
         req.out, b.out, self.out = req.out - 1, b.out - 1, self.out - 1
         self._report(b, ev.report, False)
-        if ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing of the backend
+        hasty = attempt.short and ev.status is api.Status.TIMEOUT
+        if not hasty and ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing
             self._learn(req, attempt, ev)
             if ev.status in (api.Status.OK, api.Status.TIMEOUT):  # others do not tell of crowding
                 self._steer(req.cls, b, ev)
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -31,6 +31,7 @@
     sent: float
     fair: bool  # its time and fate tell of the backend: it showed idle, or nobody looked
     status: api.Status | None = None
+    short: bool = False  # given less time than an answer may well take: a time-out tells of its client only
     cut: bool = False  # given less time than would still be useful, as answers get lost
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -189,6 +189,19 @@
     assert _limit_after(400.0, 60, b, api.Status.TIMEOUT) < grown
 
 
+def test_the_time_out_of_a_hasty_client_is_not_held_against_the_backend() -> None:
+    """Guards against clients that wait for a tenth of the usual time and get the whole fleet ejected."""
+    for given, told in ((60.0, False), (900.0, True)):
+        b = node(replace(BASE, max_attempts=1), ["x"])
+        b.classes["read"].usual = 40.0
+        (sent,) = sends(b.handle(1000.0, api.Arrival("r", "read", 1000.0 + given)))
+        before, now = b.classes["read"].strain, 1000.0 + given
+        b.handle(now, api.Outcome("r", 0, sent.backend, api.Status.TIMEOUT, given, False))
+        x = b.backends["x"]
+        strained = b.classes["read"].strain > before
+        assert (x.fails > 0, x.until > now, x.slow > 1.0, strained) == (told,) * 4
+
+
 def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
     """Where requests go that are served at once, or turned away in the zone `bad`."""
     got: Counter[str] = Counter()
