--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -362,6 +362,7 @@
         """The attempt failed: try elsewhere while that can meet the aim and the retry budget lasts."""
         cost = 0.0 if req.attempts[-1].cut else 1.0  # a lost answer is no sign of load
         may = self.bank >= cost and len(req.attempts) < self.cfg.max_attempts and self._fits(req)
+        may = may and any(self._legal(req, self.backends[name]) for name in self.up)  # else it waits in vain
         self.bank -= cost * may
         (self._route if may else self._finish)(req)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -202,6 +202,17 @@
         assert (x.fails > 0, x.until > now, x.slow > 1.0, strained) == (told,) * 4
 
 
+def test_what_may_not_be_sent_again_fails_at_once_and_costs_no_retry() -> None:
+    """Guards against a broken order that is held behind the limit, and against others that miss its retry."""
+    b = node(BASE, NAMES)
+    (sent,) = sends(_arrive(b, "r", kind="once"))
+    b.limit, before = 0.0, b.bank
+    acts = b.handle(1001.0, _done("r", sent.backend, api.Status.RESET))
+    assert [type(a) for a in answers(acts)] == [api.Fail] and b.bank == before and not b.held
+    _arrive(b, "s", 1002.0, kind="once")
+    assert [req.id for req in b.held] == ["s"]  # what was never sent may wait
+
+
 def _fed(b: Balancer, count: int, now: float, bad: str = "") -> Counter[str]:
     """Where requests go that are served at once, or turned away in the zone `bad`."""
     got: Counter[str] = Counter()
