--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -13,6 +13,7 @@
 
 from dillport.interface import ListKind
 from dillport.net.config import Config, ConfigError, discovery_now, load
+from dillport.net.console import Console
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
 from dillport.net.node import Node
@@ -46,6 +47,10 @@
     if not config.settings.must_ask:
         discovery.watch(True)
     await front.listen(config.listen)
+    console = Console(node)
+    if config.console is not None:
+        await console.listen(config.console)
+        logging.info("console on %s:%d", *console.address)
     node.pulse(loop.time())
     gc.freeze()
     logging.info("%s serves on %s:%d", config.name, *front.address)
@@ -57,6 +62,7 @@
     discovery.watch(False)
     node.pool.close()
     await asyncio.sleep(0.05)  # the last answers leave
+    console.close()
     logging.info("%s ends", config.name)
 
 
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -19,7 +19,7 @@
     "terminating": api.Phase.DRAINING,
     "terminated": api.Phase.GONE,
 }
-SPARE = 32  # descriptors kept for the listener, discovery, the loop and the log
+SPARE = 32  # descriptors kept for the listeners, discovery, the loop and the log; callers of the console
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 
 
@@ -63,6 +63,7 @@
     known: News
     client_sockets: int
     upstream_sockets: int
+    console: Address | None = None
 
 
 def address(value: object) -> Address:
@@ -165,6 +166,7 @@
     except ListError as err:
         raise ConfigError(f"known: {err}") from None
     clients = int((sockets - SPARE) * CLIENT_PART)
+    asked_for = env.get(PREFIX + "CONSOLE") or raw.get("console")
     return Config(
         name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
         listen=_at(raw, env, "listen"),
@@ -174,4 +176,5 @@
         known=known,
         client_sockets=clients,
         upstream_sockets=sockets - SPARE - clients,
+        console=None if asked_for is None else _at(raw, env, "console"),
     )
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -231,7 +231,7 @@
             wait = min(wait, parse_timeout(headers[b"request-timeout"]))
         key = parse_qs(query.decode("latin-1")).get("obj")
         if node.full() or crowded:
-            node.counts["over_cap"] += 1
+            node.over_cap(first)
             # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
             self._write(503, b"too many requests\n")
             return
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -12,6 +12,7 @@
 
 from dillport import interface as api
 from dillport.net.config import Config, News
+from dillport.net.figures import End, Figures
 from dillport.net.upstream import Answer, Attempt, Pool
 from dillport.policy import Balancer
 
@@ -48,10 +49,12 @@
 class Open:
     """A request that is owed an answer, or has an attempt out."""
 
-    __slots__ = ("answered", "attempts", "client", "deadline", "limit", "render")
+    __slots__ = ("answered", "attempts", "class_name", "client", "deadline", "limit", "render")
 
-    def __init__(self, client: Client, deadline: float, render: Callable[[float], bytes]) -> None:
-        self.client, self.deadline, self.render = client, deadline, render
+    def __init__(
+        self, client: Client, class_name: str, deadline: float, render: Callable[[float], bytes]
+    ) -> None:
+        self.client, self.class_name, self.deadline, self.render = client, class_name, deadline, render
         self.attempts: list[Try] = []
         self.answered = False
         self.limit: asyncio.TimerHandle | None = None
@@ -79,7 +82,8 @@
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
         self._zero = time.time() * 1000 - time.monotonic() * 1000
-        self.pool = Pool(config.settings, config.upstream_sockets)
+        self.figures = Figures()
+        self.pool = Pool(config.settings, config.upstream_sockets, self.figures)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
         self.ready = self.stopping = False
@@ -134,12 +138,14 @@
         request = self.open[name]
         for item in request.attempts:
             self._stop(item)
-        self._answer(name, lambda client: client.failed())
+        self._answer(name, End.FAILED, lambda client: client.failed())
 
     def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
         """A client's request has come; `render` gives its bytes for a backend, told for how long."""
         self.counts["taken"] += 1
-        request = self.open[event.request] = Open(client, event.deadline - MARGIN, render)
+        request = self.open[event.request] = Open(
+            client, event.class_name, event.deadline - MARGIN, render
+        )
         wait = max(0.0, request.deadline - self.now()) / 1000
         request.limit = self.loop.call_later(wait, self._deadline, event.request)
         self.event(event)
@@ -148,6 +154,25 @@
         """Whether the node holds as many requests as it may."""
         return len(self.open) >= self.settings.max_open
 
+    def over_cap(self, class_name: str) -> None:
+        """A request was turned away before it was taken, as there is no room for it."""
+        self.counts["over_cap"] += 1
+        self.figures.ended(End.REJECTED, class_name)
+
+    # --- for the operators
+
+    def health(self) -> str:
+        """Why the process is not ready to serve; empty where it is."""
+        return "stopping" if self.stopping else "" if self.ready else "no backends are known"
+
+    def stats(self) -> dict[str, object]:
+        """The figures, as they are now."""
+        return self.figures.table(list(self.classes)) | {
+            "pending": sum(not request.answered for request in self.open.values()),
+            "members": len(self.pool.hosts),
+            "members_unavailable": self.balancer.unavailable(self.now()),
+        }
+
     def gone(self, name: str) -> None:
         """The client has left."""
         if (request := self.open.get(name)) is not None and not request.answered:
@@ -187,10 +212,10 @@
                 self.loop.call_later(wait, self.event, api.Timer(action.token))
             case api.Refuse():
                 self.counts["refused"] += 1
-                self._answer(action.request, lambda client: client.refused(action.retry_after))
+                self._answer(action.request, End.REJECTED, lambda client: client.refused(action.retry_after))
             case api.Fail():
                 self.counts["failed"] += 1
-                self._answer(action.request, lambda client: client.failed())
+                self._answer(action.request, End.FAILED, lambda client: client.failed())
             case api.Cancel():
                 self._cancel(action)
             case api.CloseIdle():
@@ -253,7 +278,9 @@
             item.timer.cancel()
         self.counts[f"attempt_{answer.status.value}"] += 1
         if answer.status is api.Status.OK:
-            self._answer(item.request, lambda client: client.served(answer.body, answer.content_type))
+            self._answer(
+                item.request, End.COMPLETED, lambda client: client.served(answer.body, answer.content_type)
+            )
         request = self.open.get(item.request)
         closed = request is None or request.answered
         if request is not None and closed:
@@ -272,13 +299,14 @@
             self._timeout(item)
         if name in self.open and not request.answered:
             self.counts["overdue"] += 1
-            self._answer(name, lambda client: client.failed())
+            self._answer(name, End.FAILED, lambda client: client.failed())
             self.event(api.ClientGone(name))
 
-    def _answer(self, name: str, tell: Callable[[Client], None]) -> None:
+    def _answer(self, name: str, end: End, tell: Callable[[Client], None]) -> None:
         request = self.open.get(name)
         if request is not None and not request.answered:
             client = request.client
+            self.figures.ended(end, request.class_name)
             self._close(name, request)
             tell(client)
 
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -16,6 +16,7 @@
 from dillport import interface as api
 from dillport.interface import Status
 from dillport.net.config import Address, Member
+from dillport.net.figures import Figures
 
 log = logging.getLogger(__name__)
 
@@ -184,6 +185,11 @@
     def resume_writing(self) -> None:
         """The request's last byte has left."""
         self.blocked = False
+        self._left()
+
+    def _left(self) -> None:
+        if self.attempt is not None and not self.blocked:
+            self.pool.figures.sent += 1
 
     def write(self, attempt: Attempt) -> None:
         """Send the attempt's request."""
@@ -195,6 +201,8 @@
         # Guards against calling a reset what never left: a write that fails at once closes the transport.
         if self.transport.is_closing():
             self._fail(Status.CONNECT_FAILED)
+        else:
+            self._left()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
@@ -283,7 +291,8 @@
 class Pool:
     """All connections to backends."""
 
-    def __init__(self, settings: api.Settings, limit: int) -> None:
+    def __init__(self, settings: api.Settings, limit: int, figures: Figures) -> None:
+        self.figures = figures
         self.connect_timeout = settings.connect_timeout / 1000
         self.idle_limit = settings.conn_idle / 1000
         self.limit, self.count = limit, 0
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -75,6 +75,11 @@
         handler(event)
         return self.acts
 
+    def unavailable(self, now: float) -> int:
+        """How many listed backends get nothing now, or nothing but in a panic."""
+        listed = [b for b in self.backends.values() if b.entry.phase is not api.Phase.GONE]
+        return sum(b.entry.phase is not api.Phase.UP or max(b.busy, b.until) > now for b in listed)
+
     def _pick(self, pool: list[Backend], m: int) -> Backend:
         """JUT(m): the lowest estimate below m, ties at random; a random backend once all have reached m."""
         low = min(b.estimate for b in pool)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -187,6 +187,7 @@
     discovery: FakeDiscovery
     log: list[str]
     config: Path
+    console_port: int = 0
     clients: list[Client] = field(default_factory=list)
 
     async def client(self) -> Client:
@@ -195,6 +196,22 @@
         self.clients.append(out)
         return out
 
+    async def call(self, target: str, method: str = "GET") -> Message:
+        """One call to the console."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.console_port)
+        writer.write(f"{method} {target} HTTP/1.1\r\nHost: node\r\n\r\n".encode())
+        got = await asyncio.wait_for(read_message(reader), WAIT)
+        assert await asyncio.wait_for(reader.read(), WAIT) == b""
+        writer.close()
+        return got
+
+    async def stats(self) -> dict[str, Any]:
+        """The figures."""
+        got = await self.call("/stats")
+        assert got.code == 200
+        out: dict[str, Any] = json.loads(got.body)
+        return out
+
     async def logged(self, text: str) -> None:
         """Wait for a log line."""
         async with asyncio.timeout(WAIT):
@@ -228,6 +245,7 @@
 
 def configuration(members: list[dict[str, Any]], discovery: int, **over: Any) -> dict[str, Any]:
     """A node's configuration; `limits` and others replace the settings of that name."""
+    console = {"console": over.pop("console")} if "console" in over else {}
     settings = {
         "request-classes": CLASSES, "limits": LIMITS | over.pop("limits", {}), "zone": "a",
         "load-info": {"how": "inline", "names": ["waiting", "active"]}, "discovery": "automatic",
@@ -239,14 +257,15 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": over.pop("sockets", 1024)},
         "known": {"revision": 41, "complete": True, "members": members},
         "settings": settings | over,
-    }  # fmt: skip
+    } | console  # fmt: skip
 
 
 async def spawn(path: Path) -> asyncio.subprocess.Process:
     """Start the program on a configuration file."""
     env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    env |= {"PROXY_CONFIG": str(path), "TMPDIR": str(path.parent)}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "dillport", cwd=ROOT, env=env | {"PROXY_CONFIG": str(path)},
+        sys.executable, "-B", "-m", "dillport", cwd=ROOT, env=env,
         stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
 
@@ -267,6 +286,8 @@
         found = re.search(r"serves on \S+:(\d+)", rig.log[-1])
         assert found
         rig.port = int(found[1])
+        if found := re.search(r"console on \S+:(\d+)", "".join(rig.log)):
+            rig.console_port = int(found[1])
         yield rig
         assert not any("Traceback" in line for line in rig.log)
     finally:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
 from dillport.interface import Effect, ListKind, Settings, Status
 from dillport.interface import RequestClass as Class
 from dillport.net.config import ListError, load, news
+from dillport.net.figures import Figures
 from dillport.net.front import Front
 from dillport.net.node import Node
 from dillport.net.upstream import Answer, Pool, parse_report
@@ -139,7 +140,7 @@
         for sock in fill:
             sock.setblocking(False)
             sock.connect_ex(mute.getsockname())
-        pool = Pool(Settings(classes=(READ,), connect_timeout=100.0), 10)
+        pool = Pool(Settings(classes=(READ,), connect_timeout=100.0), 10, Figures())
         pool.update(_list("b0", mute.getsockname()[1]), True)
         assert (await _attempt(pool, b"GET / HTTP/1.1\r\n\r\n")).status is Status.CONNECT_FAILED
         assert pool.count == 0
@@ -174,7 +175,7 @@
             met.set()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10)
+        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10, Figures())
         pool.update(_list("b0", server.sockets[0].getsockname()[1]), True)
         assert (await _attempt(pool, b"x" * 64_000_000)).status is Status.CONNECT_FAILED
         await met.wait()
@@ -188,7 +189,7 @@
     async def test() -> None:
         backend = Backend("b0")
         await backend.start()
-        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10)
+        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10, Figures())
         for change in ({"phase": "terminating"}, {"phase": "terminated"}, {"host_port": "127.0.0.1:9"}):
             pool.update(_list("b0", backend.port), True)
             late = _list("b0", backend.port, **change)
@@ -206,7 +207,7 @@
 
     async def test() -> None:
         listener = socket.create_server(("127.0.0.1", 0))
-        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10)
+        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10, Figures())
         pool.update(_list("b0", listener.getsockname()[1]), True)
         attempt = pool.start("b0", b"hello", lambda answer: None)
         loop = asyncio.get_running_loop()
@@ -228,7 +229,7 @@
 
     async def test() -> None:
         backends = [Backend("b0"), Backend("b1", never)]
-        pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 1)
+        pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 1, Figures())
         members = ()
         for backend in backends:
             await backend.start()
@@ -254,7 +255,7 @@
     async def test() -> None:
         backend = Backend("b0", says(answer(b"x")))
         await backend.start()
-        pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 1)
+        pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 1, Figures())
         pool.update(_list("b0", backend.port), True)
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (0, hard))
