--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -12,7 +12,8 @@
 import uvloop
 
 from dillport.interface import ListKind
-from dillport.net.config import Config, ConfigError, discovery_now, load
+from dillport.net import config as config_file
+from dillport.net.config import Config, ConfigError, load
 from dillport.net.console import Console
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
@@ -22,15 +23,19 @@
 LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
 
 
-def reload(discovery: Discovery) -> None:
+def reload(node: Node, discovery: Discovery) -> None:
     """SIGHUP: the configuration file has been replaced; a bad one changes nothing."""
     try:
-        address = discovery_now(os.environ)
+        config = config_file.reload(os.environ, node.config)
     except ConfigError as err:
-        logging.warning("reload: %s", " ".join(str(err).split()))
+        node.figures.reload_errors += 1
+        logging.warning("reload: %s; nothing is taken", " ".join(str(err).split()))
         return
-    logging.info("reload: discovery at %s:%d", *address)
-    discovery.move(address)
+    node.reconfigure(config)
+    logging.info("reload: classes %s, %d attempts, discovery at %s:%d",
+                 " ".join(node.classes), config.settings.max_attempts, *config.discovery)  # fmt: skip
+    if config.discovery != discovery.address:
+        discovery.move(config.discovery)
 
 
 async def serve(config: Config) -> None:
@@ -42,7 +47,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, discovery)
     node.list(config.known, ListKind.SAVED)
     if not config.settings.must_ask:
         discovery.watch(True)
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -281,7 +281,15 @@
     content: bytes
 
 
-Event = ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer | Probed | PeerMessage
+@dataclass(slots=True)
+class Reconfigured:
+    """New settings, checked and whole. Requests under way keep the class that they came with."""
+
+    settings: Settings
+
+
+Event = (Reconfigured | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer | Probed
+         | PeerMessage)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -5,7 +5,7 @@
 import ipaddress
 import json
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -64,6 +64,8 @@
     client_sockets: int
     upstream_sockets: int
     console: Address | None = None
+    keys: frozenset[str] = frozenset()  # what the file says, for the one that replaces it
+    class_keys: frozenset[str] = frozenset()
 
 
 def address(value: object) -> Address:
@@ -138,14 +140,42 @@
     return raw
 
 
-def discovery_now(env: Mapping[str, str]) -> Address:
-    """Where the file now says discovery is: the environment is as old as the process. Raises ConfigError."""
-    return _at(_read(env), {}, "discovery")
+def _keys(table: Mapping[str, Any], where: str = "") -> Iterator[str]:
+    """The dotted names of all that a table says; lists count as one value."""
+    for name, value in table.items():
+        yield where + name
+        if isinstance(value, dict):
+            yield from _keys(value, f"{where}{name}.")
+
+
+def _class_keys(raw: Mapping[str, Any]) -> frozenset[str]:
+    """What all classes of a checked file say; the group goes with the effect."""
+    rows: list[dict[str, Any]] = raw["settings"]["request-classes"]
+    return frozenset.intersection(*(frozenset(row) for row in rows)) - {"group", "memory-span"}
+
+
+def reload(env: Mapping[str, str], held: Config) -> Config:
+    """The configuration that has replaced `held`; raises ConfigError where it is not whole and sound.
+
+    Guards against a file that lost a key: it would fall back to a default that nobody asked for.
+    """
+    raw = _read(env)
+    if lost := sorted(held.keys - set(_keys(raw))):
+        raise ConfigError(f"{lost[0]} is missing")
+    # The environment is as old as the process: the file alone says where discovery is now.
+    out = _checked(raw, {k: v for k, v in env.items() if k != PREFIX + "DISCOVERY"})
+    for index, row in enumerate(raw["settings"]["request-classes"]):
+        if lost := sorted(held.class_keys - row.keys()):
+            raise ConfigError(f"settings: request-classes[{index}].{lost[0]} is missing")
+    return out
 
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment points to; raises ConfigError."""
-    raw = _read(env)
+    return _checked(_read(env), env)
+
+
+def _checked(raw: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     if not isinstance(raw.get("settings"), dict):
         raise ConfigError("settings is missing")
     try:
@@ -177,4 +207,6 @@
         client_sockets=clients,
         upstream_sockets=sockets - SPARE - clients,
         console=None if asked_for is None else _at(raw, env, "console"),
+        keys=frozenset(_keys(raw)),
+        class_keys=_class_keys(raw),
     )
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -76,8 +76,7 @@
     """One load-balancer node around one `Balancer`. It carries out decisions and makes none."""
 
     def __init__(self, config: Config) -> None:
-        self.settings = config.settings
-        self.classes = {c.name: c for c in config.settings.classes}
+        self._take(config)
         self.balancer = Balancer(config.settings, config.seed)
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
@@ -94,6 +93,17 @@
         self._lag = 0.0  # s: the latest pulse since then
         self._pulses = 0
 
+    def _take(self, config: Config) -> None:
+        self.config, self.settings = config, config.settings
+        self.classes = {c.name: c for c in config.settings.classes}
+
+    def reconfigure(self, config: Config) -> None:
+        """Take a configuration that has replaced the one in force."""
+        self._take(config)
+        self.pool.configure(config.settings)
+        self.event(api.Reconfigured(config.settings))
+        self.figures.reloads += 1
+
     def pulse(self, due: float) -> None:
         """Watch the event loop's lag; now and then log what was done, while there was something to do."""
         now = self.loop.time()
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -293,13 +293,17 @@
 
     def __init__(self, settings: api.Settings, limit: int, figures: Figures) -> None:
         self.figures = figures
-        self.connect_timeout = settings.connect_timeout / 1000
-        self.idle_limit = settings.conn_idle / 1000
+        self.configure(settings)
         self.limit, self.count = limit, 0
         self.hosts: dict[str, Host] = {}
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
 
+    def configure(self, settings: api.Settings) -> None:
+        """Take settings, for what is opened and swept from now on."""
+        self.connect_timeout = settings.connect_timeout / 1000
+        self.idle_limit = settings.conn_idle / 1000
+
     def update(self, members: tuple[Member, ...], complete: bool) -> None:
         """Take the news of the list: idle connections to what leaves or moves go."""
         if complete:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from dillport import interface as api
@@ -41,10 +42,10 @@
     """One node. `handle` takes an event and the clock and returns the actions."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.cfg, self.rng, self.now = settings, random.Random(seed), 0.0
+        self.rng, self.now = random.Random(seed), 0.0
         self.acts: list[api.Action] = []
-        self.classes = {c.name: Class(c, c.aim / 4) for c in settings.classes}
-        self.longest_aim = max(c.aim for c in settings.classes)
+        self.classes: dict[str, Class] = {}
+        self._configure(settings)
         self.up: list[str] = []
         self.order: list[str] = []  # the list in this node's own order
         self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
@@ -59,13 +60,26 @@
         self.lost = 0.0  # share of attempts that got no answer of late
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
         self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
-        self.looks = (settings.probing and settings.reports is not api.Reports.NONE
-                      and settings.charges.probe * SAMPLE <= TRIFLE)
         self.density = sum(c.value / c.aim for c in settings.classes) * 4 / len(settings.classes)
         self.on: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
-            api.StreamStarted: self._stream, api.PeerMessage: lambda event: None}
+            api.StreamStarted: self._stream, api.Reconfigured: self._reconfigured,
+            api.PeerMessage: lambda event: None}
+
+    def _configure(self, settings: api.Settings) -> None:
+        """Take settings. A class that stays hands on what was learned; requests keep their own record."""
+        held, self.cfg = self.classes, settings
+        self.classes = {c.name: replace(held[c.name], cfg=c) if c.name in held else Class(c, c.aim / 4)
+                        for c in settings.classes}
+        self.longest_aim = max(c.aim for c in settings.classes)
+        self.looks = (settings.probing and settings.reports is not api.Reports.NONE
+                      and settings.charges.probe * SAMPLE <= TRIFLE)
+
+    def _reconfigured(self, ev: api.Reconfigured) -> None:
+        self._configure(ev.settings)
+        self._reorder(set(self.up))
+        self._release()
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event at the clock time `now` (it never goes back)."""
@@ -164,7 +178,8 @@
         density = c.value / cls.usual
         self.density += EWMA / 2 * (density - self.density)
         self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
-        req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density)
+        req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density,
+                      self.cfg.max_attempts)
         self.requests[ev.request] = req
         # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
         (self._route if self._fits(req) else self._finish)(req)
@@ -285,7 +300,7 @@
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
         if (req.over or req.stream or b.entry.phase is not api.Phase.UP or not self._legal(req, b)
-                or len(req.attempts) >= self.cfg.max_attempts or self.now >= req.deadline):
+                or len(req.attempts) >= self._most(req) or self.now >= req.deadline):
             self._finish(req)
             return
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
@@ -300,6 +315,10 @@
         req.attempts[-1].short = (stop or req.deadline - self.now) < cut
         self.acts.append(api.Send(req.id, b.entry.backend, stop))
 
+    def _most(self, req: Request) -> int:
+        """Attempts that both the settings it came under and those of now allow."""
+        return min(req.most, self.cfg.max_attempts)
+
     def _outcome(self, ev: api.Outcome) -> None:
         req = self.requests.get(ev.request)
         if req is None or ev.attempt >= len(req.attempts) or req.attempts[ev.attempt].status is not None:
@@ -366,7 +385,7 @@
     def _again(self, req: Request) -> None:
         """The attempt failed: try elsewhere while that can meet the aim and the retry budget lasts."""
         cost = 0.0 if req.attempts[-1].cut else 1.0  # a lost answer is no sign of load
-        may = self.bank >= cost and len(req.attempts) < self.cfg.max_attempts and self._fits(req)
+        may = self.bank >= cost and len(req.attempts) < self._most(req) and self._fits(req)
         may = may and any(self._legal(req, self.backends[name]) for name in self.up)  # else it waits in vain
         self.bank -= cost * may
         (self._route if may else self._finish)(req)
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -57,6 +57,7 @@
     deadline: float
     useful: float  # an answer after this is worth nothing
     dense: bool  # worth far more for its time than the mean
+    most: int  # attempts allowed when it came
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0
     over: bool = False
--- a/dillport/wire.py
+++ b/dillport/wire.py
@@ -162,6 +162,10 @@
     classes = _rows(raw, "request-classes")
     if not classes:
         raise api.SettingsError("request-classes is missing")
+    names = [row.get("name") for row in classes]
+    for index, name in enumerate(names):
+        if name in names[:index]:
+            raise _fault(f"request-classes[{index}].", "name", name)
     group_size = _whole(raw, "", "group-size", 1, 1)
     me = _whole(raw, "", "me", 0, 0)
     heeded = _flag(limits, "limits.", "retry-after", False)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,149 @@
+"""New settings at SIGHUP: all or nothing, and requests under way keep what they came with."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport import interface as api
+from dillport.net.config import ConfigError, load, reload
+from dillport.policy import Balancer
+from tests.helpers import BASE, KEYED, SAFE, UNSAFE, answers, node, sends
+from tests.sockets import CLASSES, Backend, Message, configuration, echo, running
+from tests.test_console import CONSOLE
+from tests.test_node import run
+
+
+def fails(balancer: Balancer, request: str, attempt: int, backend: str) -> list[api.Action]:
+    """An attempt ends with an error, which it may have run into after it took effect."""
+    ended = api.Outcome(request, attempt, backend, api.Status.ERROR, 10.0, False)
+    return balancer.handle(1020.0 + attempt, ended)
+
+
+def test_a_request_under_way_keeps_its_class_and_later_ones_get_the_stricter() -> None:
+    balancer = node(BASE, ["b0", "b1", "b2"])
+    first = sends(balancer.handle(1001.0, api.Arrival("old", "pay", deadline=2001.0)))
+    stricter = replace(KEYED, effect=api.Effect.UNSAFE, aim=300.0)
+    balancer.handle(1010.0, api.Reconfigured(replace(BASE, classes=(SAFE, stricter))))
+    assert len(sends(fails(balancer, "old", 0, first[0].backend))) == 1
+    later = sends(balancer.handle(1030.0, api.Arrival("new", "pay", deadline=2030.0)))
+    assert isinstance(answers(fails(balancer, "new", 0, later[0].backend))[0], api.Fail)
+    with pytest.raises(api.CallError):
+        balancer.handle(1040.0, api.Arrival("gone", UNSAFE.name, deadline=2040.0))
+
+
+@pytest.mark.parametrize(("came", "now", "most"), [(3, 1, 1), (1, 3, 1), (2, 3, 2)])
+def test_a_request_is_sent_no_more_often_than_old_and_new_settings_allow(
+    came: int, now: int, most: int
+) -> None:
+    balancer = node(replace(BASE, max_attempts=came), ["b0", "b1", "b2", "b3"])
+    sent = sends(balancer.handle(1001.0, api.Arrival("r", "read", deadline=2001.0)))
+    balancer.handle(1010.0, api.Reconfigured(replace(BASE, max_attempts=now)))
+    while len(sent) < 5 and (more := sends(fails(balancer, "r", len(sent) - 1, sent[-1].backend))):
+        sent += more
+    assert len(sent) == most
+
+
+def test_what_was_learned_of_a_class_that_stays_is_kept() -> None:
+    balancer = node(BASE, ["b0"])
+    balancer.classes["read"].usual = 77.0
+    balancer.handle(1010.0, api.Reconfigured(replace(BASE, classes=(replace(SAFE, aim=90.0), UNSAFE))))
+    assert (balancer.classes["read"].usual, balancer.classes["read"].cfg.aim) == (77.0, 90.0)
+    assert balancer.longest_aim == UNSAFE.aim
+
+
+def without(*path: str | int) -> Callable[[dict[str, Any]], object]:
+    """Take one key out of a file."""
+
+    def change(raw: dict[str, Any]) -> None:
+        table: Any = raw
+        for part in path[:-1]:
+            table = table[part]
+        del table[path[-1]]
+
+    return change
+
+
+def row(name: str, value: object) -> Callable[[dict[str, Any]], object]:
+    """Change one value of the first class."""
+    return lambda raw: raw["settings"]["request-classes"][0].update({name: value})
+
+
+def limit(name: str, value: object) -> Callable[[dict[str, Any]], object]:
+    """Change one value of the settings' limits."""
+    return lambda raw: raw["settings"]["limits"].update({name: value})
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        (without("settings"), "settings"),
+        (without("discovery"), "discovery"),
+        (without("settings", "limits", "most-tries"), "settings.limits.most-tries"),
+        (without("settings", "request-classes"), "settings.request-classes"),
+        (without("settings", "request-classes", 0, "give-up"), "request-classes[0].give-up"),
+        (without("settings", "request-classes", 1, "objective"), "request-classes[1].objective"),
+        (row("give-up", 0), "request-classes[0].give-up"),
+        (row("give-up", -5), "request-classes[0].give-up"),
+        (row("give-up", True), "request-classes[0].give-up"),
+        (row("give-up", "400"), "request-classes[0].give-up"),
+        (row("give-up", float("nan")), "request-classes[0].give-up"),
+        (row("name", "pay"), "request-classes[1].name"),
+        (limit("most-tries", 0), "limits.most-tries"),
+        (limit("most-tries", 1.5), "limits.most-tries"),
+        (limit("most-tries", False), "limits.most-tries"),
+    ],
+)
+def test_a_file_that_is_not_whole_and_sound_is_turned_down(
+    tmp_path: Path, change: Callable[[dict[str, Any]], object], field: str
+) -> None:
+    path, raw = tmp_path / "config.json", json.loads(json.dumps(configuration([], 1)))
+    path.write_text(json.dumps(raw))
+    held = load({"PROXY_CONFIG": str(path)})
+    assert reload({"PROXY_CONFIG": str(path)}, held) == held
+    change(raw)
+    path.write_text(json.dumps(raw))
+    with pytest.raises(ConfigError) as err:
+        reload({"PROXY_CONFIG": str(path)}, held)
+    assert field in str(err.value)
+
+
+def test_classes_come_and_go_with_their_counts_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            if message.start.startswith("GET /read "):
+                await go.wait()
+            await echo(backend, message, writer)
+
+        backend = Backend("b0", slow)
+        async with running(tmp_path, backend, console=CONSOLE) as rig:
+            before = json.loads(rig.config.read_text())
+            kept, other, third = await rig.client(), await rig.client(), await rig.client()
+            kept.send("/read")
+            await backend.got.get()
+            fresh = json.loads(json.dumps(before))
+            fresh["settings"]["request-classes"] = [CLASSES[2], CLASSES[0] | {"name": "read-2"}]
+            for text in ("", json.dumps(fresh)[:-40], json.dumps(fresh | {"settings": {}})):
+                rig.reload(text)
+                await rig.logged("nothing is taken")
+                rig.log.clear()
+            assert (await other.ask("/read-2")).code == 404
+            rig.reload(json.dumps(fresh))
+            await rig.logged("reload: classes once read-2")
+            assert (await third.ask("/read-2")).code == 200
+            assert (await third.ask("/read")).code == 404
+            go.set()
+            assert (await kept.answer()).code == 200
+            got = await rig.stats()
+            assert (got["config_reloads"], got["config_reload_errors"]) == (1, 3)
+            assert got["completed"] == {"once": 0, "read-2": 1, "read": 1}
+
+    run(test)
