--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -48,6 +48,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload, node, discovery)
+    if config.console is not None:
+        node.bans.start(False)
     node.list(config.known, ListKind.SAVED)
     if not config.settings.must_ask:
         discovery.watch(True)
@@ -68,6 +70,7 @@
     node.pool.close()
     await asyncio.sleep(0.05)  # the last answers leave
     console.close()
+    node.bans.stop()
     logging.info("%s ends", config.name)
 
 
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -288,8 +288,20 @@
     settings: Settings
 
 
-Event = (Reconfigured | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer | Probed
-         | PeerMessage)
+@dataclass(slots=True)
+class Maintenance:
+    """The operators take a backend out of service or put it back, whatever the list says of it.
+
+    `since` is when it was put back: it counts as started then, wherever that is later than the list says.
+    """
+
+    backend: str
+    out: bool
+    since: float = 0.0
+
+
+Event = (Reconfigured | Maintenance | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer
+         | Probed | PeerMessage)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/net/console.py
+++ b/dillport/net/console.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 import logging
+from collections.abc import Coroutine
 from typing import Protocol, cast
 from urllib.parse import unquote_to_bytes
 
 import httptools
 
+from dillport.net.bans import BansError
 from dillport.net.config import Address
 
 log = logging.getLogger(__name__)
@@ -43,6 +45,9 @@
     def stats(self) -> dict[str, object]:
         """The figures."""
 
+    async def operate(self, backend: str, out: bool) -> bool:
+        """Take a backend out or put it back; False where it was never listed. Raises BansError."""
+
 
 class Caller(asyncio.Protocol):
     """One connection, one call."""
@@ -53,7 +58,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.timer: asyncio.TimerHandle | None = None
         self.target, self.size, self.body = b"", 0, 0
-        self.in_body = self.answered = False
+        self.in_body = self.called = self.answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Give the caller its time."""
@@ -114,12 +119,18 @@
 
     def on_message_complete(self) -> None:
         """The call is whole."""
-        if self.answered:
-            return
+        if not self.answered and not self.called:
+            self.called = True
+            self.console.start(self._carry_out(self.parser.get_method(), self.target))
+
+    async def _carry_out(self, method: bytes, target: bytes) -> None:
         try:
-            text, kind = self.console.call(self.parser.get_method(), self.target)
+            text, kind = await self.console.call(method, target)
         except CallRefused as err:
             self._no(err.code, str(err), err.allow)
+        except Exception:  # guards against one bad call ending the node
+            log.exception("console: call failed")
+            self._no(500, "internal error")
         else:
             self.answer(200, text, kind)
 
@@ -151,6 +162,7 @@
     def __init__(self, node: Operated) -> None:
         self.node, self.loop = node, asyncio.get_running_loop()
         self.callers: dict[Caller, None] = {}  # longest here first
+        self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
 
     @property
@@ -170,7 +182,13 @@
         if len(self.callers) > CALLERS:
             next(iter(self.callers)).drop()
 
-    def call(self, method: bytes, target: bytes) -> tuple[str, str]:
+    def start(self, call: Coroutine[None, None, None]) -> None:
+        """Carry out a call beside the others."""
+        task = self.loop.create_task(call)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def call(self, method: bytes, target: bytes) -> tuple[str, str]:
         """Carry out one call; returns its answer and that answer's type. Raises CallRefused."""
         try:
             path = httptools.parse_url(target).path or b"/"
@@ -186,6 +204,15 @@
             case ["stats"]:
                 _expect(method, b"GET")
                 return json.dumps(self.node.stats(), separators=(",", ":")) + "\n", "application/json"
+            case ["backends", backend, ("maint" | "ready") as word]:
+                _expect(method, b"POST")
+                try:
+                    known = await self.node.operate(backend, word == "maint")
+                except BansError as err:
+                    raise CallRefused(503, f"nothing is changed: {err}") from None
+                if not known:
+                    raise CallRefused(404, "no such backend was ever listed")
+                return f"{backend} is {'out' if word == 'maint' else 'back'}\n", "text/plain"
         raise CallRefused(404, "no such call")
 
     def close(self) -> None:
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from typing import Protocol
 
 from dillport import interface as api
+from dillport.net.bans import Bans, stem
 from dillport.net.config import Config, News
 from dillport.net.figures import End, Figures
 from dillport.net.upstream import Answer, Attempt, Pool
@@ -82,6 +84,7 @@
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
         self._zero = time.time() * 1000 - time.monotonic() * 1000
         self.figures = Figures()
+        self.bans = Bans(stem(os.environ, "{}:{}".format(*config.listen)), self.maintain)
         self.pool = Pool(config.settings, config.upstream_sockets, self.figures)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
@@ -175,6 +178,13 @@
         """Why the process is not ready to serve; empty where it is."""
         return "stopping" if self.stopping else "" if self.ready else "no backends are known"
 
+    async def operate(self, backend: str, out: bool) -> bool:
+        """Take a backend out or put it back; False where it was never listed. Raises BansError."""
+        if not self.balancer.listed(backend) and not self.bans.known(backend):
+            return False
+        await self.bans.change(backend, out, self.now(), self.settings.ramp_time)
+        return True
+
     def stats(self) -> dict[str, object]:
         """The figures, as they are now."""
         return self.figures.table(list(self.classes)) | {
@@ -194,7 +204,13 @@
         """The list, or a change of it."""
         self.pool.update(news.members, kind is not api.ListKind.CHANGES)
         self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
-        self.ready = self.ready or any(host.up for host in self.pool.hosts.values())
+        self.ready = self.ready or any(host.listed for host in self.pool.hosts.values())
+
+    def maintain(self, backend: str, out: bool, since: float) -> None:
+        """The operators take a backend out, or have put it back at the time `since`."""
+        log.info("maintenance: %s %s", backend, "is out" if out else "is back")
+        self.pool.ban(backend, out)
+        self.event(api.Maintenance(backend, out, since))
 
     def list_failed(self) -> None:
         """A call that the module asked for has failed."""
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -90,12 +90,18 @@
 class Host:
     """One backend: where it listens, whether it takes work, its idle connections, latest used last."""
 
-    __slots__ = ("address", "idle", "up")
+    __slots__ = ("address", "banned", "idle", "listed")
 
-    def __init__(self, address: Address) -> None:
-        self.address, self.up = address, True
+    def __init__(self, address: Address, banned: bool) -> None:
+        self.address, self.banned = address, banned
+        self.listed = True  # as in service
         self.idle: list[Connection] = []
 
+    @property
+    def up(self) -> bool:
+        """Whether it may have new work."""
+        return self.listed and not self.banned
+
 
 class Connection(asyncio.Protocol):
     """One connection to a backend; it carries one attempt at a time."""
@@ -296,6 +302,7 @@
         self.configure(settings)
         self.limit, self.count = limit, 0
         self.hosts: dict[str, Host] = {}
+        self.banned: set[str] = set()  # by the operators, listed or not
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
 
@@ -314,16 +321,24 @@
             if member.entry.phase is api.Phase.GONE:
                 self._remove(name)
                 continue
-            host = self.hosts.setdefault(name, Host(member.address))
-            host.up = member.entry.phase is api.Phase.UP
+            host = self.hosts.setdefault(name, Host(member.address, name in self.banned))
+            host.listed = member.entry.phase is api.Phase.UP
             if not host.up or host.address != member.address:
                 self.close_idle(name)
             host.address = member.address
 
+    def ban(self, name: str, out: bool) -> None:
+        """Take note of a ban or its end; what still waits for a connection there is moot."""
+        (self.banned.add if out else self.banned.discard)(name)
+        if name in self.hosts:
+            self.hosts[name].banned = out
+            if out:
+                self.close_idle(name)
+
     def _remove(self, name: str) -> None:
         """Forget a backend; an attempt that is out there ends on its own."""
         if name in self.hosts:
-            self.hosts[name].up = False
+            self.hosts[name].listed = False
             self.close_idle(name)
             del self.hosts[name]
 
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -52,6 +52,9 @@
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
         self.fleet = 0  # most backends ever listed: what a warm one's share is measured by
         self.backends: dict[str, Backend] = {}
+        self.banned: set[str] = set()  # by the operators
+        self.returned: dict[str, float] = {}  # when they put a backend back
+        self.places: dict[str, int] = {}  # where a banned one stood in `order`
         self.requests: dict[str, Request] = {}
         self.held: list[Request] = []
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
@@ -65,6 +68,7 @@
             api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
             api.StreamStarted: self._stream, api.Reconfigured: self._reconfigured,
+            api.Maintenance: self._maintenance,
             api.PeerMessage: lambda event: None}
 
     def _configure(self, settings: api.Settings) -> None:
@@ -81,6 +85,24 @@
         self._reorder(set(self.up))
         self._release()
 
+    def _maintenance(self, ev: api.Maintenance) -> None:
+        """Bans go by id and apart from the list, which cannot lift one."""
+        name, before = ev.backend, set(self.up)
+        if ev.out:
+            self.banned.add(name)
+            if name in before:
+                self.places[name] = self.order.index(name)
+        else:  # it was restarted meanwhile: what was known is void
+            self.banned.discard(name)
+            self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
+            if (b := self.backends.get(name)) is not None:
+                b.estimate, b.fails, b.until, b.busy, b.slow, b.trip = b.out, 0, 0.0, 0.0, 1.0, math.inf
+        self._refresh()
+
+    def _takes(self, b: Backend) -> bool:
+        """Whether the list and the operators let it have new work."""
+        return b.entry.phase is api.Phase.UP and b.entry.backend not in self.banned
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Decide on one event at the clock time `now` (it never goes back)."""
         if (handler := self.on.get(type(event))) is None:
@@ -89,10 +111,14 @@
         handler(event)
         return self.acts
 
+    def listed(self, name: str) -> bool:
+        """Whether the list has ever named this backend."""
+        return name in self.backends
+
     def unavailable(self, now: float) -> int:
         """How many listed backends get nothing now, or nothing but in a panic."""
         listed = [b for b in self.backends.values() if b.entry.phase is not api.Phase.GONE]
-        return sum(b.entry.phase is not api.Phase.UP or max(b.busy, b.until) > now for b in listed)
+        return sum(not self._takes(b) or max(b.busy, b.until) > now for b in listed)
 
     def _pick(self, pool: list[Backend], m: int) -> Backend:
         """JUT(m): the lowest estimate below m, ties at random; a random backend once all have reached m."""
@@ -139,8 +165,9 @@
 
     def _warmth(self, entry: api.Entry) -> float:
         """The part of its capacity that a backend surely has by now."""
-        age, cold = self.now - entry.started_at, self.cfg.cold_share
-        if entry.started_at <= 0 or age >= self.cfg.ramp_time:
+        started = max(entry.started_at, self.returned.get(entry.backend, 0.0))
+        age, cold = self.now - started, self.cfg.cold_share
+        if started <= 0 or age >= self.cfg.ramp_time:
             return 1.0
         return cold + (1.0 - cold) * max(0.0, age) / self.cfg.ramp_time
 
@@ -288,7 +315,7 @@
     def _settle(self, req: Request) -> None:
         """All that was asked has answered, or an idle backend has: decide."""
         req.pending = set()
-        pool = [b for b in req.found if b.entry.phase is api.Phase.UP and self._legal(req, b)]
+        pool = [b for b in req.found if self._takes(b) and self._legal(req, b)]
         low, m = min((b.estimate for b in pool), default=math.inf), self._cap(req)
         if low > 0 and req.rounds < ROUNDS:
             self._look(req)
@@ -299,7 +326,7 @@
 
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
-        if (req.over or req.stream or b.entry.phase is not api.Phase.UP or not self._legal(req, b)
+        if (req.over or req.stream or not self._takes(b) or not self._legal(req, b)
                 or len(req.attempts) >= self._most(req) or self.now >= req.deadline):
             self._finish(req)
             return
@@ -454,7 +481,11 @@
             if entry.started_at > b.entry.started_at:  # restarted: what was known is void
                 b.estimate, b.fails, b.until, b.slow = b.out, 0, 0.0, 1.0
             b.entry = entry
-        up = sorted(name for name, b in self.backends.items() if b.entry.phase is api.Phase.UP)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        """Who may have new work has changed, or may have."""
+        up = sorted(name for name, b in self.backends.items() if self._takes(b))
         before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
         self._reorder(before)
 
@@ -482,7 +513,9 @@
             self.spill = 1.0 - len(near) / max(1, n)
         self.order = [name for name in self.order if name in now]
         for name in sorted(now - before):
-            self.order.insert(self.rng.randrange(len(self.order) + 1), name)
+            # One that was banned returns to its place: a node that fed it before feeds it again.
+            place = self.places.pop(name, None)
+            self.order.insert(self.rng.randrange(len(self.order) + 1) if place is None else place, name)
         self.order.sort(key=lambda name: not self._near(name))
         self.home = len(near)
 
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,209 @@
+"""Backends that the operators take out and put back: in the module, in the shared file, over sockets."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from dillport.interface import Settings, Status
+from dillport.net import bans as bans_file
+from dillport.net.bans import Bans, BansError, Record, stem
+from dillport.net.figures import Figures
+from dillport.net.upstream import Pool
+from dillport.policy import Balancer
+from tests.helpers import BASE, entry, node, sends
+from tests.sockets import Backend, running
+from tests.test_console import CONSOLE
+from tests.test_node import READ, _attempt, _list, run
+
+OUT, BACK = api.Maintenance("b0", True), api.Maintenance("b0", False, 5000.0)
+
+
+def sent_to(balancer: Balancer, now: float, count: int = 60) -> set[str]:
+    """Where this many requests go, each over before the next comes."""
+    out = set()
+    for i in range(count):
+        name = f"{now}-{i}"
+        for send in sends(balancer.handle(now, api.Arrival(name, "read", now + 900.0))):
+            out.add(send.backend)
+            balancer.handle(now, api.Outcome(name, 0, send.backend, Status.OK, 20.0, True))
+    return out
+
+
+def test_a_ban_holds_whatever_the_list_says() -> None:
+    balancer = node(BASE, ["b0", "b1"])
+    balancer.handle(1001.0, OUT)
+    assert sent_to(balancer, 1002.0) == {"b1"}
+    for kind in (api.ListKind.CHANGES, api.ListKind.FULL):
+        balancer.handle(1003.0, api.ListUpdate(kind, [entry("b0", started_at=1003.0), entry("b1")]))
+        assert sent_to(balancer, 1004.0) == {"b1"}
+    assert balancer.unavailable(1004.0) == 1
+    balancer.handle(1005.0, OUT)  # once more is harmless
+    balancer.handle(5000.0, BACK)
+    assert sent_to(balancer, 60_000.0) == {"b0", "b1"}
+
+
+def test_a_ban_by_id_comes_before_the_list_that_names_it() -> None:
+    balancer = node(BASE, ["b1"])
+    balancer.handle(1001.0, OUT)
+    balancer.handle(1002.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b0")]))
+    assert sent_to(balancer, 1003.0) == {"b1"}
+
+
+def test_a_backend_that_is_put_back_is_cold_and_its_ejections_are_forgotten() -> None:
+    balancer = node(BASE, ["b0", "b1"])
+    b = balancer.backends["b0"]
+    b.until, b.busy, b.fails = 90_000.0, 90_000.0, 5
+    assert balancer._warmth(b.entry) == 1.0
+    balancer.handle(4000.0, OUT)
+    balancer.handle(5000.0, BACK)
+    assert balancer._warmth(b.entry) == BASE.cold_share
+    assert (b.until, b.busy, b.fails) == (0.0, 0.0, 0)
+    balancer.handle(5000.0 + BASE.ramp_time, api.Timer(0))
+    assert balancer._warmth(b.entry) == 1.0
+
+
+def test_a_node_that_fed_a_backend_feeds_it_again() -> None:
+    names = [f"b{i}" for i in range(200)]
+    settings = replace(BASE, group_size=200, reports=api.Reports.NONE)
+    for seed in range(20):
+        balancer = node(settings, names, seed)
+        subset = balancer.order[: balancer.width]
+        balancer.handle(1001.0, api.Maintenance(subset[1], True))
+        assert subset[1] not in balancer.order
+        balancer.handle(2000.0, api.Maintenance(subset[1], False, 2000.0))
+        assert balancer.order[: balancer.width] == subset
+
+
+def test_what_waits_for_a_connection_is_moot_once_its_backend_is_out() -> None:
+    async def test() -> None:
+        backend = Backend("b0")
+        await backend.start()
+        pool = Pool(Settings(classes=(READ,), conn_idle=1000.0), 10, Figures())
+        pool.update(_list("b0", backend.port), True)
+        assert (await _attempt(pool, b"x", lambda: pool.ban("b0", True))).status is Status.MOOT
+        pool.update(_list("b0", backend.port), False)
+        assert not pool.hosts["b0"].up and pool.count == 0 and backend.got.empty()
+        pool.update(_list("b1", backend.port), True)
+        pool.update(_list("b0", backend.port), True)
+        assert not pool.hosts["b0"].up
+        backend.stop()
+
+    run(test)
+
+
+def test_both_processes_follow_the_file(tmp_path: Path) -> None:
+    async def test() -> None:
+        told: list[tuple[str, bool, float]] = []
+        where = stem({"TMPDIR": str(tmp_path)}, "127.0.0.1:1")
+        one = Bans(where, lambda *_: None)
+        two = Bans(where, lambda *change: told.append(change))
+        one.start(False)
+        await one.change("a/../b", True, 1000.0, 500.0)
+        await one.change("c", True, 1100.0, 500.0)
+        two.start(True)
+        assert told == [("a/../b", True, 0.0), ("c", True, 0.0)]
+        await two.change("c", False, 1200.0, 500.0)
+        assert told[2:] == [("c", False, 1200.0)]
+        one._refresh()
+        assert one.record == Record(frozenset({"a/../b"}), {"c": 1200.0})
+        await one.change("a/../b", False, 1800.0, 500.0)
+        assert one.record == Record(frozenset(), {"a/../b": 1800.0})  # c has been warm for long
+        assert sorted(p.suffix for p in tmp_path.iterdir()) == [".bans", ".lock"]
+        one.stop()
+        two.stop()
+
+    run(test)
+
+
+SPOILT = ["", '{"out": ["a"', "[]", '{"out": [1], "back": {}}', '{"out": [], "back": {"a": "x"}}']
+
+
+@pytest.mark.parametrize("text", SPOILT)
+def test_a_spoilt_file_costs_one_warning_and_changes_nothing(
+    tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        bans = Bans(stem({"TMPDIR": str(tmp_path)}, "x"), lambda *_: None)
+        bans.start(False)
+        await bans.change("a", True, 1000.0, 500.0)
+        bans.path.write_text(text)
+        bans._refresh()
+        bans._refresh()
+        assert len(caplog.records) == 1 and bans.known("a")
+        await bans.change("b", True, 1000.0, 500.0)
+        assert json.loads(bans.path.read_text())["out"] == ["a", "b"]
+        bans.path.unlink()
+        bans._refresh()
+        bans._refresh()
+        assert len(caplog.records) == 2 and bans.known("a")
+        bans.stop()
+
+    run(test)
+
+
+def test_a_call_that_cannot_be_written_or_locked_changes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        told: list[tuple[str, bool, float]] = []
+        nowhere = Bans(stem({"TMPDIR": str(tmp_path / "none")}, "x"), lambda *change: told.append(change))
+        nowhere.start(False)
+        with pytest.raises(BansError):
+            await nowhere.change("a", True, 1000.0, 500.0)
+        monkeypatch.setattr(bans_file, "LOCK_WAIT", 0.0)
+        locked = Bans(stem({"TMPDIR": str(tmp_path)}, "x"), lambda *change: told.append(change))
+        locked.start(False)
+        fd = os.open(locked.lock, os.O_RDWR | os.O_CREAT)
+        fcntl.flock(fd, fcntl.LOCK_EX)
+        with pytest.raises(BansError):
+            await locked.change("a", True, 1000.0, 500.0)
+        os.close(fd)
+        assert told == [] and not locked.known("a")
+        nowhere.stop()
+        locked.stop()
+
+    run(test)
+
+
+def test_operators_take_a_backend_out_and_put_it_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        first, second = Backend("b 0/x"), Backend("b1")
+        rules = {"drain-grace": 0, "cold-share": 1.0, "ramp-time": 1}
+        async with running(tmp_path, first, second, console=CONSOLE, rules=rules) as rig:
+            client = await rig.client()
+            while first.got.empty():
+                assert (await client.ask("/read")).code == 200
+            for _ in range(2):
+                assert (await rig.call("/backends/b%200%2Fx/maint", "POST")).code == 200
+            while not first.got.empty():
+                first.got.get_nowait()
+            await rig.discovery.asked.get()
+            rig.discovery.news(42, first.member(), second.member())
+            for _ in range(20):
+                assert (await client.ask("/read")).code == 200
+            assert first.got.empty() and (await rig.stats())["members_unavailable"] == 1
+            assert (await rig.call("/backends/b%200%2Fx/ready", "POST")).code == 200
+            while first.got.empty():
+                assert (await client.ask("/read")).code == 200
+            for path in ("/backends/none/maint", "/backends/none/ready", "/backends/b1", "/backends/b1/kill"):
+                assert (await rig.call(path, "POST")).code == 404
+            assert (await rig.call("/backends/b1/maint")).code == 405
+
+    run(test)
+
+
+def test_a_call_that_cannot_be_kept_gets_a_no(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, Backend("b0"), console=CONSOLE) as rig:
+            next(tmp_path.glob("*.bans")).with_suffix(".lock").mkdir()  # root may write anywhere else
+            assert (await rig.call("/backends/b0/maint", "POST")).code == 503
+            assert (await rig.stats())["members_unavailable"] == 0
+
+    run(test)
