--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -3,24 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
 import signal
 import sys
+from functools import partial
 
 import uvloop
 
-from dillport.interface import ListKind
+from dillport.interface import ListKind, Settings, TakingOver
 from dillport.net import config as config_file
 from dillport.net.config import Config, ConfigError, load
 from dillport.net.console import Console
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
 from dillport.net.node import Node
+from dillport.net.pair import Pair, steer, unsteer
 
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
-LAST = 3.2  # s after SIGTERM when the node ends, whatever is open
+END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
+CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
+FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
 def reload(node: Node, discovery: Discovery) -> None:
@@ -38,42 +43,79 @@
         discovery.move(config.discovery)
 
 
+def until_killed(settings: Settings) -> float:
+    """Seconds from SIGTERM to SIGKILL at the soonest: the longest deadline, 3 s at most, and 0.7 s."""
+    return min(max(c.deadline for c in settings.classes) / 1000, 3.0) + 0.7
+
+
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT, then answer what was taken and return."""
     loop = asyncio.get_running_loop()
     node = Node(config)
     node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
-    front = Front(node, config.client_sockets)
+    front, console = Front(node, config.shares(1)[0]), Console(node)
+    pair = Pair(node.meeting, partial(share, node, front))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload, node, discovery)
+    beside = False
     if config.console is not None:
-        node.bans.start(False)
+        await console.listen(config.console)
+        logging.info("console on %s:%d", *console.address)
+        beside = pair.start()
+        node.bans.start(beside)
     node.list(config.known, ListKind.SAVED)
     if not config.settings.must_ask:
         discovery.watch(True)
-    await front.listen(config.listen)
-    console = Console(node)
-    if config.console is not None:
-        await console.listen(config.console)
-        logging.info("console on %s:%d", *console.address)
-    node.pulse(loop.time())
+    if beside:
+        logging.info("another process of this node runs: taking over")
+        share(node, front, True)
+        node.event(TakingOver())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(node.fresh.wait(), FRESH)
     gc.freeze()
+    await front.listen(config.listen, shared=config.console is not None)
+    node.listening = True
+    if front.socket is not None and config.console is not None:
+        unsteer(front.socket)
+    node.pulse(loop.time())
     logging.info("%s serves on %s:%d", config.name, *front.address)
     await stop.wait()
-    node.stopping = True
-    await asyncio.sleep(ACCEPT)
-    front.stop()
-    await node.finish(LAST - ACCEPT)
+    await end(node, front, pair)
     discovery.watch(False)
     node.pool.close()
     await asyncio.sleep(0.05)  # the last answers leave
     console.close()
     node.bans.stop()
+    pair.stop()
     logging.info("%s ends", config.name)
 
 
+def share(node: Node, front: Front, beside: bool) -> None:
+    """Keep to this process's part of the descriptors; what is open already may stay."""
+    clients, upstream = node.config.shares(2 if beside else 1)
+    front.limit = max(clients, len(front.connections)) if beside else clients
+    node.pool.limit = max(upstream, node.pool.count) if beside else upstream
+
+
+async def end(node: Node, front: Front, pair: Pair) -> None:
+    """Answer all that was taken, before SIGKILL comes."""
+    loop = asyncio.get_running_loop()
+    last = loop.time() + until_killed(node.settings) - END
+    pair.refresh()
+    node.succeeded, node.stopping = pair.beside, True
+    if node.succeeded and front.socket is not None:
+        steer(front.socket, 0 if pair.later else 1)
+        await asyncio.sleep(last - CLOSE - loop.time())  # to the last: it may come on any open connection
+    else:
+        await asyncio.sleep(min(ACCEPT, last - CLOSE - loop.time()))
+    front.stop()
+    while front.reading and loop.time() < last:
+        await asyncio.sleep(0.01)
+    await node.finish(max(0.0, last - loop.time()))
+
+
 def main() -> int:
     """Entry point; a bad configuration ends with one plain line on standard error."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -300,8 +300,13 @@
     since: float = 0.0
 
 
-Event = (Reconfigured | Maintenance | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone | Timer
-         | Probed | PeerMessage)
+@dataclass(slots=True)
+class TakingOver:
+    """This process takes the place of another one of the same node, and may not be late with the list."""
+
+
+Event = (Reconfigured | Maintenance | TakingOver | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone
+         | Timer | Probed | PeerMessage)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -61,12 +61,17 @@
     seed: int
     settings: api.Settings
     known: News
-    client_sockets: int
-    upstream_sockets: int
+    sockets: int
     console: Address | None = None
     keys: frozenset[str] = frozenset()  # what the file says, for the one that replaces it
     class_keys: frozenset[str] = frozenset()
 
+    def shares(self, processes: int) -> tuple[int, int]:
+        """Connections of clients and to backends for each of so many processes under one limit."""
+        room = max(2, self.sockets // processes - SPARE)
+        clients = int(room * CLIENT_PART)
+        return clients, room - clients
+
 
 def address(value: object) -> Address:
     """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
@@ -195,7 +200,6 @@
         known = news(raw.get("known", {"revision": 0, "complete": True, "members": []}))
     except ListError as err:
         raise ConfigError(f"known: {err}") from None
-    clients = int((sockets - SPARE) * CLIENT_PART)
     asked_for = env.get(PREFIX + "CONSOLE") or raw.get("console")
     return Config(
         name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
@@ -204,8 +208,7 @@
         seed=number,
         settings=settings,
         known=known,
-        client_sockets=clients,
-        upstream_sockets=sockets - SPARE - clients,
+        sockets=sockets,
         console=None if asked_for is None else _at(raw, env, "console"),
         keys=frozenset(_keys(raw)),
         class_keys=_class_keys(raw),
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import re
+import socket
+import sys
+import termios
 from functools import partial
 from typing import cast
 from urllib.parse import parse_qs
@@ -21,6 +25,7 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
+BACKLOG = 1024  # connections that wait to be accepted
 OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.5  # s for a request to come in whole once it has begun, for the first one since the connection came
 REASONS = {
@@ -210,8 +215,7 @@
             raise BadRequest(400, "bad target") from None
         path, query = url.path or b"/", url.query or b""
         if path == b"/up":
-            up = node.ready and not node.stopping
-            self._write(200 if up else 503, b"up\n" if up else b"not up\n")
+            self._write(200 if node.up else 503, b"up\n" if node.up else b"not up\n")
             return
         first = path.removeprefix(b"/").partition(b"/")[0].decode("latin-1")
         cls = node.classes.get(first)
@@ -294,6 +298,18 @@
         else:
             self.front.idle[self] = None
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet."""
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        waiting = bytearray(4)
+        try:
+            fcntl.ioctl(sock.fileno(), termios.FIONREAD, waiting)
+        except (OSError, ValueError):  # the connection is gone
+            return False
+        return int.from_bytes(waiting, sys.byteorder) > 0
+
     def close(self) -> None:
         """Close once the answer is out."""
         if not self.closing and self.transport is not None:
@@ -318,6 +334,7 @@
     def __init__(self, node: Node, limit: int) -> None:
         self.node, self.limit = node, limit
         self.loop = asyncio.get_running_loop()
+        self.socket: socket.socket | None = None
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # longest idle first
         self.server: asyncio.Server | None = None
@@ -330,13 +347,21 @@
     @property
     def address(self) -> Address:
         """Where it listens; the port is the system's choice where the configuration says 0."""
-        assert self.server is not None
-        host, port = self.server.sockets[0].getsockname()[:2]
+        assert self.socket is not None
+        host, port = self.socket.getsockname()[:2]
         return host, port
 
-    async def listen(self, address: Address) -> None:
-        """Accept connections on this address only."""
-        self.server = await self.loop.create_server(lambda: ClientConnection(self), *address, backlog=1024)
+    async def listen(self, address: Address, shared: bool) -> None:
+        """Accept connections on this address only; `shared` with another process of this node."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.socket.bind(address)
+        self.server = await self.loop.create_server(
+            lambda: ClientConnection(self), sock=self.socket, backlog=BACKLOG
+        )
 
     def took(self, connection: ClientConnection) -> None:
         """A connection came in; over the cap the longest idle one goes."""
@@ -355,9 +380,15 @@
         self.connections.discard(connection)
         self.idle.pop(connection, None)
 
+    @property
+    def reading(self) -> bool:
+        """Whether a request has come in part."""
+        return any(connection.mid and not connection.closing for connection in self.connections)
+
     def stop(self) -> None:
-        """Accept no more and close what is idle."""
+        """Accept no more and close what is idle; a request that has come meanwhile is still read."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.idle):
-            connection.close()
+            if not connection.unread:
+                connection.close()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -84,11 +84,13 @@
         # The clock is monotonic and set to Unix time once, at the start: it can read `up_since_ms` as it is.
         self._zero = time.time() * 1000 - time.monotonic() * 1000
         self.figures = Figures()
-        self.bans = Bans(stem(os.environ, "{}:{}".format(*config.listen)), self.maintain)
-        self.pool = Pool(config.settings, config.upstream_sockets, self.figures)
+        self.meeting = stem(os.environ, "{}:{}".format(*config.listen))
+        self.bans = Bans(self.meeting, self.maintain)
+        self.pool = Pool(config.settings, config.shares(1)[1], self.figures)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
-        self.ready = self.stopping = False
+        self.ready = self.listening = self.stopping = self.succeeded = False
+        self.fresh = asyncio.Event()  # discovery has told of the list
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._drained: Callable[[], None] = lambda: None
@@ -176,7 +178,14 @@
 
     def health(self) -> str:
         """Why the process is not ready to serve; empty where it is."""
-        return "stopping" if self.stopping else "" if self.ready else "no backends are known"
+        if self.stopping:
+            return "stopping"
+        return "" if self.up else "no backends are known" if self.listening else "starting"
+
+    @property
+    def up(self) -> bool:
+        """Whether the node serves: on an upgrade it goes on doing so, whichever of the two is asked."""
+        return self.ready and self.listening and (self.succeeded or not self.stopping)
 
     async def operate(self, backend: str, out: bool) -> bool:
         """Take a backend out or put it back; False where it was never listed. Raises BansError."""
@@ -204,6 +213,8 @@
         """The list, or a change of it."""
         self.pool.update(news.members, kind is not api.ListKind.CHANGES)
         self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
+        if kind is not api.ListKind.SAVED:
+            self.fresh.set()
         self.ready = self.ready or any(host.listed for host in self.pool.hosts.values())
 
     def maintain(self, backend: str, out: bool, since: float) -> None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -68,7 +68,7 @@
             api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
             api.StreamStarted: self._stream, api.Reconfigured: self._reconfigured,
-            api.Maintenance: self._maintenance,
+            api.Maintenance: self._maintenance, api.TakingOver: self._ask,
             api.PeerMessage: lambda event: None}
 
     def _configure(self, settings: api.Settings) -> None:
@@ -489,7 +489,7 @@
         before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
         self._reorder(before)
 
-    def _ask(self, _: None) -> None:
+    def _ask(self, _: object) -> None:
         self.acts.append(api.Subscribe())
 
     def _reorder(self, before: set[str]) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -245,7 +245,7 @@
 
 def configuration(members: list[dict[str, Any]], discovery: int, **over: Any) -> dict[str, Any]:
     """A node's configuration; `limits` and others replace the settings of that name."""
-    console = {"console": over.pop("console")} if "console" in over else {}
+    top = {name: over.pop(name) for name in ("console", "listen") if name in over}
     settings = {
         "request-classes": CLASSES, "limits": LIMITS | over.pop("limits", {}), "zone": "a",
         "load-info": {"how": "inline", "names": ["waiting", "active"]}, "discovery": "automatic",
@@ -257,7 +257,7 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": over.pop("sockets", 1024)},
         "known": {"revision": 41, "complete": True, "members": members},
         "settings": settings | over,
-    } | console  # fmt: skip
+    } | top  # fmt: skip
 
 
 async def spawn(path: Path) -> asyncio.subprocess.Process:
@@ -271,14 +271,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running(tmp: Path, *backends: Backend, **over: Any) -> AsyncIterator[Rig]:
-    """A node that knows these backends and has its watch."""
-    discovery = FakeDiscovery()
-    await discovery.start()
-    for backend in backends:
-        await backend.start()
-    path = tmp / "config.json"
-    path.write_text(json.dumps(configuration([b.member() for b in backends], discovery.port, **over)))
+async def started(path: Path, discovery: FakeDiscovery) -> AsyncIterator[Rig]:
+    """A process on this configuration, from when it serves."""
     process = await spawn(path)
     rig = Rig(process, 0, discovery, [], path)
     try:
@@ -296,6 +290,21 @@
             await process.wait()
         for client in rig.clients:
             client.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def running(tmp: Path, *backends: Backend, **over: Any) -> AsyncIterator[Rig]:
+    """A node that knows these backends and has its watch."""
+    discovery = FakeDiscovery()
+    await discovery.start()
+    for backend in backends:
+        await backend.start()
+    path = tmp / "config.json"
+    path.write_text(json.dumps(configuration([b.member() for b in backends], discovery.port, **over)))
+    try:
+        async with started(path, discovery) as rig:
+            yield rig
+    finally:
         assert discovery.server is not None
         discovery.server.close()
         for backend in backends:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -657,7 +657,7 @@
         node = Node(config)
         node.list(config.known, ListKind.SAVED)
         front = Front(node, 2)
-        await front.listen(("127.0.0.1", 0))
+        await front.listen(("127.0.0.1", 0), shared=False)
         clients = [Client(*await asyncio.open_connection(*front.address)) for _ in range(2)]
         for client in clients:
             client.send("/read")
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,193 @@
+"""Two processes of one node: who else runs, whose connections are new, how the old one ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import Iterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from dillport.__main__ import until_killed
+from dillport.net import pair as pair_file
+from dillport.net.config import load
+from dillport.net.pair import Pair, SlotError, steer, unsteer
+from dillport.policy import Balancer
+from tests.helpers import BASE, SAFE, entry
+from tests.sockets import (
+    PATIENT,
+    Backend,
+    FakeDiscovery,
+    Message,
+    configuration,
+    echo,
+    running,
+    spawn,
+    started,
+)
+from tests.test_console import CONSOLE
+from tests.test_node import run
+
+
+@contextlib.contextmanager
+def reserved_port() -> Iterator[int]:
+    """A port that two processes can listen on and nobody else takes meanwhile."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(("127.0.0.1", 0))
+        yield sock.getsockname()[1]
+
+
+def test_processes_see_one_another_come_and_go(tmp_path: Path) -> None:
+    async def test() -> None:
+        told: list[tuple[str, bool]] = []
+        old = Pair(tmp_path / "x", lambda beside: told.append(("old", beside)))
+        new = Pair(tmp_path / "x", lambda beside: told.append(("new", beside)))
+        assert not old.start() and new.start()
+        old._look()
+        assert told == [("old", True)] and not old.later and new.later
+        old.stop()
+        new.stop()
+        old.release()
+        new._look()
+        assert told[1:] == [("new", False)] and not new.later
+        new.stop()
+        third = Pair(tmp_path / "x", lambda beside: None)
+        assert third.start() and third.later
+        third.stop()
+
+    run(test)
+
+
+def test_there_are_only_so_many_processes_of_one_node(tmp_path: Path) -> None:
+    async def test() -> None:
+        pairs = [Pair(tmp_path / "x", lambda beside: None) for _ in range(pair_file.SLOTS + 1)]
+        for pair in pairs[:-1]:
+            pair.start()
+        with pytest.raises(SlotError):
+            pairs[-1].start()
+        for pair in pairs:
+            pair.stop()
+            pair.release()
+
+    run(test)
+
+
+def _accepted(listener: socket.socket) -> int:
+    count = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            listener.accept()[0].close()
+            count += 1
+    return count
+
+
+def test_new_connections_are_steered_to_one_listener() -> None:
+    with reserved_port() as port, contextlib.ExitStack() as stack:
+        listeners = []
+        for _ in range(2):
+            listener = stack.enter_context(socket.socket())
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.bind(("127.0.0.1", port))
+            listener.listen(64)
+            listener.setblocking(False)
+            listeners.append(listener)
+
+        def split() -> list[int]:
+            for _ in range(32):
+                socket.create_connection(("127.0.0.1", port)).close()
+            return [_accepted(listener) for listener in listeners]
+
+        assert steer(listeners[0], 1) and split() == [0, 32]
+        assert steer(listeners[1], 0) and split() == [32, 0]
+        unsteer(listeners[1])
+        assert min(split()) > 0  # 2 to the power of -31 to fail where the system deals them out at random
+
+
+def test_each_of_two_processes_keeps_to_its_part_of_the_descriptors(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration([], 1, sockets=384)))
+    config = load({"PROXY_CONFIG": str(path)})
+    alone, beside = sum(config.shares(1)), sum(config.shares(2))
+    assert alone == 384 - 32 and 2 * (beside + 32) == 384
+
+
+def test_a_process_that_takes_over_asks_for_the_list_at_once() -> None:
+    balancer = Balancer(replace(BASE, must_ask=True), 1)
+    saved = balancer.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry("b0")]))
+    assert not any(isinstance(a, api.Subscribe) for a in saved)
+    assert [type(a) for a in balancer.handle(1000.0, api.TakingOver())] == [api.Subscribe]
+
+
+@pytest.mark.parametrize(("deadline", "seconds"), [(400.0, 1.1), (1200.0, 1.9), (9000.0, 3.7)])
+def test_the_time_to_the_kill_follows_from_the_longest_deadline(deadline: float, seconds: float) -> None:
+    classes = (replace(SAFE, deadline=100.0), replace(SAFE, name="long", deadline=deadline))
+    assert until_killed(replace(BASE, classes=classes)) == pytest.approx(seconds)
+
+
+def test_a_new_version_takes_over_and_no_connection_is_lost(tmp_path: Path) -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            if "/read?wait" in message.start:
+                await go.wait()
+            await echo(backend, message, writer)
+
+        backend, other = Backend("b0", slow), Backend("b1", slow)
+        with reserved_port() as port:
+            listen = f"127.0.0.1:{port}"
+            async with running(tmp_path, backend, other, console=CONSOLE, listen=listen) as old:
+                await old.discovery.asked.get()
+                kept, busy = await old.client(), await old.client()
+                assert (await kept.ask("/read")).code == 200
+                busy.send("/read?wait")
+                assert (await old.call("/backends/b1/maint", "POST")).code == 200
+                task = asyncio.create_task(_news(old.discovery))
+                async with started(old.config, old.discovery) as new:
+                    await task
+                    assert (await new.call("/healthcheck")).code == 200
+                    assert (await new.stats())["members_unavailable"] == 1
+                    old.terminate()
+                    while (await old.call("/healthcheck")).code == 200:
+                        pass
+                    for _ in range(40):  # a process that is about to end would say `Connection: close`
+                        got = await (await new.client()).ask("/read")
+                        assert got.code == 200 and "connection" not in got.headers
+                    up = await kept.ask("/up")
+                    assert up.code == 200 and up.headers["connection"] == "close"
+                    go.set()
+                    got = await busy.answer()
+                    assert got.code == 200 and got.headers["connection"] == "close"
+                    assert await old.end() == 0
+                    assert (await (await new.client()).ask("/read")).code == 200
+                    assert (await new.call("/backends/b1/ready", "POST")).code == 200
+
+    run(test)
+
+
+async def _news(discovery: FakeDiscovery) -> None:
+    """Tell the second watch that nothing has changed."""
+    await discovery.asked.get()
+    discovery.news(42)
+
+
+def test_a_second_process_that_cannot_listen_leaves_the_first_untouched(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = Backend("b0")
+        async with running(tmp_path, backend, **PATIENT) as rig:
+            path = tmp_path / "second.json"
+            text = json.loads(rig.config.read_text()) | {"listen": f"127.0.0.1:{rig.port}"}
+            path.write_text(json.dumps(text | {"discovery": "127.0.0.1:9", "console": CONSOLE}))
+            second = await spawn(path)
+            _, err = await second.communicate()
+            assert second.returncode == 2
+            assert err.decode().splitlines()[-1].startswith("dillport: listen: ")
+            assert (await (await rig.client()).ask("/read")).code == 200
+
+    run(test)
