--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -224,11 +224,20 @@
     tenant: str | None = None
     work_hint: float | None = None
     writes: bool = False
+    arriving: bool = False  # its body still comes in: `deadline` is what it would be by now, see `Arrived`
+
+
+@dataclass(slots=True)
+class Arrived:
+    """The last byte of a request that came as `arriving` is in: its time counts from now."""
+
+    request: str
+    deadline: float
 
 
 @dataclass(slots=True)
 class StreamStarted:
-    """The answer of a streamed class began; the attempt now belongs to the client."""
+    """The answer of a streamed class, or a long one, began; the attempt now belongs to the client."""
 
     request: str
     attempt: int
@@ -238,7 +247,11 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """The end of one attempt; `closed` says the request has its final answer."""
+    """The end of one attempt; `closed` says the request has its final answer.
+
+    `spent` says that it cannot go out again, as its body is no longer held. After `StreamStarted` this is the
+    end of the answer.
+    """
 
     request: str
     attempt: int
@@ -247,6 +260,7 @@
     duration: float
     closed: bool
     report: Report | None = None
+    spent: bool = False
 
 
 @dataclass(slots=True)
@@ -305,8 +319,8 @@
     """This process takes the place of another one of the same node, and may not be late with the list."""
 
 
-Event = (Reconfigured | Maintenance | TakingOver | ListUpdate | Arrival | StreamStarted | Outcome | ClientGone
-         | Timer | Probed | PeerMessage)
+Event = (Reconfigured | Maintenance | TakingOver | ListUpdate | Arrival | Arrived | StreamStarted | Outcome
+         | ClientGone | Timer | Probed | PeerMessage)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -62,6 +62,7 @@
     settings: api.Settings
     known: News
     sockets: int
+    memory_mb: float
     console: Address | None = None
     keys: frozenset[str] = frozenset()  # what the file says, for the one that replaces it
     class_keys: frozenset[str] = frozenset()
@@ -191,6 +192,9 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else None
     if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * SPARE:
         raise ConfigError(f"limits.sockets makes no sense: {sockets!r:.120}")
+    memory = limits.get("memory_mb", 192)
+    if isinstance(memory, bool) or not isinstance(memory, (int, float)) or not 0 < memory < math.inf:
+        raise ConfigError(f"limits.memory_mb makes no sense: {memory!r:.120}")
     seed = raw.get("seed", "0")
     try:
         number = int(seed, 16) if isinstance(seed, str) else int(seed)
@@ -209,6 +213,7 @@
         settings=settings,
         known=known,
         sockets=sockets,
+        memory_mb=float(memory),
         console=None if asked_for is None else _at(raw, env, "console"),
         keys=frozenset(_keys(raw)),
         class_keys=_class_keys(raw),
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -81,6 +81,7 @@
 
     def _line(self, line: bytes) -> None:
         if not line.strip():
+            self.owner.node.fresh.set()  # nothing has changed, which is news too
             return
         try:
             update = news(json.loads(line))
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -15,7 +15,8 @@
 from dillport.net.bans import Bans, stem
 from dillport.net.config import Config, News
 from dillport.net.figures import End, Figures
-from dillport.net.upstream import Answer, Attempt, Pool
+from dillport.net.stream import Budget, Upload
+from dillport.net.upstream import Answer, Attempt, Connection, Pool, Sink
 from dillport.policy import Balancer
 
 log = logging.getLogger(__name__)
@@ -35,7 +36,16 @@
         """Turn the request away; `retry_after` is in milliseconds, 0 for no advice."""
 
     def failed(self) -> None:
-        """Say that the request failed."""
+        """Say that the request failed, or break off the long answer that has begun."""
+
+    def begin(self, source: Connection, size: int | None, content_type: bytes) -> None:
+        """Pass on a long answer as it comes from `source`, by `feed`."""
+
+    def feed(self, data: bytes) -> None:
+        """A piece of the long answer."""
+
+    def finish(self) -> None:
+        """The long answer is whole."""
 
 
 class Watcher(Protocol):
@@ -51,26 +61,39 @@
 class Open:
     """A request that is owed an answer, or has an attempt out."""
 
-    __slots__ = ("answered", "attempts", "class_name", "client", "deadline", "limit", "render")
+    __slots__ = (
+        "answered", "attempts", "class_name", "client", "deadline", "limit", "render", "streaming", "upload",
+        "wait",
+    )  # fmt: skip
 
     def __init__(
-        self, client: Client, class_name: str, deadline: float, render: Callable[[float], bytes]
-    ) -> None:
+        self, client: Client, class_name: str, deadline: float, render: Callable[[float], bytes],
+        upload: Upload | None,
+    ) -> None:  # fmt: skip
         self.client, self.class_name, self.deadline, self.render = client, class_name, deadline, render
+        self.upload = upload  # a long body; `deadline` holds once it is in
+        self.wait = 0.0  # ms that the client gives from then on
+        self.streaming = False  # a long answer has begun
         self.attempts: list[Try] = []
         self.answered = False
         self.limit: asyncio.TimerHandle | None = None
 
+    @property
+    def arriving(self) -> bool:
+        """Whether its body still comes in."""
+        return self.upload is not None and not self.upload.complete
+
 
 class Try:
     """One attempt with its clock."""
 
-    __slots__ = ("attempt", "backend", "number", "over", "request", "sent", "timer")
+    __slots__ = ("attempt", "backend", "number", "over", "request", "sent", "stop", "timer")
 
     def __init__(self, request: str, number: int, backend: str, sent: float) -> None:
         self.request, self.number, self.backend, self.sent = request, number, backend, sent
         self.attempt: Attempt | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.stop = 0.0  # ms the module gives it; 0: until the client's time is up
         self.over = False
 
 
@@ -86,7 +109,8 @@
         self.figures = Figures()
         self.meeting = stem(os.environ, "{}:{}".format(*config.listen))
         self.bans = Bans(self.meeting, self.maintain)
-        self.pool = Pool(config.settings, config.shares(1)[1], self.figures)
+        self.budget = Budget(config.memory_mb)
+        self.pool = Pool(config.settings, config.shares(1)[1], self.figures, self.budget)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
         self.ready = self.listening = self.stopping = self.succeeded = False
@@ -155,16 +179,47 @@
             self._stop(item)
         self._answer(name, End.FAILED, lambda client: client.failed())
 
-    def arrival(self, event: api.Arrival, client: Client, render: Callable[[float], bytes]) -> None:
-        """A client's request has come; `render` gives its bytes for a backend, told for how long."""
+    def arrival(
+        self, event: api.Arrival, client: Client, render: Callable[[float], bytes],
+        upload: Upload | None = None,
+    ) -> None:  # fmt: skip
+        """A client's request has come; `render` gives its bytes for a backend, told for how long.
+
+        With an `upload` these are the bytes of its head, and its time starts with `arrived`.
+        """
         self.counts["taken"] += 1
         request = self.open[event.request] = Open(
-            client, event.class_name, event.deadline - MARGIN, render
+            client, event.class_name, event.deadline - MARGIN, render, upload
         )
-        wait = max(0.0, request.deadline - self.now()) / 1000
-        request.limit = self.loop.call_later(wait, self._deadline, event.request)
+        request.wait = request.deadline - self.now()
+        if upload is None:
+            self._limit(event.request, request)
         self.event(event)
 
+    def arrived(self, name: str, deadline: float) -> None:
+        """The last byte of a long body is in."""
+        if (request := self.open.get(name)) is None or request.answered or request.streaming:
+            return
+        request.deadline, now = deadline - MARGIN, self.now()
+        self._limit(name, request)
+        for item in request.attempts:
+            if not item.over:
+                item.sent = now
+                self._clock(item, request)
+        self.event(api.Arrived(name, deadline))
+
+    def _limit(self, name: str, request: Open) -> None:
+        wait = max(0.0, request.deadline - self.now()) / 1000
+        request.limit = self.loop.call_later(wait, self._deadline, name)
+
+    def _clock(self, item: Try, request: Open) -> float:
+        """Start an attempt's clock; returns the milliseconds it has."""
+        left = request.wait if request.arriving else request.deadline - self.now()
+        wait = min(item.stop, left) if item.stop else left
+        if wait > 0 and not request.arriving:
+            item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
+        return wait
+
     def full(self) -> bool:
         """Whether the node holds as many requests as it may."""
         return len(self.open) >= self.settings.max_open
@@ -206,8 +261,17 @@
         """The client has left."""
         if (request := self.open.get(name)) is not None and not request.answered:
             self.counts["left" if request.attempts else "left_unsent"] += 1
+            long = request.streaming or request.arriving
             self._close(name, request)
             self.event(api.ClientGone(name))
+            if long:  # nothing bounds the time of what it would leave behind
+                self._call_off(request)
+
+    def _call_off(self, request: Open) -> None:
+        for item in request.attempts:
+            if not item.over:
+                self._stop(item)
+                self._outcome(item, Answer(api.Status.CANCELLED))
 
     def list(self, news: News, kind: api.ListKind) -> None:
         """The list, or a change of it."""
@@ -274,16 +338,33 @@
             self._outcome(item, Answer(api.Status.MOOT))
             return
         request.attempts.append(item)
-        left = request.deadline - now
-        wait = min(action.timeout, left) if action.timeout else left
-        if request.answered or action.backend not in self.pool.hosts or wait <= 0:
+        item.stop = action.timeout
+        wait = self._clock(item, request)
+        spent = request.upload is not None and request.upload.spent
+        if request.answered or spent or action.backend not in self.pool.hosts or wait <= 0:
             self._outcome(item, Answer(api.Status.MOOT))
             return
-        item.timer = self.loop.call_later(wait / 1000, self._timeout, item)
-        item.attempt = self.pool.start(action.backend, request.render(wait), partial(self._outcome, item))
+        item.attempt = self.pool.start(
+            action.backend, request.render(wait), partial(self._outcome, item),
+            partial(self._begin, item), request.upload,
+        )  # fmt: skip
         if item.over:
             item.attempt = None
 
+    def _begin(self, item: Try, source: Connection, size: int | None, content_type: bytes) -> Sink | None:
+        """A long answer begins: from here on it has all the time that it goes on."""
+        request = self.open.get(item.request)
+        if request is None or request.answered:
+            return None
+        for timer in (item.timer, request.limit):
+            if timer is not None:
+                timer.cancel()
+        request.streaming = True
+        request.client.begin(source, size, content_type)
+        took = self.now() - item.sent
+        self.event(api.StreamStarted(item.request, item.number, item.backend, took))
+        return request.client
+
     def _timeout(self, item: Try) -> None:
         if item.over:
             return
@@ -314,18 +395,25 @@
         if item.timer is not None:
             item.timer.cancel()
         self.counts[f"attempt_{answer.status.value}"] += 1
-        if answer.status is api.Status.OK:
+        request = self.open.get(item.request)
+        if request is not None and request.streaming:
+            whole = answer.status is api.Status.OK
+            self._answer(
+                item.request, End.COMPLETED if whole else End.FAILED,
+                lambda client: client.finish() if whole else client.failed(),
+            )  # fmt: skip
+        elif answer.status is api.Status.OK:
             self._answer(
                 item.request, End.COMPLETED, lambda client: client.served(answer.body, answer.content_type)
             )
-        request = self.open.get(item.request)
         closed = request is None or request.answered
+        spent = request is not None and request.upload is not None and request.upload.spent
         if request is not None and closed:
             self._forget(item.request, request)
         took = self.now() - item.sent
-        self.event(
-            api.Outcome(item.request, item.number, item.backend, answer.status, took, closed, answer.report)
-        )
+        self.event(api.Outcome(
+            item.request, item.number, item.backend, answer.status, took, closed, answer.report, spent
+        ))  # fmt: skip
 
     def _deadline(self, name: str) -> None:
         """The client's time is up: end what is out, and answer whatever the module did not."""
@@ -342,15 +430,19 @@
     def _answer(self, name: str, end: End, tell: Callable[[Client], None]) -> None:
         request = self.open.get(name)
         if request is not None and not request.answered:
-            client = request.client
+            client, arriving = request.client, request.arriving
             self.figures.ended(end, request.class_name)
             self._close(name, request)
             tell(client)
+            if arriving:
+                self._call_off(request)
 
     def _close(self, name: str, request: Open) -> None:
         request.answered = True
         if request.limit is not None:
             request.limit.cancel()
+        if request.upload is not None:
+            request.upload.drop()
         self._forget(name, request)
 
     def _forget(self, name: str, request: Open) -> None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -68,7 +68,7 @@
             api.Arrival: self._arrival, api.Outcome: self._outcome, api.Probed: self._probed,
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
             api.StreamStarted: self._stream, api.Reconfigured: self._reconfigured,
-            api.Maintenance: self._maintenance, api.TakingOver: self._ask,
+            api.Maintenance: self._maintenance, api.TakingOver: self._ask, api.Arrived: self._arrived,
             api.PeerMessage: lambda event: None}
 
     def _configure(self, settings: api.Settings) -> None:
@@ -199,18 +199,34 @@
     def _arrival(self, ev: api.Arrival) -> None:
         if (cls := self.classes.get(ev.class_name)) is None:
             raise api.CallError(f"unknown class: {ev.class_name!r}")
-        left, c, work = ev.deadline - self.now, cls.cfg, ev.work_hint or 0.0
-        aim = c.deadline if c.late_worth > 0 else c.aim + c.aim_stretch * work - self._age(cls, left)
-        useful = min(ev.deadline, self.now + aim)
+        c = cls.cfg
+        useful = self._useful(cls, ev.deadline, ev.work_hint)
         density = c.value / cls.usual
         self.density += EWMA / 2 * (density - self.density)
         self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
         req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density,
-                      self.cfg.max_attempts)
+                      self.cfg.max_attempts, arriving=ev.arriving)
         self.requests[ev.request] = req
         # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
         (self._route if self._fits(req) else self._finish)(req)
 
+    def _useful(self, cls: Class, deadline: float, work: float | None) -> float:
+        """Until when an answer is worth something, for a request that is in whole now."""
+        c, left = cls.cfg, deadline - self.now
+        aim = c.deadline if c.late_worth > 0 else c.aim + c.aim_stretch * (work or 0.0) - self._age(cls, left)
+        return min(deadline, self.now + aim)
+
+    def _arrived(self, ev: api.Arrived) -> None:
+        """The body is in: the backend's work and the request's time begin."""
+        if (req := self.requests.get(ev.request)) is None or not req.arriving or req.over:
+            return
+        req.arriving, req.deadline = False, ev.deadline
+        req.useful = self._useful(req.cls, ev.deadline, req.hint)
+        if req.out:
+            attempt = req.attempts[-1]
+            attempt.counted, attempt.sent = True, self.now
+            attempt.backend.out, self.out = attempt.backend.out + 1, self.out + 1
+
     def _age(self, cls: Class, left: float) -> float:
         """First tries all get the same time; a retry gets what is left of the deadline, which tells its age.
 
@@ -224,7 +240,7 @@
 
     def _fits(self, req: Request, ahead: float = 0.0) -> bool:
         """Can it still be served before its aim, after `ahead` of waiting?"""
-        return self.now + FIT * ((req.hint or req.cls.usual) + ahead) < req.useful
+        return req.arriving or self.now + FIT * ((req.hint or req.cls.usual) + ahead) < req.useful
 
     def _route(self, req: Request) -> None:
         passing = max(RETRY_SHARE, THROTTLE * self.trust**3)  # quiet nodes shed in fractions, by own success
@@ -233,7 +249,7 @@
             self._look(req)
         elif not (req.attempts or req.dense) and self.rng.random() > passing:
             self._finish(req)
-        elif self.out < self.limit or req.dense:
+        elif self.out < self.limit or req.dense or req.arriving:
             self._dispatch(req)
         else:  # hold: last come first served, so that what is sent has time left
             self.held.append(req)
@@ -327,11 +343,15 @@
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
         if (req.over or req.stream or not self._takes(b) or not self._legal(req, b)
-                or len(req.attempts) >= self._most(req) or self.now >= req.deadline):
+                or len(req.attempts) >= self._most(req) or (self.now >= req.deadline and not req.arriving)):
             self._finish(req)
             return
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
-        req.out, b.out, self.out, b.estimate = req.out + 1, b.out + 1, self.out + 1, b.estimate + 1
+        req.out, b.estimate = req.out + 1, b.estimate + 1
+        if req.arriving:  # a slow client keeps no place from others: the backend has yet to begin
+            req.attempts[-1].counted = False
+        else:
+            b.out, self.out = b.out + 1, self.out + 1
         # An answer after the aim is worth nothing: give up just before, so that the failure is not late.
         c, left, tick = req.cls.cfg, req.useful - self.now, self.cfg.tick
         stop = max(tick, left - 2 * tick) if req.useful < req.deadline else 0.0
@@ -348,11 +368,17 @@
 
     def _outcome(self, ev: api.Outcome) -> None:
         req = self.requests.get(ev.request)
-        if req is None or ev.attempt >= len(req.attempts) or req.attempts[ev.attempt].status is not None:
+        if req is None or ev.attempt >= len(req.attempts):
             return
         attempt = req.attempts[ev.attempt]
-        attempt.status, b = ev.status, attempt.backend
-        req.out, b.out, self.out = req.out - 1, b.out - 1, self.out - 1
+        if attempt.status is not None:
+            if req.stream:  # the end of a long answer
+                if ev.status is api.Status.RESET:
+                    self._eject(attempt.backend)
+                self._close(req)
+            return
+        b = attempt.backend
+        self._over(req, attempt, ev.status)
         self._report(b, ev.report, False)
         hasty = attempt.short and ev.status is api.Status.TIMEOUT
         if not hasty and ev.status not in (api.Status.CANCELLED, api.Status.MOOT):  # these tell nothing
@@ -361,10 +387,17 @@
                 self._steer(req.cls, b, ev)
         if ev.closed or req.over:
             self._close(req)
+        elif ev.spent:
+            self._finish(req)
         else:
             self._again(req)
         self._release()
 
+    def _over(self, req: Request, attempt: Attempt, status: api.Status) -> None:
+        attempt.status, req.out = status, req.out - 1
+        if attempt.counted:
+            attempt.backend.out, self.out = attempt.backend.out - 1, self.out - 1
+
     def _learn(self, req: Request, attempt: Attempt, ev: api.Outcome) -> None:
         b, cls = attempt.backend, req.cls
         if attempt.fair and ev.status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
@@ -446,8 +479,18 @@
             self._close(req)
 
     def _stream(self, ev: api.StreamStarted) -> None:
-        if ev.request in self.requests:
-            self.requests[ev.request].stream = True
+        if (req := self.requests.get(ev.request)) is None:
+            return
+        req.stream = True
+        if req.cls.cfg.streamed or not req.out:
+            return
+        # A long answer: the backend's work is done, and a client that reads slowly keeps no place of others.
+        attempt = req.attempts[ev.attempt]
+        self._over(req, attempt, api.Status.OK)
+        done = api.Outcome(ev.request, ev.attempt, ev.backend, api.Status.OK, ev.duration, False)
+        self._learn(req, attempt, done)
+        self._steer(req.cls, attempt.backend, done)
+        self._release()
 
     def _at(self, when: float, call: Callable[[Any], None], what: Any) -> None:
         self.token += 1
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -32,6 +32,7 @@
     fair: bool  # its time and fate tell of the backend: it showed idle, or nobody looked
     status: api.Status | None = None
     short: bool = False  # given less time than an answer may well take: a time-out tells of its client only
+    counted: bool = True  # out for the backend: its request is in whole
     cut: bool = False  # given less time than would still be useful, as answers get lost
 
 
@@ -62,6 +63,7 @@
     out: int = 0
     over: bool = False
     stream: bool = False
+    arriving: bool = False  # its body still comes in, and its time has not begun
     pending: set[str] = field(default_factory=set)  # probes it waits for
     found: list[Backend] = field(default_factory=list)  # backends that answered one
     rounds: int = 0
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -77,6 +77,7 @@
     lost: asyncio.Queue[int] = field(default_factory=asyncio.Queue)
     connections: int = 0
     port: int = 0
+    readers: list[asyncio.StreamReader] = field(default_factory=list)
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     server: asyncio.Server | None = None
 
@@ -95,6 +96,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         number = self.connections
+        self.readers.append(reader)
         self.writers.append(writer)
         try:
             while True:
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,407 @@
+"""Long bodies and answers: passed on as they come, no faster than peers take them, and broken visibly."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from dillport.net.stream import LARGEST, LEAST, MOST, PREFIX, Budget, Upload
+from tests.helpers import BASE, answers, node, sends
+from tests.sockets import PATIENT, WAIT, Backend, Client, Message, Rig, answer, running
+from tests.test_console import CONSOLE
+from tests.test_node import run, says
+
+MB = 1024 * 1024
+PIECE = bytes(range(256)) * 256  # 64 KiB
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+# --- what is kept of a body, and how much
+
+
+def test_a_long_body_can_go_out_again_while_its_first_bytes_are_held() -> None:
+    budget = Budget(192.0)
+    flow: list[bool] = []
+    upload = Upload(None, budget, flow.append)
+    upload.feed(b"a" * PREFIX)
+    assert flow == [False]  # nobody takes it: the client waits
+    upload.attach(lambda: None)
+    assert len(upload.take()) == PREFIX and flow == [False, True] and not upload.spent
+    upload.attach(lambda: None)
+    upload.feed(b"b")
+    assert upload.take() == b"a" * PREFIX + b"b" and upload.spent
+    upload.drop()
+    upload.feed(b"c")
+    assert upload.take() == b"" and budget.streams == 0
+
+
+def test_all_streams_share_one_budget() -> None:
+    budget = Budget(80.0)
+    assert budget.window == MOST
+    budget.streams = 200
+    assert 200 * budget.window * 2 <= 80 * MB / 2 and budget.window >= LEAST
+    assert len(budget.room()) == budget.window
+    assert Budget(32.0).window == LEAST
+
+
+# --- in the module
+
+
+def test_a_body_that_comes_in_keeps_no_place_and_its_time_starts_with_its_last_byte() -> None:
+    balancer = node(BASE, ["b0", "b1"])
+    balancer.limit = 1.0
+    acts = balancer.handle(1001.0, api.Arrival("long", "read", 2001.0, arriving=True))
+    assert len(sends(acts)) == 1 and balancer.out == 0
+    assert len(sends(balancer.handle(1002.0, api.Arrival("short", "read", 2002.0)))) == 1
+    balancer.handle(9000.0, api.Arrived("long", 10_000.0))
+    assert balancer.out == 2
+    balancer.limit = 9.0
+    # It broke before its last byte had left, and there is time: it goes out again.
+    ended = api.Outcome("long", 0, sends(acts)[0].backend, api.Status.CONNECT_FAILED, 1.0, False)
+    again = balancer.handle(9010.0, ended)
+    assert len(sends(again)) == 1 and balancer.out == 2
+
+
+def test_a_body_that_is_no_longer_held_is_given_up_at_once() -> None:
+    for status, kind in ((api.Status.CONNECT_FAILED, api.Refuse), (api.Status.RESET, api.Fail)):
+        balancer = node(BASE, ["b0", "b1"])
+        acts = balancer.handle(1001.0, api.Arrival("r", "once", 2001.0, arriving=True))
+        ended = api.Outcome("r", 0, sends(acts)[0].backend, status, 1.0, False, spent=True)
+        got = balancer.handle(1002.0, ended)
+        assert [type(a) for a in answers(got)] == [kind] and not sends(got)
+
+
+def test_a_long_answer_frees_its_place_and_ends_once() -> None:
+    balancer = node(replace(BASE, max_attempts=3), ["b0", "b1"])
+    sent = sends(balancer.handle(1001.0, api.Arrival("r", "read", 2001.0)))[0]
+    balancer.handle(1031.0, api.StreamStarted("r", 0, sent.backend, 30.0))
+    b = balancer.backends[sent.backend]
+    assert (balancer.out, b.out) == (0, 0) and "r" in balancer.requests
+    broken = api.Outcome("r", 0, sent.backend, api.Status.RESET, 5000.0, True)
+    assert not balancer.handle(6000.0, broken)
+    assert (balancer.out, b.out, b.until > 6000.0) == (0, 0, True) and not balancer.requests
+
+
+# --- over sockets
+
+
+async def read_long(reader: asyncio.StreamReader) -> Message:
+    """An answer whose body is chunked, of a stated length, or ends with its connection."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    start, *lines = head.rstrip("\r\n").split("\r\n")
+    headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
+    if "content-length" in headers:
+        return Message(start, headers, await reader.readexactly(int(headers["content-length"])))
+    if "transfer-encoding" not in headers:
+        return Message(start, headers, await reader.read())
+    body = bytearray()
+    while size := int((await reader.readline()).split(b";")[0], 16):
+        body += await reader.readexactly(size)
+        assert await reader.readexactly(2) == b"\r\n"
+    assert await reader.readline() == b"\r\n"
+    return Message(start, headers, bytes(body))
+
+
+Respond = Callable[[Backend, Message, asyncio.StreamWriter], Awaitable[None]]
+
+
+def gives(size: int, head: bytes, chunked: bool = False, end: bool = False) -> Respond:
+    """Answer with so many bytes, in pieces."""
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(OK + head + b"\r\n")
+        left = size
+        while left:
+            piece = PIECE[: min(left, len(PIECE))]
+            left -= len(piece)
+            writer.write(b"%x;ext=1\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+            await writer.drain()
+        if chunked:
+            writer.write(b"0\r\nTrailer: x\r\n\r\n")
+        if end:
+            writer.close()
+
+    return respond
+
+
+async def ask_long(client: Client, target: str = "/read", *headers: str) -> Message:
+    """A request with a long answer."""
+    client.send(target, *headers)
+    return await asyncio.wait_for(read_long(client.reader), WAIT)
+
+
+@pytest.mark.parametrize("size", [0, 1, 65_536, 65_537, 5_000_000])
+@pytest.mark.parametrize("form", ["length", "chunked", "end"])
+def test_answers_of_any_size_and_framing_come_whole(tmp_path: Path, size: int, form: str) -> None:
+    async def test() -> None:
+        head = {"length": b"Content-Length: %d\r\n" % size, "chunked": b"transfer-encoding: Chunked\r\n"}
+        backend = Backend("b0", gives(size, head.get(form, b""), form == "chunked", form == "end"))
+        async with running(tmp_path, backend, console=CONSOLE) as rig:
+            client = await rig.client()
+            for _ in range(2):
+                got = await ask_long(client)
+                assert got.code == 200 and got.body == (PIECE * (size // len(PIECE) + 1))[:size]
+            assert "connection" not in got.headers
+            assert backend.connections == (2 if form == "end" else 1)
+            figures = await rig.stats()
+            assert figures["completed"]["read"] == 2 and figures["pending"] == 0
+
+    run(test)
+
+
+def test_the_first_bytes_of_a_long_answer_do_not_wait_for_the_rest(tmp_path: Path) -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            head = b"Transfer-Encoding: chunked" if "chunked" in message.start else b"Content-Length: 100000"
+            first = b"5\r\nfirst\r\n" if "chunked" in message.start else b"first"
+            writer.write(OK + head + b"\r\n\r\n" + first)
+            await go.wait()
+            writer.write(b"4\r\nlast\r\n0\r\n\r\n" if "chunked" in message.start else b"x" * 99_995)
+
+        async with running(tmp_path, Backend("b0", respond), console=CONSOLE, **PATIENT) as rig:
+            for target in ("/read", "/read?chunked"):
+                go.clear()
+                client = await rig.client()
+                client.send(target)
+                assert await asyncio.wait_for(client.reader.readuntil(b"first"), WAIT)
+                assert (await rig.stats())["pending"] == 1
+                go.set()
+                end = b"last" if "chunked" in target else b"x" * 9000
+                assert await asyncio.wait_for(client.reader.readuntil(end), WAIT)
+
+    run(test)
+
+
+def test_a_long_answer_that_breaks_looks_broken(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            if "end" in message.start:
+                writer.write(OK + b"\r\n" + PIECE * 2)
+            elif "chunked" in message.start:
+                writer.write(OK + b"Transfer-Encoding: chunked\r\n\r\n10000\r\n" + PIECE + b"\r\n10\r\nx")
+            else:
+                writer.write(OK + b"Content-Length: 200000\r\n\r\n" + PIECE)
+            await writer.drain()
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))  # a reset, no end
+            writer.transport.abort()
+
+        async with running(tmp_path, Backend("b0", respond), console=CONSOLE) as rig:
+            for target in ("/read", "/read?chunked", "/read?end"):
+                client = await rig.client()
+                client.send(target)
+                with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                    await asyncio.wait_for(read_long(client.reader), WAIT)
+            assert (await rig.stats())["failed"]["read"] == 3
+
+    run(test)
+
+
+def test_a_slow_reader_holds_the_backend_back_and_memory_stays(tmp_path: Path) -> None:
+    async def test() -> None:
+        wrote = [0]
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            writer.write(OK + b"Content-Length: %d\r\n\r\n" % LARGEST)
+            for _ in range(LARGEST // len(PIECE)):
+                writer.write(PIECE)
+                wrote[0] += len(PIECE)
+                await writer.drain()
+
+        async with running(tmp_path, Backend("b0", respond), console=CONSOLE, **PATIENT) as rig:
+            clients = [await rig.client() for _ in range(8)]
+            for client in clients:
+                client.send("/read")
+            for client in clients:
+                await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), WAIT)
+            before = -1
+            while wrote[0] != before:  # until nobody takes any more
+                before = wrote[0]
+                await asyncio.sleep(0.3)
+            assert wrote[0] < 8 * LARGEST
+            assert _memory_mb(rig) < 40
+            for client in clients:
+                digest = hashlib.sha256()
+                for _ in range(LARGEST // len(PIECE)):
+                    digest.update(await asyncio.wait_for(client.reader.readexactly(len(PIECE)), WAIT))
+                assert digest.digest() == hashlib.sha256(PIECE * (LARGEST // len(PIECE))).digest()
+            assert (await rig.stats())["completed"]["read"] == 8
+            assert _memory_mb(rig) < 40
+
+    run(test)
+
+
+def _memory_mb(rig: Rig) -> float:
+    pages = int(Path(f"/proc/{rig.process.pid}/statm").read_text().split()[1])
+    return pages * 4096 / MB
+
+
+def body_reader(got: list[bytes], reply: bytes = answer(b"done")) -> Respond:
+    """Take a body by its length or chunked, then answer."""
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        body = bytearray(message.body)
+        if "transfer-encoding" in message.headers:
+            reader = backend.readers[-1]
+            while size := int(await reader.readline(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readline()
+        got.append(bytes(body))
+        writer.write(reply)
+
+    return respond
+
+
+def upload_head(size: int | None, name: str = "1", *more: str) -> bytes:
+    """The head of a request with a body."""
+    framing = "Transfer-Encoding: chunked" if size is None else f"Content-Length: {size}"
+    lines = ["POST /once HTTP/1.1", "Host: a", f"Request-Id: {name}", framing, *more]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("size", [10, 65_536, 65_537, 3_000_000])
+def test_bodies_of_any_size_and_framing_arrive_whole(tmp_path: Path, size: int, chunked: bool) -> None:
+    async def test() -> None:
+        got: list[bytes] = []
+        body = (PIECE * (size // len(PIECE) + 1))[:size]
+        backend = Backend("b0", body_reader(got))
+        async with running(tmp_path, backend, console=CONSOLE, **PATIENT) as rig:
+            client = await rig.client()
+            for name in ("1", "2"):
+                client.writer.write(upload_head(None if chunked else size, name))
+                for at in range(0, size, 50_000):
+                    piece = body[at : at + 50_000]
+                    client.writer.write(b"%X;a=b\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+                    await client.writer.drain()
+                if chunked:
+                    client.writer.write(b"0\r\nRequest-Id: 77\r\n\r\n")
+                answered = await client.answer()
+                assert (answered.code, answered.body) == (200, b"done") and got.pop() == body
+                assert (await backend.got.get()).headers["request-id"] == name
+            assert backend.connections == 1
+            assert (await rig.stats())["upstream_requests"] == 2
+
+    run(test)
+
+
+def test_a_slow_body_has_all_the_time_it_needs_and_its_deadline_after_that(tmp_path: Path) -> None:
+    """Guards against time limits that count from the first byte of a request."""
+
+    async def test() -> None:
+        got: list[bytes] = []
+        classes = [{"name": "once", "effect": "fragile", "give-up": 400, "objective": 300}]
+        async with running(tmp_path, Backend("b0", body_reader(got)), **{"request-classes": classes}) as rig:
+            client = await rig.client()
+            client.writer.write(upload_head(4 * len(PIECE)))
+            for _ in range(4):
+                client.writer.write(PIECE)
+                await asyncio.sleep(0.3)
+            assert (await client.answer()).code == 200 and got == [PIECE * 4]
+
+    run(test)
+
+
+def test_a_long_body_goes_to_another_backend_while_its_prefix_is_held(tmp_path: Path) -> None:
+    async def test() -> None:
+        got: list[bytes] = []
+        dead, alive = Backend("b0"), Backend("b1", body_reader(got))
+        async with running(tmp_path, dead, alive, **PATIENT) as rig:
+            dead.stop()
+            for name in range(8):  # about half of them draw the dead one first
+                client = await rig.client()
+                client.writer.write(upload_head(100_000, str(name)) + b"y" * 100_000)
+                assert (await client.answer()).code == 200
+            assert got == [b"y" * 100_000] * 8
+
+    run(test)
+
+
+def test_a_body_that_breaks_off_or_makes_no_sense_ends_its_attempt(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = Backend("b0", body_reader([]))
+        async with running(tmp_path, backend, console=CONSOLE, **PATIENT) as rig:
+            leaver, garbler = await rig.client(), await rig.client()
+            leaver.writer.write(upload_head(1_000_000) + PIECE * 2)
+            await asyncio.sleep(0)
+            while (await rig.stats())["pending"] == 0:
+                pass
+            leaver.writer.transport.abort()
+            await backend.lost.get()
+            garbler.writer.write(upload_head(None, "2") + b"20000\r\n" + PIECE * 2 + b"\r\nnonsense\r\n")
+            assert (await garbler.answer()).code == 400
+            assert await garbler.ended() == b""
+            await backend.lost.get()
+            figures = await rig.stats()
+            assert (figures["pending"], figures["upstream_requests"]) == (0, 0)
+
+    run(test)
+
+
+def test_a_body_that_stalls_gets_an_error_in_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = Backend("b0", says(b""))
+        async with running(tmp_path, backend, **PATIENT) as rig:
+            client = await rig.client()
+            client.writer.write(upload_head(1_000_000) + PIECE + b"more")
+            assert (await client.answer()).code == 408
+            assert await client.ended() == b""
+            await backend.lost.get()
+
+    run(test)
+
+
+def test_a_refusal_reaches_a_client_that_still_sends(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, **PATIENT) as rig:
+            client = await rig.client()
+            client.writer.write(upload_head(3_000_000))
+            for _ in range(46):
+                client.writer.write(PIECE[:65_000])
+                await client.writer.drain()
+            client.writer.write(b"z" * (3_000_000 - 46 * 65_000))
+            got = await client.answer()
+            assert got.code == 503 and got.headers["connection"] == "close"
+            assert await client.ended() == b""
+
+    run(test)
+
+
+def test_a_client_that_waits_to_be_let_on_is(tmp_path: Path) -> None:
+    async def test() -> None:
+        got: list[bytes] = []
+        async with running(tmp_path, Backend("b0", body_reader(got)), **PATIENT) as rig:
+            client = await rig.client()
+            client.writer.write(upload_head(3, "1", "Expect: 100-continue"))
+            interim = await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), WAIT)
+            assert interim.startswith(b"HTTP/1.1 100 ")
+            client.writer.write(b"abc")
+            assert (await client.answer()).code == 200 and got == [b"abc"]
+
+    run(test)
+
+
+def test_other_forms_of_a_request(tmp_path: Path) -> None:
+    """A whole address as the target is sent on without its host; HTTP/1.0 gets no chunks and a close."""
+
+    async def test() -> None:
+        backend = Backend("b0", gives(100_000, b"Transfer-Encoding: chunked\r\n", True))
+        async with running(tmp_path, backend) as rig:
+            client = await rig.client()
+            client.writer.write(b"GET http://api.internal/read/1?a=b HTTP/1.0\r\nRequest-Id: 1\r\n\r\n")
+            got = await asyncio.wait_for(read_long(client.reader), WAIT)
+            assert len(got.body) == 100_000 and "transfer-encoding" not in got.headers
+            assert (await backend.got.get()).start == "GET /read/1?a=b HTTP/1.1"
+
+    run(test)
