--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -253,7 +253,7 @@
         body = bytearray(message.body)
         if "transfer-encoding" in message.headers:
             reader = backend.readers[-1]
-            while size := int(await reader.readline(), 16):
+            while size := int(await reader.readuntil(b"\n"), 16):
                 body += await reader.readexactly(size)
                 await reader.readexactly(2)
             await reader.readline()
