--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -139,8 +139,8 @@
         self._lag, self._pulses = max(self._lag, now - due), self._pulses + 1
         if self._pulses >= REPORT_EVERY and self.counts:
             text = " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
-            log.info("counts: %s open=%d upstream=%d lag_ms=%.0f",
-                     text, len(self.open), self.pool.count, self._lag * 1000)  # fmt: skip
+            log.info("counts: %s open=%d upstream=%d lag_ms=%.0f %s", text, len(self.open), self.pool.count,
+                     self._lag * 1000, self.balancer.gauge())  # fmt: skip
             self.counts.clear()
             self._lag, self._pulses = 0.0, 0
         self.loop.call_at(now + PULSE, self.pulse, now + PULSE)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -5,6 +5,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -60,6 +61,9 @@
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
+        # Requests given up since the last gauge: they could not be in time, were shed by own success, waited
+        # too long for the limit, found none eligible, or failed and may not go out again.
+        self.why: Counter[str] = Counter()
         self.lost = 0.0  # share of attempts that got no answer of late
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
         self.rtt = 2.0 * settings.tick  # usual round trip of a probe, until probes tell
@@ -208,7 +212,10 @@
                       self.cfg.max_attempts, arriving=ev.arriving)
         self.requests[ev.request] = req
         # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
-        (self._route if self._fits(req) else self._finish)(req)
+        if self._fits(req):
+            self._route(req)
+        else:
+            self._finish(req, "late")
 
     def _useful(self, cls: Class, deadline: float, work: float | None) -> float:
         """Until when an answer is worth something, for a request that is in whole now."""
@@ -248,7 +255,7 @@
             req.rounds, req.found = 0, []
             self._look(req)
         elif not (req.attempts or req.dense) and self.rng.random() > passing:
-            self._finish(req)
+            self._finish(req, "success")
         elif self.out < self.limit or req.dense or req.arriving:
             self._dispatch(req)
         else:  # hold: last come first served, so that what is sent has time left
@@ -258,12 +265,15 @@
     def _expire(self, req: Request) -> None:
         if req in self.held:
             self.held.remove(req)
-            self._finish(req)
+            self._finish(req, "held")
 
     def _release(self) -> None:
         while self.held and self.out < self.limit:
             req = self.held.pop()
-            (self._dispatch if self._fits(req) else self._finish)(req)
+            if self._fits(req):
+                self._dispatch(req)
+            else:
+                self._finish(req, "held")
 
     def _dispatch(self, req: Request) -> None:
         """Without looking: JUT over the subset, but for members crowded by this node's own count."""
@@ -283,7 +293,7 @@
         if pool:  # every node takes its part of what a backend may be given after it showed idle
             self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
         else:
-            self._finish(req)
+            self._finish(req, "none")
 
     def _look(self, req: Request) -> None:
         """Ask a few backends how they are; the request waits one round trip."""
@@ -338,13 +348,13 @@
         elif low < m and self._fits(req, max(0.0, low - 0.5) * req.cls.usual):
             self._send(req, self._pick(pool, m))
         else:
-            self._finish(req)
+            self._finish(req, "none")
 
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
         if (req.over or req.stream or not self._takes(b) or not self._legal(req, b)
                 or len(req.attempts) >= self._most(req) or (self.now >= req.deadline and not req.arriving)):
-            self._finish(req)
+            self._finish(req, "late")
             return
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
         req.out, b.estimate = req.out + 1, b.estimate + 1
@@ -388,7 +398,7 @@
         if ev.closed or req.over:
             self._close(req)
         elif ev.spent:
-            self._finish(req)
+            self._finish(req, "failed")
         else:
             self._again(req)
         self._release()
@@ -448,12 +458,23 @@
         may = self.bank >= cost and len(req.attempts) < self._most(req) and self._fits(req)
         may = may and any(self._legal(req, self.backends[name]) for name in self.up)  # else it waits in vain
         self.bank -= cost * may
-        (self._route if may else self._finish)(req)
+        if may:
+            self._route(req)
+        else:
+            self._finish(req, "failed")
+
+    def gauge(self) -> str:
+        """What holds requests back, for the line of counts: its figures since the last call."""
+        why = " ".join(f"given_up_{name}={count}" for name, count in sorted(self.why.items()))
+        self.why.clear()
+        now = f"limit={self.limit:.1f} out={self.out} held={len(self.held)} trust={self.trust:.2f}"
+        return f"{now} {why}".rstrip()
 
-    def _finish(self, req: Request) -> None:
+    def _finish(self, req: Request, why: str) -> None:
         """The one place where a final answer is given: a refusal only while a repeat does no harm."""
         if req.over or req.stream:
             return
+        self.why[why] += 1
         c = req.cls.cfg
         harmless = (c.effect is api.Effect.SAFE or all(a.status in api.NEVER_RAN for a in req.attempts)
                     or (c.effect is api.Effect.KEYED and c.group is api.Group.ALL))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -529,3 +529,16 @@
         for t in [a for a in acts if isinstance(a, api.SetTimer)]:
             assert answers(b.handle(t.when, api.Timer(t.token)))
     assert not b.held and not b.requests
+
+
+def test_the_gauge_tells_why_requests_were_given_up() -> None:
+    b = node(replace(BASE, max_attempts=1), ["x"])
+    b.limit = 1.0
+    _arrive(b, "first")
+    b.handle(1001.0, _done("first", "x", api.Status.ERROR))
+    b.handle(1001.0, api.Arrival("late", "read", 1002.0))
+    b.handle(1001.0, api.ListUpdate(api.ListKind.FULL, []))
+    b.trust = 1.0
+    _arrive(b, "nowhere", 1002.0)
+    assert b.gauge().endswith("given_up_failed=1 given_up_late=1 given_up_none=1")
+    assert "given_up" not in b.gauge()
