--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -256,8 +256,9 @@
             self._look(req)
         elif not (req.attempts or req.dense) and self.rng.random() > passing:
             self._finish(req, "success")
-        elif not (self.out < self.limit or req.dense or req.arriving) or not self._dispatch(req):
-            # Hold: last come first served, so that what is sent has time left.
+        elif self.out < self.limit or req.dense or req.arriving:
+            self._dispatch(req)
+        else:  # hold: last come first served, so that what is sent has time left
             self.held.append(req)
             self._at(req.useful - FIT * req.cls.usual, self._expire, req)
 
@@ -269,18 +270,13 @@
     def _release(self) -> None:
         while self.held and self.out < self.limit:
             req = self.held.pop()
-            if not self._fits(req):
+            if self._fits(req):
+                self._dispatch(req)
+            else:
                 self._finish(req, "held")
-            elif not self._dispatch(req):
-                self.held.append(req)
-                break
-
-    def _dispatch(self, req: Request) -> bool:
-        """Without looking: JUT over the subset, but for members crowded by this node's own count.
 
-        False where nothing but own requests out is in the way: one of them ends soon, and a refusal now would
-        only bring the client back.
-        """
+    def _dispatch(self, req: Request) -> None:
+        """Without looking: JUT over the subset, but for members crowded by this node's own count."""
         # Wider for a node that carries far more than its part, lest it crowd the few that fall to it, but no
         # wider than there are backends: the limit is shared over them.
         k, names = max(1, min(max(self.width, self.out), len(self.order))), self.order
@@ -288,20 +284,16 @@
         far = self.rng.random() < self.spill
         if req.attempts:  # a repeat stays on its side: it may be bound to the zone
             far = not self._near(req.attempts[0].backend.entry.backend)
-        crowd, side = math.inf if req.dense or req.arriving else self.limit / k, self.home
+        crowd, side = math.inf if req.dense else self.limit / k, self.home
         if far and self.home < len(names):
             names, side = names[self.home :] + names[: self.home], len(names) - self.home
         first = min(k, side)  # a subset that is wider than the side would mix both
-        pool = self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first : 2 * k], crowd)
-        if not pool and any(b.out > crowd and max(b.busy, b.until) <= self.now and self._legal(req, b)
-                            for b in map(self.backends.__getitem__, names[: 2 * k])):
-            return False
-        pool = pool or self._panic(req, k, names[: 2 * k], crowd)
+        pool = (self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first : 2 * k], crowd)
+                or self._panic(req, k, names[: 2 * k], crowd))
         if pool:  # every node takes its part of what a backend may be given after it showed idle
             self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
         else:
             self._finish(req, "none")
-        return True
 
     def _look(self, req: Request) -> None:
         """Ask a few backends how they are; the request waits one round trip."""
