--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -68,10 +68,14 @@
     class_keys: frozenset[str] = frozenset()
 
     def shares(self, processes: int) -> tuple[int, int]:
-        """Connections of clients and to backends for each of so many processes under one limit."""
-        room = max(2, self.sockets // processes - SPARE)
-        clients = int(room * CLIENT_PART)
-        return clients, room - clients
+        """Connections of clients and to backends for each of so many processes under one limit.
+
+        Clients may come to either process with all their connections: they use a third of the descriptors at
+        most, and what one process has the other has not. Backends get the rest, in even parts.
+        """
+        room = self.sockets - processes * SPARE
+        clients = int(room * CLIENT_PART) if processes == 1 else self.sockets // 3
+        return clients, max(1, (room - clients) // processes)
 
 
 def address(value: object) -> Address:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -113,8 +113,9 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(configuration([], 1, sockets=384)))
     config = load({"PROXY_CONFIG": str(path)})
-    alone, beside = sum(config.shares(1)), sum(config.shares(2))
-    assert alone == 384 - 32 and 2 * (beside + 32) == 384
+    clients, upstream = config.shares(2)
+    assert sum(config.shares(1)) == 384 - 32
+    assert clients == 384 // 3 and clients + 2 * (upstream + 32) == 384
 
 
 def test_a_process_that_takes_over_asks_for_the_list_at_once() -> None:
