--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -55,6 +55,7 @@
         self.backends: dict[str, Backend] = {}
         self.banned: set[str] = set()  # by the operators
         self.returned: dict[str, float] = {}  # when they put a backend back
+        self.owed: set[str] = set()  # put back and sent nothing yet
         self.places: dict[str, int] = {}  # where a banned one stood in `order`
         self.requests: dict[str, Request] = {}
         self.held: list[Request] = []
@@ -94,11 +95,14 @@
         name, before = ev.backend, set(self.up)
         if ev.out:
             self.banned.add(name)
+            self.owed.discard(name)
             if name in before:
                 self.places[name] = self.order.index(name)
         else:  # it was restarted meanwhile: what was known is void
             self.banned.discard(name)
             self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
+            if self.now - ev.since < self.cfg.ramp_time:
+                self.owed.add(name)
             if (b := self.backends.get(name)) is not None:
                 b.estimate, b.fails, b.until, b.busy, b.slow, b.trip = b.out, 0, 0.0, 0.0, 1.0, math.inf
         self._refresh()
@@ -277,6 +281,9 @@
 
     def _dispatch(self, req: Request) -> None:
         """Without looking: JUT over the subset, but for members crowded by this node's own count."""
+        if self.owed and not req.attempts and (back := self._back()) is not None:
+            self._send(req, back)
+            return
         # Wider for a node that carries far more than its part, lest it crowd the few that fall to it, but no
         # wider than there are backends: the limit is shared over them.
         k, names = max(1, min(max(self.width, self.out), len(self.order))), self.order
@@ -295,6 +302,16 @@
         else:
             self._finish(req, "none")
 
+    def _back(self) -> Backend | None:
+        """A backend that was put back gets one request at once: cold and far ones might wait long for theirs,
+        and the operators look whether it is in use again."""
+        for name in sorted(self.owed):
+            b = self.backends.get(name)
+            if b is not None and self._takes(b) and max(b.busy, b.until) <= self.now:
+                self.owed.discard(name)
+                return b
+        return None
+
     def _look(self, req: Request) -> None:
         """Ask a few backends how they are; the request waits one round trip."""
         req.rounds, req.looks, k = req.rounds + 1, req.looks + 1, self.width
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -208,3 +208,20 @@
             assert (await rig.stats())["members_unavailable"] == 0
 
     run(test)
+
+
+def test_a_backend_that_is_put_back_gets_one_request_at_once() -> None:
+    """Guards against a far and cold one that the draw passes over for seconds."""
+    far = replace(BASE, charges=api.Charges(cross_zone=0.5), reports=api.Reports.NONE)
+    balancer = node(far, ["b1", "b2"])
+    balancer.handle(1000.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b0", zone="z")]))
+    assert sent_to(balancer, 1001.0) == {"b1", "b2"}
+    balancer.handle(1002.0, OUT)
+    assert sent_to(balancer, 1003.0) == {"b1", "b2"}
+    balancer.handle(5000.0, BACK)
+    gone = entry("b0", zone="z", phase=api.Phase.GONE)
+    balancer.handle(5001.0, api.ListUpdate(api.ListKind.CHANGES, [gone]))
+    assert sent_to(balancer, 5002.0) == {"b1", "b2"}  # not while the list lacks it
+    balancer.handle(5003.0, api.ListUpdate(api.ListKind.CHANGES, [entry("b0", zone="z")]))
+    assert sent_to(balancer, 5004.0, 1) == {"b0"}
+    assert sent_to(balancer, 5005.0) == {"b1", "b2"}
