--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -36,6 +36,7 @@
 GOLDEN = (math.sqrt(5) - 1) / 2  # its multiples lie evenly on a ring, whichever numbers a zone's nodes have
 EWMA = 0.1  # weight of one sample in a running mean
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
+SHOWN = 500.0  # a backend that has been avoided for this long is shown as unavailable
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 
 
@@ -124,9 +125,13 @@
         return name in self.backends
 
     def unavailable(self, now: float) -> int:
-        """How many listed backends get nothing now, or nothing but in a panic."""
+        """How many listed backends get nothing now, or nothing but in a panic.
+
+        A short ejection does not count: it is over before anyone has read of it.
+        """
         listed = [b for b in self.backends.values() if b.entry.phase is not api.Phase.GONE]
-        return sum(not self._takes(b) or max(b.busy, b.until) > now for b in listed)
+        return sum(not self._takes(b) or (max(b.busy, b.until) > now and now - b.away >= SHOWN)
+                   for b in listed)
 
     def _pick(self, pool: list[Backend], m: int) -> Backend:
         """JUT(m): the lowest estimate below m, ties at random; a random backend once all have reached m."""
@@ -201,9 +206,14 @@
 
     def _eject(self, b: Backend) -> None:
         """Outlier ejection with exponential backoff and jitter."""
+        self._left_alone(b)
         b.fails = min(b.fails + 1, EJECT_MAX)
         b.until = self.now + self.longest_aim * 2 ** (b.fails - 1) * self.rng.uniform(0.5, 1.5)
 
+    def _left_alone(self, b: Backend) -> None:
+        if max(b.busy, b.until) <= self.now:
+            b.away = self.now
+
     def _arrival(self, ev: api.Arrival) -> None:
         if (cls := self.classes.get(ev.class_name)) is None:
             raise api.CallError(f"unknown class: {ev.class_name!r}")
@@ -444,6 +454,7 @@
                 cls.dev += EWMA * (abs(ev.duration - cls.usual) - cls.dev)
                 cls.usual += EWMA * (ev.duration - cls.usual)
         elif ev.status is api.Status.FULL:
+            self._left_alone(b)
             b.busy = self.now + cls.usual * self.rng.uniform(0.5, 1.5)
         else:
             self._eject(b)
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -20,6 +20,7 @@
     fails: int = 0
     until: float = 0.0  # ejected until then
     busy: float = 0.0  # turned a request or a connection away: left alone until then, even in panic
+    away: float = 0.0  # since when it has been ejected or busy without a break
     waiting: list[Request] | None = None  # requests waiting for a probe of it; None: no probe is out
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -542,3 +542,18 @@
     _arrive(b, "nowhere", 1002.0)
     assert b.gauge().endswith("given_up_failed=1 given_up_late=1 given_up_none=1")
     assert "given_up" not in b.gauge()
+
+
+def test_only_what_is_avoided_for_a_while_is_shown_as_unavailable() -> None:
+    b = node(replace(BASE, max_attempts=1), ["x", "y"])
+    x = b.backends["x"]
+    b.handle(2000.0, api.Timer(0))
+    b._eject(x)
+    x.until = 2400.0
+    assert (b.unavailable(2100.0), b.unavailable(2399.0)) == (0, 0)
+    b.handle(2300.0, api.Timer(0))
+    b._eject(x)  # once more, before the first one is over
+    x.until = 3000.0
+    assert (b.unavailable(2499.0), b.unavailable(2500.0), b.unavailable(3000.0)) == (0, 1, 0)
+    b.handle(3100.0, api.Maintenance("y", True))
+    assert b.unavailable(3100.0) == 1
