--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -87,6 +87,7 @@
         self.keep_alive = True
         self.source: Connection | None = None  # of a long answer under way
         self.chunked = False  # that answer
+        self.kept = False  # its head lets the client send another request here: a close now would cross that
         self.slow: asyncio.TimerHandle | None = None  # for what the client sends
         self.stuck: asyncio.TimerHandle | None = None  # for what it reads
         self.parser = httptools.HttpRequestParser(self)
@@ -420,9 +421,10 @@
             self.draining = self.close_after = True
         elif self.mid:
             self._linger()
-        elif self._last:
+        elif self.close_after or (self._last and not self.kept):
             self.close()
         else:
+            self.kept = False
             self.front.idle[self] = None
 
     # --- a long answer
@@ -448,6 +450,7 @@
             head += b"Transfer-Encoding: chunked\r\n"
         if self._last:
             head += b"Connection: close\r\n"
+        self.kept = not self._last
         self.transport.write(head + b"\r\n")
 
     def feed(self, data: bytes) -> None:
@@ -592,6 +595,10 @@
         """Accept no more and close what is idle; a request that has come meanwhile is still read."""
         if self.server is not None:
             self.server.close()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close what is idle, but where a request lies that is yet to be read."""
         for connection in list(self.idle):
             if not connection.unread:
                 connection.close()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import time
@@ -291,15 +292,20 @@
         """A call that the module asked for has failed."""
         self.event(api.ListUpdate(api.ListKind.FAILED, []))
 
-    async def finish(self, wait: float) -> None:
-        """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest."""
+    async def finish(self, wait: float, long: float) -> None:
+        """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest.
+
+        But for long bodies and answers under way: they get `long` seconds more, or as much of that as SIGKILL
+        leaves them. Guards against cutting off what the backend still gives.
+        """
         done = asyncio.Event()
         self._drained = done.set
-        if self.open:
-            try:
-                await asyncio.wait_for(done.wait(), wait)
-            except TimeoutError:
-                for name in list(self.open):
+        for seconds in (wait, long):
+            if self.open:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(done.wait(), seconds)
+            for name, request in list(self.open.items()):
+                if seconds is long or not (request.streaming or request.arriving):
                     self._abandon(name)
 
     # --- actions
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -172,6 +172,38 @@
     run(test)
 
 
+def test_long_answers_and_bodies_outlast_the_short_ones_at_the_end(tmp_path: Path) -> None:
+    """Guards against cutting off what a backend still gives, while SIGKILL has not come."""
+
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+            if "long" in message.start:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 50_000)
+                await go.wait()
+                writer.write(b"x" * 50_000)
+
+        classes = [{"name": "read", "effect": "retryable", "give-up": 300, "objective": 300}]
+        async with running(tmp_path, Backend("b0", respond), **{"request-classes": classes}) as rig:
+            long, short = await rig.client(), await rig.client()
+            long.send("/read?long")
+            await long.reader.readuntil(b"\r\n\r\n")
+            rig.terminate()
+            while (await (await rig.client()).ask("/up")).code != 503:
+                pass
+            assert (await short.ask("/read")).code == 503  # nothing comes for it
+            with pytest.raises(ConnectionError):
+                while True:  # the listener goes, and all that is left is the long answer
+                    await rig.client()
+            assert rig.process.returncode is None
+            go.set()
+            assert len(await long.ended()) == 100_000
+            assert await rig.end() == 0
+
+    run(test)
+
+
 async def _news(discovery: FakeDiscovery) -> None:
     """Tell the second watch that nothing has changed."""
     await discovery.asked.get()
