--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -27,7 +27,7 @@
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
 IDLE = 0.6  # s after SIGTERM when a process with a successor closes idle connections: a request that comes
 # on one later than 0.7 s has to be answered before SIGKILL, however long its answer is
-LONG = 30.0  # s that long bodies and answers get after the last short answer, unless SIGKILL comes
+LONG = 30.0  # s that long answers get after the last short one, unless SIGKILL comes
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
@@ -57,6 +57,7 @@
     node = Node(config)
     node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
     front, console = Front(node, config.shares(1)[0]), Console(node)
+    node.deaf = front.drop_unanswered
     pair = Pair(node.meeting, partial(share, node, front))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -118,6 +118,7 @@
         self.fresh = asyncio.Event()  # discovery has told of the list
         self._events: deque[api.Event] = deque()
         self._busy = False
+        self.deaf: Callable[[], None] = lambda: None  # stops reading requests
         self._drained: Callable[[], None] = lambda: None
         self.counts: Counter[str] = Counter()  # since the last line of counts
         self._lag = 0.0  # s: the latest pulse since then
@@ -295,18 +296,24 @@
     async def finish(self, wait: float, long: float) -> None:
         """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest.
 
-        But for long bodies and answers under way: they get `long` seconds more, or as much of that as SIGKILL
-        leaves them. Guards against cutting off what the backend still gives.
+        But for long answers under way: they get `long` seconds more, or what SIGKILL leaves them of that.
+        Guards against cutting off what the backend still gives.
         """
+        await self._empty(wait)
+        for name, request in list(self.open.items()):
+            if not request.streaming:
+                self._abandon(name)
+        self.deaf()  # what is taken from here on could not be answered
+        await self._empty(long)
+        for name in list(self.open):
+            self._abandon(name)
+
+    async def _empty(self, wait: float) -> None:
         done = asyncio.Event()
         self._drained = done.set
-        for seconds in (wait, long):
-            if self.open:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(done.wait(), seconds)
-            for name, request in list(self.open.items()):
-                if seconds is long or not (request.streaming or request.arriving):
-                    self._abandon(name)
+        if self.open:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(done.wait(), wait)
 
     # --- actions
 
