--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -25,9 +25,6 @@
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
-IDLE = 0.6  # s after SIGTERM when a process with a successor closes idle connections: a request that comes
-# on one later than 0.7 s has to be answered before SIGKILL, however long its answer is
-LONG = 30.0  # s that long answers get after the last short one, unless SIGKILL comes
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
@@ -57,7 +54,6 @@
     node = Node(config)
     node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
     front, console = Front(node, config.shares(1)[0]), Console(node)
-    node.deaf = front.drop_unanswered
     pair = Pair(node.meeting, partial(share, node, front))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -111,15 +107,13 @@
     node.succeeded, node.stopping = pair.beside, True
     if node.succeeded and front.socket is not None:
         steer(front.socket, 0 if pair.later else 1)
-        await asyncio.sleep(min(IDLE, last - CLOSE - loop.time()))
-        front.close_idle()
-        await asyncio.sleep(last - CLOSE - loop.time())  # where nothing can be steered, some still come
+        await asyncio.sleep(last - CLOSE - loop.time())  # to the last: it may come on any open connection
     else:
         await asyncio.sleep(min(ACCEPT, last - CLOSE - loop.time()))
     front.stop()
     while front.reading and loop.time() < last:
         await asyncio.sleep(0.01)
-    await node.finish(max(0.0, last - loop.time()), LONG)
+    await node.finish(max(0.0, last - loop.time()))
 
 
 def main() -> int:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -595,16 +595,6 @@
         """Accept no more and close what is idle; a request that has come meanwhile is still read."""
         if self.server is not None:
             self.server.close()
-        self.close_idle()
-
-    def drop_unanswered(self) -> None:
-        """Read no more requests: only long answers under way go on."""
-        for connection in list(self.connections):
-            if connection.source is None:
-                connection.close()
-
-    def close_idle(self) -> None:
-        """Close what is idle, but where a request lies that is yet to be read."""
         for connection in list(self.idle):
             if not connection.unread:
                 connection.close()
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -118,7 +118,6 @@
         self.fresh = asyncio.Event()  # discovery has told of the list
         self._events: deque[api.Event] = deque()
         self._busy = False
-        self.deaf: Callable[[], None] = lambda: None  # stops reading requests
         self._drained: Callable[[], None] = lambda: None
         self.counts: Counter[str] = Counter()  # since the last line of counts
         self._lag = 0.0  # s: the latest pulse since then
@@ -293,27 +292,18 @@
         """A call that the module asked for has failed."""
         self.event(api.ListUpdate(api.ListKind.FAILED, []))
 
-    async def finish(self, wait: float, long: float) -> None:
+    async def finish(self, wait: float) -> None:
         """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest.
 
-        But for long answers under way: they get `long` seconds more, or what SIGKILL leaves them of that.
-        Guards against cutting off what the backend still gives.
+        A long answer that is still under way then ends as broken: SIGKILL would do no better by it.
         """
-        await self._empty(wait)
-        for name, request in list(self.open.items()):
-            if not request.streaming:
-                self._abandon(name)
-        self.deaf()  # what is taken from here on could not be answered
-        await self._empty(long)
-        for name in list(self.open):
-            self._abandon(name)
-
-    async def _empty(self, wait: float) -> None:
         done = asyncio.Event()
         self._drained = done.set
         if self.open:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(done.wait(), wait)
+        for name in list(self.open):
+            self._abandon(name)
 
     # --- actions
 
