--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -178,6 +178,8 @@
 
     def _warmth(self, entry: api.Entry) -> float:
         """The part of its capacity that a backend surely has by now."""
+        if entry.started_at <= 0 and not self.returned:  # nearly always; this is asked for each backend drawn
+            return 1.0
         started = max(entry.started_at, self.returned.get(entry.backend, 0.0))
         age, cold = self.now - started, self.cfg.cold_share
         if started <= 0 or age >= self.cfg.ramp_time:
