--- a/dillport/net/stream.py
+++ b/dillport/net/stream.py
@@ -16,7 +16,10 @@
 
 
 class Budget:
-    """The memory for long bodies, in even parts for all that are under way."""
+    """The memory for long bodies, in even parts for all that are under way.
+
+    `window` is how many bytes may wait for one peer, and the largest read.
+    """
 
     def __init__(self, memory_mb: float) -> None:
         # Half of what is left: allocators do not give all back.
@@ -24,13 +27,20 @@
         self.streams = 0
 
     @property
-    def window(self) -> int:
-        """Bytes that may wait for one peer; also the largest read."""
-        return int(min(MOST, max(LEAST, self.total / (COPIES * max(1, self.streams)))))
+    def streams(self) -> int:
+        """Long bodies and answers under way."""
+        return self._streams
+
+    @streams.setter
+    def streams(self, count: int) -> None:
+        # Worked out here, as every read asks for it.
+        self._streams = count
+        self.window = int(min(MOST, max(LEAST, self.total / (COPIES * max(1, count)))))
+        self._view = _room[: self.window]
 
     def room(self) -> memoryview:
         """Where the next read goes."""
-        return _room[: self.window]
+        return self._view
 
     def read(self, count: int) -> bytes:
         """What that read brought, copied out before any other one."""
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -332,6 +332,8 @@
         elif fault or self.head > MAX_HEAD:
             log.warning("backend %s:%d: %s", *self.address, fault or "headers too long")
             self._fail(Status.RESET)
+        elif self.body and self.length is None and self.held is None:  # most are whole after one read
+            self.held = self.pool.loop.call_later(HOLD, self._begin)
 
     # --- a long answer
 
@@ -406,8 +408,6 @@
         self.body += body
         if len(self.body) > SMALL:
             self._begin()
-        elif self.length is None and self.held is None:
-            self.held = self.pool.loop.call_later(HOLD, self._begin)
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it was an interim one."""
