--- /dev/null
+++ b/dillport/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `dillport` command."""
--- /dev/null
+++ b/dillport/cli/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m dillport.cli`."""
+
+from dillport.cli.app import main
+
+main()
--- /dev/null
+++ b/dillport/cli/app.py
@@ -0,0 +1,218 @@
+"""The `dillport` command: parsing, exit codes, output. What it does is done in the rooms it calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from enum import IntEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+import uvloop
+from rich.console import Console
+from rich.table import Table
+
+from dillport.lab import records
+from dillport.lab.figures import summary
+from dillport.lab.judge import RULES, Judge
+from dillport.lab.programs import HERE, ROOT, Program, ProgramError, obtain
+from dillport.lab.run import LabError, Live, play
+from dillport.lab.spec import Experiment, SpecError, load
+
+EXPERIMENTS = ROOT / "lab" / "experiments"
+
+app = typer.Typer(help="A fleet of load-balancing nodes: try it, measure it, break it.", no_args_is_help=True,
+                  add_completion=False, pretty_exceptions_enable=False)  # fmt: skip
+lab = typer.Typer(
+    help="Experiments: real nodes, stand-ins round them, faults between them.", no_args_is_help=True
+)
+app.add_typer(lab, name="lab")
+console = Console(stderr=True)
+
+
+class Exit(IntEnum):
+    """What the exit code says."""
+
+    HELD = 0
+    SHORT = 1
+    NOT_RUN = 2
+
+
+Out = Annotated[Path, typer.Option("--out", help="Folder for the results; made if it is missing.")]
+Sets = Annotated[
+    list[str] | None, typer.Option("--set", help="KEY=VALUE overrides a field, dotted. Repeatable.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print the result as JSON on standard output.")]
+
+
+def stop(text: str) -> typer.Exit:
+    """One line on standard error, exit code 2."""
+    print(f"dillport: {' '.join(text.split())}", file=sys.stderr)
+    return typer.Exit(Exit.NOT_RUN)
+
+
+def find(name: str) -> Path:
+    """An experiment by its path, or by its name among those of the repository."""
+    path = Path(name)
+    return path if path.suffix == ".toml" else EXPERIMENTS / f"{name}.toml"
+
+
+def program(what: str) -> Program:
+    """The program that is played, built if need be."""
+    try:
+        with console.status(f"building {what}" if what != HERE else "building the node"):
+            return obtain(what)
+    except (ProgramError, OSError) as err:
+        raise stop(str(err)) from None
+
+
+def run_once(spec: Experiment, seed: int, what: Program, out: Path, human: bool = False,
+             live: Live | None = None) -> tuple[records.Seen, dict[str, Any]]:  # fmt: skip
+    """Play, judge and write `summary.json` and `experiment.json`; raises LabError or OSError."""
+    seen = uvloop.run(play(spec, seed, what, out, human, live))
+    table = summary(spec, seed, what.label, seen, Judge(spec, seen).judge())
+    (out / "experiment.json").write_bytes(msgspec.json.encode(spec))
+    (out / "summary.json").write_text(json.dumps(table, indent=1) + "\n", "utf-8")
+    return seen, table
+
+
+def verdict(table: dict[str, Any]) -> Exit:
+    """The exit code of a run."""
+    if table["void"]:
+        return Exit.NOT_RUN
+    good = all(e["held"] for e in table["expectations"]) and not table["figures"]["broken_rules"]
+    return Exit.HELD if good else Exit.SHORT
+
+
+def show(table: dict[str, Any]) -> None:
+    """A run's outcome for people."""
+    screen = Console()
+    values = table["figures"]
+    rows = Table(
+        title=f"{table['experiment']}, seed {table['seed']}, {table['program']}", title_justify="left"
+    )
+    for name in ("figure", "measured", "bound", ""):
+        rows.add_column(name, justify="right" if name == "measured" else "left")
+    for e in table["expectations"]:
+        parts = [
+            f"{sign} {e[side]:g}" for side, sign in (("min", ">="), ("max", "<=")) if e[side] is not None
+        ]
+        shown = "-" if e["measured"] is None else f"{e['measured']:.4g}"
+        rows.add_row(e["figure"], shown, " ".join(parts), "held" if e["held"] else "[red]short[/red]")
+    named = {e["figure"] for e in table["expectations"]}
+    for name in ("goodput", "latency_p50_ms", "latency_p99_ms", "refused", "failed", "broken_rules",
+                 "rig_late_p99_ms"):  # fmt: skip
+        if name not in named:
+            rows.add_row(name, f"{values[name]:.4g}", "", "")
+    screen.print(rows)
+    for rule, text in RULES.items():
+        if count := values[f"broken_{rule}"]:
+            screen.print(f"[red]broken {count:.0f} times[/red]: {text}")
+    for item in table["breaks"][:5]:
+        screen.print(f"  {item['rule']} at {item['at_ms'] / 1000:.2f} s, n{item['node']}: {item['text']}")
+    if table["void"]:
+        screen.print(f"[red]void[/red]: the rig's own lateness is {values['rig_late_p99_ms']:.1f} ms at p99")
+
+
+@lab.command("run")
+def lab_run(
+    experiment: Annotated[str, typer.Argument(help="A TOML file, or the name of one in lab/experiments.")],
+    out: Out,
+    seed: Annotated[int, typer.Option(min=0, help="Draws arrivals, sizes, speeds and faults.")] = 1,
+    sets: Sets = None,
+    revision: Annotated[str, typer.Option(help="Plays REVISION[+VARIANT] of this repository.")] = HERE,
+    as_json: AsJson = False,
+    verbose: Annotated[bool, typer.Option("--verbose", "-v", help="Show the lab's log as it goes.")] = False,
+) -> None:
+    """Play an experiment. Exit code 0: expectations held; 1: one fell short; 2: not run, or rig too late."""
+    try:
+        spec = load(find(experiment), sets or ())
+    except SpecError as err:
+        raise stop(str(err)) from None
+    what = program(revision)
+    try:
+        with console.status(f"{spec.name}: {spec.seconds:g} s with {spec.fleet.nodes} nodes") as status:
+            seen, table = run_once(
+                spec, seed, what, out, verbose, None if verbose else lambda run: status.update(
+                    f"{spec.name}: {max(0.0, run.fleet.now() / 1000):.0f} of {spec.seconds:g} s"
+                ),
+            )  # fmt: skip
+            write_report(spec, seen, table, out)
+    except (LabError, OSError) as err:
+        raise stop(str(err)) from None
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        raise stop("interrupted") from None
+    if as_json:
+        print(json.dumps(table))
+    else:
+        show(table)
+        print(f"{out / 'report.html'}")
+    raise typer.Exit(verdict(table))
+
+
+def write_report(spec: Experiment, seen: records.Seen, table: dict[str, Any], out: Path) -> None:
+    """`report.html` beside the records."""
+    from dillport.lab.report import run_page  # draws with matplotlib, which is slow to import
+
+    (out / "report.html").write_text(run_page(spec, seen, table), "utf-8")
+
+
+@lab.command("report")
+def lab_report(
+    folder: Annotated[Path, typer.Argument(help="The folder of a run.")], as_json: AsJson = False
+) -> None:
+    """Judge a run's records anew and write its summary and report once more."""
+    try:
+        spec = msgspec.json.decode((folder / "experiment.json").read_bytes(), type=Experiment)
+        seen = records.read(folder / "records.msgpack")
+        old = json.loads((folder / "summary.json").read_text("utf-8"))
+        table = summary(spec, old["seed"], old["program"], seen, Judge(spec, seen).judge())
+        (folder / "summary.json").write_text(json.dumps(table, indent=1) + "\n", "utf-8")
+        write_report(spec, seen, table, folder)
+    except (OSError, ValueError, KeyError, msgspec.MsgspecError) as err:
+        raise stop(f"{folder} holds no whole run: {err}") from None
+    if as_json:
+        print(json.dumps(table))
+    else:
+        show(table)
+    raise typer.Exit(verdict(table))
+
+
+@lab.command("list")
+def lab_list(as_json: AsJson = False) -> None:
+    """The experiments of the repository."""
+    rows = []
+    for path in sorted(EXPERIMENTS.glob("*.toml")):
+        try:
+            spec = load(path)
+        except SpecError as err:
+            raise stop(f"{path.name}: {err}") from None
+        rows.append(
+            {
+                "name": spec.name,
+                "seconds": spec.seconds,
+                "nodes": spec.fleet.nodes,
+                "backends": spec.backends.count,
+                "faults": len(spec.faults),
+                "about": spec.about,
+            }
+        )
+    if as_json:
+        print(json.dumps(rows))
+        return
+    table = Table()
+    for name in ("name", "seconds", "nodes", "backends", "faults", "about"):
+        table.add_column(
+            name, justify="right" if name in ("seconds", "nodes", "backends", "faults") else "left"
+        )
+    for row in rows:
+        table.add_row(*(f"{v:g}" if isinstance(v, (int, float)) else str(v) for v in row.values()))
+    Console().print(table)
+
+
+def main() -> None:
+    """Entry point."""
+    app()
--- /dev/null
+++ b/dillport/lab/figures.py
@@ -0,0 +1,230 @@
+"""From records to figures: goodput, latency without coordinated omission, costs, recovery, the rig itself."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import pairwise
+from typing import Any
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+from numpy.typing import NDArray
+
+from dillport.lab import records
+from dillport.lab.judge import RULES, Judgement
+from dillport.lab.model.client import End
+from dillport.lab.spec import Expect, Experiment, Kill, Terminate
+
+LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
+HIGHEST = 60_000_000  # us that a latency can have in the histogram
+RECOVERED = 0.95  # of the goodput before the first fault
+WINDOW = 0.5  # s of the series
+
+Series = dict[str, list[float]]
+
+
+@dataclass(slots=True)
+class Wished:
+    """One operation over all its tries."""
+
+    intended: float
+    kind: int
+    zone: str
+    worth: float  # asked for
+    got: float  # of it
+    latency: float | None  # ms from when it was meant to be sent; None: not served
+    last_end: str
+    tries: int
+
+
+def wishes(spec: Experiment, seen: records.Seen) -> list[Wished]:
+    """The operations, in order of time."""
+    by_wish: dict[str, list[records.TryRecord]] = defaultdict(list)
+    for one in seen.tries:
+        by_wish[one.wish].append(one)
+    out = []
+    for tries in by_wish.values():
+        tries.sort(key=lambda t: t.number)
+        first, last = tries[0], tries[-1]
+        cls = spec.load.classes[first.kind]
+        served = next((t for t in tries if t.end == End.SERVED.value), None)
+        latency = served.answered - served.intended if served else None
+        got = 0.0
+        if latency is not None:
+            got = cls.value * (1.0 if latency <= cls.aim_ms else cls.late_worth)
+        out.append(
+            Wished(first.intended, first.kind, first.zone, cls.value, got, latency, last.end, len(tries))
+        )
+    return sorted(out, key=lambda w: w.intended)
+
+
+def percentiles(values: Iterable[float], points: tuple[float, ...]) -> list[float]:
+    """Percentiles in ms by an HDR histogram of three figures; empty input gives zeros."""
+    histogram = HdrHistogram(1, HIGHEST, 3)
+    for value in values:
+        histogram.record_value(max(1, min(HIGHEST, round(value * 1000))))
+    if not histogram.get_total_count():
+        return [0.0] * len(points)
+    return [histogram.get_value_at_percentile(p) / 1000 for p in points]
+
+
+def series(spec: Experiment, seen: records.Seen, done: list[Wished]) -> Series:
+    """Figures of each half second, by the time a request was meant to be sent."""
+    count = int(np.ceil(spec.seconds / WINDOW))
+    slot = [min(count - 1, int(w.intended / 1000 / WINDOW)) for w in done]
+    worth, got, offered, refused = (np.zeros(count) for _ in range(4))
+    latencies: list[list[float]] = [[] for _ in range(count)]
+    for index, wish in zip(slot, done, strict=True):
+        worth[index] += wish.worth
+        got[index] += wish.got
+        offered[index] += 1
+        refused[index] += wish.last_end == End.REFUSED.value
+        if wish.latency is not None:
+            latencies[index].append(wish.latency)
+    points = [percentiles(some, (50.0, 99.0)) for some in latencies]
+    return {
+        "t_s": [i * WINDOW for i in range(count)],
+        "offered_per_s": (offered / WINDOW).tolist(),
+        "goodput": (got / np.maximum(worth, 1e-9)).tolist(),
+        "refused_per_s": (refused / WINDOW).tolist(),
+        "p50_ms": [p[0] for p in points],
+        "p99_ms": [p[1] for p in points],
+    }
+
+
+def backend_loads(spec: Experiment, seen: records.Seen) -> NDArray[np.float64]:
+    """Attempts a second that each backend got in each window; shape (backends, windows)."""
+    count = int(np.ceil(spec.seconds / WINDOW))
+    out = np.zeros((spec.backends.count, count))
+    for attempt in seen.attempts:
+        index = int(attempt.first / 1000 / WINDOW)
+        if 0 <= index < count:
+            out[attempt.backend, index] += 1 / WINDOW
+    return out
+
+
+def _recovery(spec: Experiment, line: Series) -> float | None:
+    """Seconds from the last fault's end until goodput is back for a second; None: no fault, -1: never."""
+    if not spec.faults:
+        return None
+    begin = min(f.at for f in spec.faults)
+    before = [
+        g for t, g in zip(line["t_s"], line["goodput"], strict=True) if spec.warmup <= t < begin - WINDOW
+    ]
+    ends = [f.until for f in spec.faults]
+    ends += [f.at + f.every * (f.batches - 1) for f in spec.faults if isinstance(f, (Kill, Terminate))]
+    ends += [f.at + f.every * (f.batches - 1) + f.restart_after for f in spec.faults
+             if isinstance(f, Kill) and f.restart_after is not None]  # fmt: skip
+    end, wanted = max(ends), RECOVERED * (float(np.mean(before)) if before else 1.0)
+    good = 0
+    for t, goodput in zip(line["t_s"], line["goodput"], strict=True):
+        if t + WINDOW <= end:
+            continue
+        good = good + 1 if goodput >= wanted else 0
+        if good * WINDOW >= 1.0:
+            return max(0.0, t + WINDOW - end - 1.0)
+    return -1.0
+
+
+def figures(spec: Experiment, seen: records.Seen, judged: Judgement) -> dict[str, float]:
+    """All figures of a run by name; shares are of 1, times in ms unless the name says otherwise."""
+    done = wishes(spec, seen)
+    counted = [w for w in done if w.intended >= spec.warmup * 1000]
+    worth = sum(w.worth for w in counted) or 1.0
+    total = len(counted) or 1
+    latency = [w.latency for w in counted if w.latency is not None]
+    p50, p90, p99, p999 = percentiles(latency, (50.0, 90.0, 99.0, 99.9))
+    ends = Counter(w.last_end for w in counted)
+    line = series(spec, seen, done)
+    first = int(np.ceil(spec.warmup / WINDOW))
+    seconds = [np.mean(line["goodput"][i : i + 2]) for i in range(first, len(line["goodput"]) - 1)]
+    by_class = [
+        sum(w.got for w in counted if w.kind == k) / (sum(w.worth for w in counted if w.kind == k) or 1.0)
+        for k in range(len(spec.load.classes)) if any(w.kind == k for w in counted)
+    ]  # fmt: skip
+    cross = sum(spec.zone_of(f"n{a.node}") != spec.zone_of(f"s{a.backend}") for a in seen.attempts)
+    lateness = percentiles(seen.lateness, (50.0, 99.0))
+    out = {
+        "goodput": sum(w.got for w in counted) / worth,
+        "worst_second": float(min(seconds, default=0.0)),
+        "worst_class": min(by_class, default=0.0),
+        "served": len(latency) / total,
+        "refused": ends[End.REFUSED.value] / total,
+        "failed": (total - len(latency) - ends[End.REFUSED.value] - ends[End.LEFT.value]) / total,
+        "latency_p50_ms": p50,
+        "latency_p90_ms": p90,
+        "latency_p99_ms": p99,
+        "latency_p999_ms": p999,
+        "offered_per_s": total / (spec.seconds - spec.warmup),
+        "tries_per_wish": sum(w.tries for w in counted) / total,
+        "attempts_per_try": len(seen.attempts) / (len(seen.tries) or 1),
+        "cross_zone": cross / (len(seen.attempts) or 1),
+        "broken_rules": float(sum(judged.broken.values())),
+        "excused": float(judged.excused),
+        "overdue": float(judged.overdue),
+        "toppled": float(len(seen.topples)),
+        "rig_late_p50_ms": lateness[0],
+        "rig_late_p99_ms": lateness[1],
+        "rig_loop_lag_p99_ms": percentiles(seen.loop_lag, (99.0,))[0],
+    } | _costs(seen)
+    out |= {f"broken_{rule}": float(judged.broken[rule]) for rule in RULES}
+    recovery = _recovery(spec, line)
+    if recovery is not None:
+        out["recovery_s"] = recovery
+    return {name: round(value, 6) for name, value in out.items()}
+
+
+def _costs(seen: records.Seen) -> dict[str, float]:
+    """What the nodes' processes used, from the system's own accounts."""
+    cpu: dict[int, list[tuple[float, float]]] = defaultdict(list)
+    for sample in seen.samples:
+        cpu[sample.node].append((sample.at, sample.cpu_s))
+    spent = 0.0
+    for points in cpu.values():
+        values = [c for _, c in sorted(points)]
+        spent += sum(max(0.0, b - a) for a, b in pairwise(values))
+    return {
+        "node_cpu_us_per_try": 1e6 * spent / (len(seen.tries) or 1),
+        "node_rss_mb_max": max((s.rss_mb for s in seen.samples), default=0.0),
+        "node_descriptors_max": float(max((s.descriptors for s in seen.samples), default=0)),
+        "node_ready_ms_max": max((x.ready - x.started for x in seen.lives if x.ready), default=0.0),
+    }
+
+
+def held(expect: Expect, values: dict[str, float]) -> bool:
+    """Whether an expectation holds; a figure that the run does not have does not."""
+    value = values.get(expect.figure)
+    if value is None:
+        return False
+    return (expect.min is None or value >= expect.min) and (expect.max is None or value <= expect.max)
+
+
+def summary(
+    spec: Experiment, seed: int, program: str, seen: records.Seen, judged: Judgement
+) -> dict[str, Any]:
+    """What `summary.json` holds."""
+    values = figures(spec, seen, judged)
+    return {
+        "version": 1,
+        "experiment": spec.name,
+        "seed": seed,
+        "program": program,
+        "seconds": spec.seconds,
+        "void": values["rig_late_p99_ms"] > LATE_RIG,
+        "figures": values,
+        "expectations": [
+            {
+                "figure": e.figure,
+                "min": e.min,
+                "max": e.max,
+                "measured": values.get(e.figure),
+                "held": held(e, values),
+            }
+            for e in spec.expect
+        ],
+        "breaks": [
+            {"rule": b.rule, "at_ms": round(b.at, 1), "node": b.node, "text": b.text} for b in judged.first
+        ],
+    }
--- /dev/null
+++ b/dillport/lab/logs.py
@@ -0,0 +1,48 @@
+"""The lab's own log: JSON lines with run, party, virtual and wall time; a human form on a terminal."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import MutableMapping
+from pathlib import Path
+from typing import Any, TextIO
+
+import structlog
+
+Fields = MutableMapping[str, Any]
+
+
+class LabLog:
+    """Writes each event once to the file and, where asked, once to standard error for people."""
+
+    def __init__(self, path: Path, run: str, human: bool) -> None:
+        self.file: TextIO = path.open("a", encoding="utf-8", buffering=1)
+        self.zero: float | None = None  # monotonic s of the run's virtual zero
+        self.render = structlog.processors.JSONRenderer(sort_keys=False)
+        self.show = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty()) if human else None
+        self.logger = structlog.wrap_logger(
+            structlog.PrintLogger(self.file), processors=[structlog.processors.add_log_level, self._times,
+                                                          self._both], run=run,
+        )  # fmt: skip
+
+    def _times(self, logger: Any, method: str, event: Fields) -> Fields:
+        event["wall"] = (
+            time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime()) + f".{time.time_ns() // 10**6 % 1000:03d}Z"
+        )
+        event["t_ms"] = None if self.zero is None else round((time.monotonic() - self.zero) * 1000, 1)
+        return event
+
+    def _both(self, logger: Any, method: str, event: Fields) -> str:
+        if self.show is not None:
+            shown = {k: v for k, v in event.items() if k not in ("run", "wall")}
+            print(self.show(logger, method, shown), file=sys.stderr)
+        return str(self.render(logger, method, event))
+
+    def say(self, party: str, event: str, **fields: Any) -> None:
+        """One line."""
+        self.logger.info(event, party=party, **fields)
+
+    def close(self) -> None:
+        """The file is whole."""
+        self.file.close()
--- /dev/null
+++ b/dillport/lab/model/backend.py
@@ -0,0 +1,224 @@
+"""One backend: cores, slots, a waiting room, a cold start that can topple, repeats dropped per cell.
+
+All times are milliseconds on the caller's clock. Work is time on a standard core that is warm and not
+crowded. The model follows the platform's pages (WIRE: the four rules, `ramp-time`, `fall`; DEPLOY: what a
+backend is).
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+import numpy as np
+
+from dillport.lab.spec import Backends, Rules
+
+PATIENCE = 64  # random numbers drawn at a time
+
+
+class Verdict(Enum):
+    """How an attempt ends at the backend."""
+
+    SERVED = "served"
+    REPEATED = "repeated"  # a keyed repeat: answered as served, run no second time
+    ERROR = "error"
+    TURNED_AWAY = "turned_away"  # never started
+    EXPIRED = "expired"  # never started: its time was over
+    RESET = "reset"  # it has run, and the connection breaks
+
+
+RAN = frozenset({Verdict.SERVED, Verdict.RESET})
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One attempt as the backend sees it."""
+
+    ident: str
+    node: int
+    work: float  # ms, with what its new connection costs
+    arrived: float
+    give_up: float  # when its caller stops waiting
+    key: str = ""  # of a keyed request; empty otherwise
+    span: float = 0.0  # ms that the cell remembers the key
+    began: bool = False
+    verdict: Verdict = Verdict.SERVED
+
+
+@dataclass(slots=True)
+class Topple:
+    """A cold backend was sent more than it may bear: when, and by whom the work came."""
+
+    at: float
+    started: float
+    budget: float
+    work_by_node: dict[int, float]
+
+
+Cell = dict[str, float]
+"""The keys that the backends of a cell have seen, and when the first attempt of each came."""
+
+
+@dataclass
+class Trouble:
+    """What is wrong with a backend for now; shares of requests, and a factor on times."""
+
+    slow: float = 1.0
+    gray: float = 0.0
+    gray_ms: float = 1.0
+    resets: float = 0.0
+
+
+@dataclass
+class Backend:
+    """The state of one backend. `offer` and `advance` are its events; both return what ends now."""
+
+    spec: Backends
+    rules: Rules
+    speed: float
+    cell: Cell
+    random: np.random.Generator
+    started: float = -1e12  # ms; long ago: warm
+    trouble: Trouble = field(default_factory=Trouble)
+    draining: bool = False
+    toppled: Topple | None = None
+    stalled_at: float | None = None
+
+    def __post_init__(self) -> None:
+        self.slots = max(1, round(self.spec.cores * self.spec.slots_per_core))
+        self.room = self.spec.cores * self.spec.queue_per_core
+        self.running: list[tuple[float, int, Job]] = []  # a heap by the time of the end
+        self.waiting: deque[Job] = deque()
+        self.fresh: deque[tuple[float, int, float]] = deque()  # work that came while cold: when, from whom
+        self.done_work = self.pressure = 0.0
+        self.count = 0
+        self._dice: list[float] = []
+
+    def restart(self, now: float) -> None:
+        """Come back cold; whatever it held is lost."""
+        self.started, self.done_work, self.pressure = now, 0.0, 0.0
+        self.running.clear()
+        for job in self.waiting:  # the cell never ran these: their repeats must not be dropped
+            self.cell.pop(job.key, None)
+        self.waiting.clear()
+        self.fresh.clear()
+        self.draining, self.toppled, self.stalled_at = False, None, None
+        self.trouble = Trouble()
+
+    def warmth(self, now: float) -> float:
+        """The share of its capacity that it has: from `cold-from` up to 1, by time or by work done."""
+        by_time = (now - self.started) / (self.spec.cold_s * 1000)
+        if by_time >= 1:
+            return 1.0
+        by_work = self.done_work / (self.spec.cold_s * 1000 * self.spec.cores)
+        return self.spec.cold_from + (1 - self.spec.cold_from) * min(1.0, max(by_time, by_work))
+
+    def capacity(self, now: float) -> float:
+        """Work a millisecond that it can do now."""
+        return self.spec.cores * self.speed * self.warmth(now)
+
+    @property
+    def report(self) -> tuple[int, int]:
+        """Requests being handled, and waiting."""
+        return len(self.running), len(self.waiting)
+
+    @property
+    def next_end(self) -> float | None:
+        """When `advance` has something to do."""
+        return self.running[0][0] if self.running and self.stalled_at is None else None
+
+    def _die(self) -> float:
+        if not self._dice:
+            self._dice = self.random.random(PATIENCE).tolist()
+        return self._dice.pop()
+
+    def offer(self, now: float, job: Job) -> Verdict | None:
+        """An attempt's last byte came; what it ends with at once, or None while it is held."""
+        self._press(now, job)
+        if self.draining or self.toppled is not None:
+            return Verdict.TURNED_AWAY
+        if self.trouble.gray and self._die() < self.trouble.gray:
+            return Verdict.ERROR
+        if job.key:
+            first = self.cell.get(job.key)
+            if first is not None and now - first <= job.span:
+                return Verdict.REPEATED
+        if len(self.waiting) >= self.room and len(self.running) >= self.slots:
+            return Verdict.TURNED_AWAY
+        if job.key:
+            self.cell[job.key] = now
+        if len(self.running) < self.slots and self.stalled_at is None:
+            self._begin(now, job)
+        else:
+            self.waiting.append(job)
+        return None
+
+    def advance(self, now: float) -> list[Job]:
+        """The jobs that have ended by `now`, in order. A late call does not slow the backend down."""
+        out: list[Job] = []
+        while self.running and self.running[0][0] <= now and self.stalled_at is None:
+            end, _, job = heapq.heappop(self.running)
+            self.done_work += job.work
+            out.append(job)
+            self._refill(end, out)
+        return out
+
+    def _refill(self, now: float, out: list[Job]) -> None:
+        while self.waiting and len(self.running) < self.slots:
+            job = self.waiting.popleft()
+            if self.spec.drops_expired and now >= job.give_up:
+                job.verdict = Verdict.EXPIRED
+                if job.key:
+                    self.cell.pop(job.key, None)
+                out.append(job)
+            else:
+                self._begin(now, job)
+
+    def _begin(self, now: float, job: Job) -> None:
+        job.began = True
+        die = self._die()
+        if die < self.spec.error_rate:
+            job.verdict = Verdict.ERROR
+        elif die < self.spec.error_rate + self.trouble.resets:
+            job.verdict = Verdict.RESET
+        held = (len(self.running) + len(self.waiting)) / self.spec.cores
+        crowd = 1 + self.spec.thrash * max(0.0, held - self.spec.thrash_at)
+        # Slots over the cores share them; under them each has a core of its own.
+        per_slot = min(1.0, self.spec.cores / self.slots) * self.speed * self.warmth(now)
+        self.count += 1
+        heapq.heappush(self.running, (now + job.work * crowd * self.trouble.slow / per_slot, self.count, job))
+
+    def stall(self, now: float) -> None:
+        """Stand still."""
+        self.stalled_at = now
+
+    def wake(self, now: float) -> list[Job]:
+        """Go on after a stall: what ran goes on from where it stood."""
+        assert self.stalled_at is not None
+        lost, self.stalled_at = now - self.stalled_at, None
+        self.running = [(end + lost, number, job) for end, number, job in self.running]
+        heapq.heapify(self.running)
+        out: list[Job] = []
+        self._refill(now, out)
+        return out
+
+    def _press(self, now: float, job: Job) -> None:
+        """Count the work that reaches it while cold; over the budget of a window it topples."""
+        if self.toppled is not None or now - self.started >= self.spec.cold_s * 1000:
+            self.fresh.clear()
+            self.pressure = 0.0
+            return
+        self.fresh.append((now, job.node, job.work))
+        self.pressure += job.work
+        while self.fresh[0][0] < now - self.rules.fall_ms:
+            self.pressure -= self.fresh.popleft()[2]
+        # A little slack for chance: ten requests of this size.
+        budget = self.rules.fall_multiple * self.capacity(now) * self.rules.fall_ms + 10 * job.work
+        if self.pressure > budget:
+            shares: dict[int, float] = {}
+            for _, node, work in self.fresh:
+                shares[node] = shares.get(node, 0.0) + work
+            self.toppled = Topple(now, self.started, budget, shares)
--- /dev/null
+++ b/dillport/lab/programs.py
@@ -0,0 +1,80 @@
+"""What is played: the working tree, an earlier revision built beside it, or a variant of one of these."""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import subprocess
+import tarfile
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+CACHE = ROOT / ".lab"
+HERE = "."  # the working tree, where a revision is asked for
+STAMP = "built"  # in `.venv`: the requirements that it was built from
+
+
+class ProgramError(RuntimeError):
+    """The program cannot be had; one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Program:
+    """A build of the node: where it stands, and how `run` starts it there."""
+
+    label: str
+    root: Path
+    run: str
+
+
+def _git(*args: str) -> bytes:
+    done = subprocess.run(["git", "-C", str(ROOT), *args], capture_output=True, check=False)
+    if done.returncode:
+        line = done.stderr.decode().strip().split("\n")[-1]
+        raise ProgramError(f"git {args[0]}: {line}")
+    return done.stdout
+
+
+def _checkout(revision: str) -> tuple[str, Path]:
+    """The files of a revision in a folder of their own."""
+    full = (
+        _git("rev-parse", "--verify", "--quiet", "--end-of-options", f"{revision}^{{commit}}")
+        .decode()
+        .strip()
+    )
+    folder = CACHE / "revisions" / full[:12]
+    if not (folder / "deploy").exists():
+        draft = folder.with_suffix(".part")
+        draft.mkdir(parents=True, exist_ok=True)
+        text = _git(
+            "archive", "--format=tar", full, "deploy", "dillport", "requirements.txt", "pyproject.toml"
+        )
+        with tarfile.open(fileobj=io.BytesIO(text)) as tar:
+            tar.extractall(draft, filter="data")
+        draft.rename(folder)
+    return full[:12], folder
+
+
+def obtain(what: str = HERE) -> Program:
+    """Build `REVISION[+VARIANT]` if it is not built yet; raises ProgramError. A build takes up to minutes."""
+    revision, _, variant = what.partition("+")
+    try:
+        label, root = ("here", ROOT) if revision in ("", HERE) else _checkout(revision)
+    except ProgramError as err:
+        raise ProgramError(f"revision {revision!r} cannot be had: {err}") from None
+    deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text("utf-8"))
+    wanted = hashlib.sha256((root / "requirements.txt").read_bytes()).hexdigest()
+    stamp = root / ".venv" / STAMP
+    if not stamp.exists() or stamp.read_text("utf-8") != wanted:
+        done = subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=root, capture_output=True, check=False)
+        if done.returncode:
+            raise ProgramError(f"build of {label}: {done.stderr.decode().strip().split(chr(10))[-1]}")
+        stamp.write_text(wanted, "utf-8")
+    run = str(deploy["run"])
+    if variant:
+        label = f"{label}+{variant}"
+        script = Path(__file__).with_name("variant.py")
+        run = run.replace("-m dillport", f"'{script}' {variant}")
+    return Program(label, root, run)
--- /dev/null
+++ b/dillport/lab/records.py
@@ -0,0 +1,140 @@
+"""What stand-ins and clients saw, as the judge reads it. Times are ms since the first possible arrival."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+
+class TryRecord(msgspec.Struct, array_like=True):
+    """One try of a client."""
+
+    ident: str
+    wish: str  # ident of the operation's first try
+    zone: str
+    kind: int  # index into the classes
+    number: int
+    node: int
+    intended: float  # of the first try
+    due: float  # when this try was to be sent
+    sent: float  # when its last byte was written; 0: never
+    deadline: float
+    ended: float
+    end: str  # a `model.client.End`
+    status: int = 0
+    body: str = ""
+    answered: float = 0.0  # when the last byte of an answer came, also past the deadline
+    key: str = ""
+    retry_after: float = 0.0  # ms, as the node advised
+    fresh: bool = False  # on a new connection
+    began: bool = False  # a byte of an answer came
+    crossed: float = 0.0  # when a kept connection ended under it, and it was sent once more; 0: it did not
+    last: bool = False  # no try followed
+
+
+class AttemptRecord(msgspec.Struct, array_like=True):
+    """One attempt of a node at a backend."""
+
+    ident: str
+    node: int
+    backend: int
+    method: str
+    path: str
+    key: str
+    first: float  # its first byte came off the node's socket
+    whole: float  # its last byte
+    verdict: str  # a `model.backend.Verdict`; "lost" where the backend died with it
+    ended: float  # the answer was written, or the connection broken; 0: never
+    closed: float  # the node closed its connection or ended its sending; 0: it did not
+    ran: bool
+    asked: str = ""  # the body that came
+    body: str = ""  # the body that went back
+
+
+class ToldRecord(msgspec.Struct, array_like=True):
+    """Discovery has written one entry to a node; to node -1: has come to know it itself."""
+
+    node: int
+    at: float
+    backend: int
+    phase: str
+    up_since: float  # Unix time, ms
+
+
+class ToppleRecord(msgspec.Struct, array_like=True):
+    """A cold backend toppled."""
+
+    backend: int
+    at: float
+    started: float
+    work_by_node: dict[int, float]
+
+
+class BanRecord(msgspec.Struct, array_like=True):
+    """An operator's call out (`ended` is that of the call back; 0: none)."""
+
+    node: int
+    backend: int
+    begun: float
+    ended: float
+
+
+class LifeRecord(msgspec.Struct, array_like=True):
+    """One process of a node. Times are 0 where it did not happen; `code` None while it runs."""
+
+    node: int
+    process: int
+    started: float
+    ready: float = 0.0
+    term: float = 0.0
+    killed: float = 0.0  # the lab's own SIGKILL
+    ended: float = 0.0
+    code: int | None = None
+    why: str = ""
+
+
+class Sample(msgspec.Struct, array_like=True):
+    """A look at one node's processes."""
+
+    at: float
+    node: int
+    cpu_s: float  # since the process started
+    rss_mb: float
+    descriptors: int
+
+
+class Seen(msgspec.Struct):
+    """All that one process of the lab, or the whole lab, has seen."""
+
+    tries: list[TryRecord] = msgspec.field(default_factory=list)
+    attempts: list[AttemptRecord] = msgspec.field(default_factory=list)
+    told: list[ToldRecord] = msgspec.field(default_factory=list)
+    topples: list[ToppleRecord] = msgspec.field(default_factory=list)
+    bans: list[BanRecord] = msgspec.field(default_factory=list)
+    lives: list[LifeRecord] = msgspec.field(default_factory=list)
+    samples: list[Sample] = msgspec.field(default_factory=list)
+    lateness: list[float] = msgspec.field(default_factory=list)  # ms, of each send of the rig
+    loop_lag: list[float] = msgspec.field(default_factory=list)  # ms, of each process of the rig every 20 ms
+    unknown: list[str] = msgspec.field(default_factory=list)  # requests in a form no client sent
+
+    def add(self, other: Seen) -> None:
+        """Take what another process saw."""
+        for name in self.__struct_fields__:
+            getattr(self, name).extend(getattr(other, name))
+
+
+def write(seen: Seen, path: Path) -> None:
+    """Keep the records; raises OSError with the file gone where they do not fit."""
+    draft = path.with_suffix(".part")
+    try:
+        draft.write_bytes(msgspec.msgpack.encode(seen))
+        draft.replace(path)
+    except OSError:
+        draft.unlink(missing_ok=True)
+        raise
+
+
+def read(path: Path) -> Seen:
+    """The records of a run; raises OSError or msgspec.DecodeError."""
+    return msgspec.msgpack.decode(path.read_bytes(), type=Seen)
--- /dev/null
+++ b/dillport/lab/report.py
@@ -0,0 +1,176 @@
+"""One HTML file for a run, or for a comparison: figures in tables, plots inline on one time axis."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+import numpy as np
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from dillport.lab import records
+from dillport.lab.figures import WINDOW, backend_loads, series, wishes
+from dillport.lab.spec import Drain, Experiment, Kill, Link, Terminate, tag
+
+INK, GOOD, BAD, QUIET = "#1f2a37", "#1b7f5c", "#b3261e", "#8a94a3"
+SHADE = "#f2c14e"
+STYLE = """
+body{font:15px/1.5 system-ui,sans-serif;color:#1f2a37;max-width:1080px;margin:2em auto;padding:0 1em}
+table{border-collapse:collapse;margin:.6em 0 1.6em}td,th{padding:.2em .9em .2em 0;text-align:left;
+border-bottom:1px solid #e3e7ec}td.n{text-align:right;font-variant-numeric:tabular-nums}
+.held{color:#1b7f5c}.short{color:#b3261e;font-weight:600}img{max-width:100%}h1{font-size:1.5em}
+.columns{columns:3;column-gap:2em}.columns table{width:100%}small{color:#5b6573}
+"""
+
+
+def png(figure: Figure) -> str:
+    """An `img` element that holds the picture itself."""
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=110, bbox_inches="tight")
+    return f'<img alt="plots" src="data:image/png;base64,{base64.b64encode(buffer.getvalue()).decode()}">'
+
+
+def spans(spec: Experiment) -> list[tuple[float, float, str]]:
+    """Each fault's begin and end in seconds, and its name."""
+    out = []
+    for fault in spec.faults:
+        end = fault.until
+        if isinstance(fault, (Kill, Terminate)):
+            end += fault.every * (fault.batches - 1) + (fault.restart_after or 0.0)
+        elif isinstance(fault, Drain):
+            end += fault.restart_after
+        what = getattr(fault, "what", "")
+        if isinstance(fault, Link):
+            what = f"{fault.from_} {'to and from' if fault.both else 'to'} {fault.to}"
+        out.append((fault.at, max(end, fault.at + 0.05), f"{tag(fault)} {what}".strip()))
+    return out
+
+
+def _shade(axes: Iterable[Axes], spec: Experiment) -> None:
+    for ax in axes:
+        for begin, end, _ in spans(spec):
+            ax.axvspan(begin, end, color=SHADE, alpha=0.22, lw=0)
+
+
+def _lives(ax: Axes, spec: Experiment, lives: list[records.LifeRecord]) -> None:
+    for life in lives:
+        end = life.ended / 1000 if life.ended else spec.seconds
+        end, begin = min(end, spec.seconds), max(0.0, life.started / 1000)
+        ready = life.ready / 1000 if life.ready else end
+        lane = life.node + (0.25 if life.process and any(
+            x.node == life.node and x.process < life.process and (not x.ended or x.ended > life.started)
+            for x in lives) else 0.0)  # fmt: skip
+        ax.plot([begin, max(begin, ready)], [lane, lane], color=QUIET, lw=2, solid_capstyle="butt")
+        if max(0.0, ready) < end:
+            ax.plot([max(0.0, ready), end], [lane, lane], color=GOOD, lw=3, solid_capstyle="butt")
+        if life.term and 0 <= life.term / 1000 < end:
+            ax.plot([life.term / 1000, end], [lane, lane], color="#d98e04", lw=3, solid_capstyle="butt")
+        if life.ended and end < spec.seconds:
+            ax.plot([end], [lane], marker="x", color=BAD, ms=5)
+    ax.set_ylim(-0.7, spec.fleet.nodes - 0.3)
+    ax.invert_yaxis()
+    if spec.fleet.nodes <= 16:
+        ax.set_yticks(range(spec.fleet.nodes), spec.node_names)
+
+
+def plots(spec: Experiment, seen: records.Seen) -> Figure:
+    """Goodput and load, latency, refusals, load per backend, nodes; faults as bands."""
+    line = series(spec, seen, wishes(spec, seen))
+    t = np.array(line["t_s"]) + WINDOW / 2
+    heights = [2.2, 2.2, 1.2, 2.2, max(1.2, min(3.5, 0.22 * spec.fleet.nodes))]
+    figure = Figure(figsize=(10.5, 1.35 * sum(heights)), layout="constrained")
+    axes: Sequence[Axes] = figure.subplots(5, 1, sharex=True, height_ratios=heights).tolist()
+    goodput, latency, refused, backends, nodes = axes
+    _shade((goodput, latency, refused, nodes), spec)
+    goodput.plot(t, line["goodput"], color=GOOD, lw=1.8)
+    goodput.set(ylabel="goodput (share of worth)", ylim=(0, 1.04))
+    load = goodput.twinx()
+    load.plot(t, line["offered_per_s"], color=QUIET, lw=1, ls="--")
+    load.set_ylim(0, max(line["offered_per_s"], default=1) * 1.3 + 1)
+    load.set_ylabel("first tries / s (dashed)", color=QUIET)
+    top = goodput.get_ylim()[1]
+    for index, (begin, _, name) in enumerate(spans(spec)[:12]):
+        goodput.annotate(name, (begin, top), xytext=(2, 4 + 10 * (index % 4)), textcoords="offset points",
+                         fontsize=7.5, color="#7a5b00", annotation_clip=False)  # fmt: skip
+    latency.plot(t, line["p50_ms"], color=INK, lw=1.4, label="p50")
+    latency.plot(t, line["p99_ms"], color=BAD, lw=1.4, label="p99")
+    latency.set_yscale("log")
+    latency.set_ylabel("latency of served, ms")
+    latency.legend(loc="upper right", fontsize=8, frameon=False)
+    refused.fill_between(t, line["refused_per_s"], color=BAD, alpha=0.5, step="mid")
+    refused.set_ylabel("refused / s")
+    refused.set_ylim(bottom=0)
+    loads = backend_loads(spec, seen)
+    image = backends.imshow(
+        loads, aspect="auto", origin="lower", cmap="viridis", interpolation="nearest",
+        extent=(0, loads.shape[1] * WINDOW, -0.5, spec.backends.count - 0.5),
+    )  # fmt: skip
+    figure.colorbar(image, ax=backends, pad=0.01, label="attempts / s", fraction=0.05)
+    if spec.backends.count <= 16:
+        backends.set_yticks(range(spec.backends.count), spec.backend_names, fontsize=7)
+    backends.set_ylabel("backends")
+    _lives(nodes, spec, seen.lives)
+    nodes.set(ylabel="nodes", xlabel="seconds", xlim=(0, spec.seconds))
+    for ax in (goodput, latency, refused, nodes):
+        ax.grid(axis="y", color="#e3e7ec", lw=0.6)
+        for side in ("top", "right"):
+            ax.spines[side].set_visible(False)
+    return figure
+
+
+def _table(rows: Iterable[Sequence[object]], head: Sequence[str]) -> str:
+    lines = ["<table><tr>" + "".join(f"<th>{html.escape(h)}</th>" for h in head) + "</tr>"]
+    for row in rows:
+        cells = []
+        for value in row:
+            shown = f"{value:.6g}" if isinstance(value, float) else "" if value is None else str(value)
+            kind = ' class="n"' if isinstance(value, (int, float)) and not isinstance(value, bool) else ""
+            if shown in ("held", "short"):
+                kind = f' class="{shown}"'
+            cells.append(f"<td{kind}>{html.escape(shown)}</td>")
+        lines.append("<tr>" + "".join(cells) + "</tr>")
+    return "".join(lines) + "</table>"
+
+
+def page(title: str, *parts: str) -> str:
+    """A self-contained page."""
+    name = html.escape(title)
+    return (
+        f'<!doctype html><html lang="en"><meta charset="utf-8"><title>{name}</title><style>{STYLE}</style>'
+        f"<h1>{name}</h1>" + "\n".join(parts) + "</html>\n"
+    )
+
+
+def run_page(spec: Experiment, seen: records.Seen, table: dict[str, Any]) -> str:
+    """The report of one run."""
+    expected = [
+        (e["figure"], e["min"], e["max"], e["measured"], "held" if e["held"] else "short")
+        for e in table["expectations"]
+    ]
+    parts = [
+        f"<p>{html.escape(spec.about)}</p><p><small>seed {table['seed']}, program "
+        f"{html.escape(table['program'])}, {spec.fleet.nodes} nodes, {spec.backends.count} backends, "
+        f"{spec.rate:.0f} first tries a second for {spec.seconds:g} s; a request's time counts from when it was "
+        f"meant to be sent</small></p>"
+    ]
+    if table["void"]:
+        parts.append('<p class="short">Void: the rig itself was late, its figures tell nothing.</p>')
+    if expected:
+        parts.append(_table(expected, ("expected", "at least", "at most", "measured", "")))
+    parts.append(png(plots(spec, seen)))
+    if table["breaks"]:
+        rows = [(b["rule"], b["at_ms"], f"n{b['node']}", b["text"]) for b in table["breaks"]]
+        parts += ["<h2>Broken rules</h2>", _table(rows, ("rule", "at, ms", "node", "what"))]
+    parts += [
+        "<h2>All figures</h2><div class='columns'>",
+        _table(table["figures"].items(), ("figure", "")),
+        "</div>",
+    ]
+    return page(f"{spec.name}: lab report", *parts)
--- /dev/null
+++ b/dillport/lab/run.py
@@ -0,0 +1,261 @@
+"""One run: the rig's processes, the nodes, the timeline, and what all of them saw."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from dillport.lab import records
+from dillport.lab.logs import LabLog
+from dillport.lab.places import Block, PlaceError, Places
+from dillport.lab.processes import Fleet, limits
+from dillport.lab.programs import ROOT, Program
+from dillport.lab.spec import Disk, Experiment, Kill, Maint, Reload, Stall, Terminate, Upgrade, tag
+from dillport.lab.timeline import Moment, Step, timeline
+from dillport.lab.worker import Plan
+
+PER_WORKER = 1700.0  # first tries a second that one process of clients offers without being late
+MOST_WORKERS = 3
+LEAD = 0.4  # s from the rig's last preparation to the first possible arrival
+SAMPLE = 0.5  # s between two looks at the nodes' processes
+TAIL = 1.5  # s that late answers have after the last client's time
+WORKER_READY = 20.0  # s
+
+
+class LabError(RuntimeError):
+    """The experiment could not be run; one line."""
+
+
+Live = Callable[["Run"], None]
+
+
+@dataclass
+class Rig:
+    """One process of the rig."""
+
+    role: str
+    process: asyncio.subprocess.Process
+    path: Path
+    ready: asyncio.Event = field(default_factory=asyncio.Event)
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+    written: asyncio.Event = field(default_factory=asyncio.Event)
+    live: dict[str, Any] = field(default_factory=dict)
+    error: str = ""
+
+    def say(self, line: bytes) -> None:
+        """One line of its input."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(line + b"\n")
+
+
+class Run:
+    """One play of an experiment; `seen` holds the records afterwards. Use `play`."""
+
+    def __init__(self, spec: Experiment, seed: int, program: Program, out: Path, log: LabLog,
+                 places: Places, live: Live | None) -> None:  # fmt: skip
+        self.spec, self.seed, self.program, self.out, self.log = spec, seed, program, out, log
+        self.places, self.live = places, live
+        cpus = sorted(os.sched_getaffinity(0))
+        half = (len(cpus) + 1) // 2
+        self.rig_cpus = cpus[half:] or cpus
+        self.fleet = Fleet(spec, seed, program, places, out, cpus[:half], log)
+        self.rigs: list[Rig] = []
+        self.bans: list[records.BanRecord] = []
+        self.seen = records.Seen()
+        self.failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def _rig(self, role: str, part: int, of: int) -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "dillport.lab.worker", cwd=ROOT, start_new_session=True,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=2**24,
+            preexec_fn=limits(self.rig_cpus, None),
+        )  # fmt: skip
+        rig = Rig(role, process, self.out / f"{role}-{part}.part.msgpack")
+        self.rigs.append(rig)
+        plan = Plan(self.spec, self.seed, self.places.block, role, part, of, str(rig.path))  # type: ignore[arg-type]
+        rig.say(msgspec.json.encode(plan))
+        self.log.say(f"{role}-{part}", "started", pid=process.pid)
+        self.fleet.task(self._listen(rig))
+
+    async def _listen(self, rig: Rig) -> None:
+        assert rig.process.stdout is not None
+        while line := await rig.process.stdout.readline():
+            said = msgspec.json.decode(line)
+            if said.get("live"):
+                rig.live = said
+                for zone in said.get("clients", {}).values():
+                    self.recent.extend(zone["recent"])
+            elif "error" in said:
+                rig.error = said["error"]
+            for name in ("ready", "done", "written"):
+                if said.get(name):
+                    getattr(rig, name).set()
+        code = await rig.process.wait()
+        if not rig.written.is_set() and not self.failed.done():
+            self.failed.set_exception(LabError(rig.error or f"the rig's {rig.role} ended with code {code}"))
+
+    recent: list[float]  # ms: times of the answers since the last look at the live figures
+
+    async def _or_failed(self, work: Any, wait: float, what: str) -> None:
+        """Wait for it, but not past a failure of the rig."""
+        task = asyncio.ensure_future(work)
+        done, _ = await asyncio.wait({task, self.failed}, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
+        if self.failed in done:
+            task.cancel()
+            self.failed.result()
+        if not done:
+            task.cancel()
+            raise LabError(f"{what} took over {wait:g} s")
+
+    async def whole(self) -> None:
+        """Everything, from the start of the rig to the records."""
+        self.recent = []
+        count = min(MOST_WORKERS, 1 + int(self.spec.rate // PER_WORKER))
+        for role, of in (("backends", min(2, count)), ("clients", count), ("hub", 1)):
+            for part in range(of):
+                await self._rig(role, part, of)
+        await self._or_failed(asyncio.gather(*(r.ready.wait() for r in self.rigs)), WORKER_READY, "the rig")
+        await asyncio.gather(*(node.start() for node in self.fleet.nodes))
+        await self._nodes_ready()
+        zero = time.monotonic() + LEAD
+        self.fleet.set_zero(zero)
+        self.log.zero = zero
+        for rig in self.rigs:
+            rig.say(msgspec.json.encode(zero))
+        self.log.say("lab", "clients come", seed=self.seed, program=self.program.label)
+        loop = asyncio.get_running_loop()
+        for moment in timeline(self.spec):
+            loop.call_later(zero + moment.at - time.monotonic(), self._apply, moment)
+        watch = self.fleet.task(self._watch())
+        clients = [r for r in self.rigs if r.role == "clients"]
+        longest = max(c.deadline_ms for c in self.spec.load.classes) / 1000
+        await self._or_failed(
+            asyncio.gather(*(r.done.wait() for r in clients)), self.spec.seconds + longest + LEAD + 30,
+            "the clients' last requests",
+        )  # fmt: skip
+        rest = zero + max(self.spec.seconds + TAIL, 0) - time.monotonic()
+        await self._or_failed(asyncio.sleep(max(TAIL, rest)), 1e9, "")
+        watch.cancel()
+        for rig in self.rigs:
+            rig.say(b"end")
+        await self._or_failed(asyncio.gather(*(r.written.wait() for r in self.rigs)), 60.0, "the records")
+        await self.fleet.end()
+        self._collect()
+
+    async def _nodes_ready(self) -> None:
+        until = time.monotonic() + self.spec.fleet.ready_within
+        while time.monotonic() < until:
+            if self.failed.done():
+                self.failed.result()
+            waiting = [n for n in self.fleet.nodes if not any(r.life.ready for r in n.running)]
+            if not any(n.alive() for n in waiting):
+                break
+            await asyncio.sleep(0.05)
+        if not any(n.alive() for n in self.fleet.nodes):
+            raise LabError(f"no node started: see {self.out / 'logs'}")
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE)
+            self.fleet.sample()
+            if self.live is not None:
+                self.live(self)
+
+    def _apply(self, moment: Moment) -> None:
+        fault, begin = moment.fault, moment.step is Step.BEGIN
+        self.log.say("lab", f"fault {moment.step.value}", kind=tag(fault), what=list(moment.names))
+        if isinstance(fault, Maint):
+            for name in moment.names:
+                for node in self.fleet.nodes:
+                    self.fleet.task(self._operate(node.number, int(name[1:]), begin))
+        for name in moment.names:
+            if name[0] != "n":
+                continue
+            node = self.fleet.nodes[int(name[1:])]
+            match fault:
+                case Kill() if begin:
+                    node.kill()
+                case Kill():
+                    self.fleet.task(node.start(fault.keep_tmp))
+                case Terminate():
+                    self.fleet.task(node.roll(fault.restart_after, fault.keep_tmp))
+                case Stall():
+                    node.stall(begin)
+                case Upgrade():
+                    self.fleet.task(node.upgrade())
+                case Reload():
+                    node.reload(fault)
+                case Disk():
+                    node.disk(fault.mode, begin)
+
+    async def _operate(self, node: int, backend: int, out: bool) -> None:
+        called = self.fleet.now()
+        held = [b for b in self.bans if (b.node, b.backend, b.ended) == (node, backend, 0.0)]
+        if not out and held:
+            held[0].ended = called
+        good = await self.fleet.nodes[node].operate(backend, out)
+        if out and good:
+            self.bans.append(records.BanRecord(node, backend, min(self.fleet.now(), called + 1000), 0.0))
+        self.log.say(f"n{node}", "maint" if out else "ready", backend=f"s{backend}", yes=good)
+
+    def _collect(self) -> None:
+        if self.fleet.errors:
+            raise LabError(self.fleet.errors[0])
+        for rig in self.rigs:
+            self.seen.add(records.read(rig.path))
+            rig.path.unlink()
+        self.seen.lives.extend(self.fleet.lives)
+        self.seen.samples.extend(self.fleet.samples)
+        self.seen.bans.extend(self.bans)
+        records.write(self.seen, self.out / "records.msgpack")
+        shutil.rmtree(self.out / "nodes", ignore_errors=True)
+
+    async def abandon(self) -> None:
+        """End every child now."""
+        self.fleet.kill()
+        for rig in self.rigs:
+            if rig.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    rig.process.kill()
+        for rig in self.rigs:
+            await rig.process.wait()
+        await self.fleet.end()
+        if self.failed.done():
+            self.failed.exception()
+
+
+async def play(spec: Experiment, seed: int, program: Program, out: Path, human: bool = False,
+               live: Live | None = None) -> records.Seen:  # fmt: skip
+    """Play an experiment once. Raises LabError, and CancelledError on SIGINT and SIGTERM; no child is left."""
+    try:
+        (out / "logs").mkdir(parents=True, exist_ok=True)
+        block = Block(spec.fleet.nodes, spec.backends.count)
+        log = LabLog(out / "lab.jsonl", f"{spec.name}-{seed}", human)
+    except (OSError, PlaceError) as err:
+        raise LabError(str(err)) from None
+    run = Run(spec, seed, program, out, log, block.places, live)
+    task, loop = asyncio.current_task(), asyncio.get_running_loop()
+    assert task is not None
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        await run.whole()
+    except OSError as err:
+        raise LabError(f"{out}: {err.strerror or err}") from None
+    finally:
+        await run.abandon()
+        block.close()
+        with contextlib.suppress(OSError):
+            log.close()
+    return run.seen
--- /dev/null
+++ b/dillport/lab/timeline.py
@@ -0,0 +1,45 @@
+"""When each fault of an experiment begins, ends and is made good: one schedule for all processes of a run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from dillport.lab.spec import AnyFault, Drain, Experiment, Kill, Terminate, batches, choose
+
+
+class Step(Enum):
+    """What happens to the fault's parties."""
+
+    BEGIN = "begin"
+    END = "end"
+    BACK = "back"  # what died starts again
+
+
+@dataclass(slots=True, frozen=True)
+class Moment:
+    """One step of a fault; `at` in seconds."""
+
+    at: float
+    step: Step
+    fault: AnyFault
+    names: tuple[str, ...]
+
+
+def timeline(spec: Experiment) -> list[Moment]:
+    """All moments in order of time. How long a node takes to end after SIGTERM is not known: no BACK for it."""
+    out: list[Moment] = []
+    for fault in spec.faults:
+        names = choose(spec, fault.what) if hasattr(fault, "what") else []
+        groups = batches(names, fault.batches) if isinstance(fault, (Kill, Terminate)) else [names]
+        for index, group in enumerate(groups):
+            at = fault.at + (index * fault.every if isinstance(fault, (Kill, Terminate)) else 0.0)
+            some = tuple(group)
+            out.append(Moment(at, Step.BEGIN, fault, some))
+            if isinstance(fault, Kill) and fault.restart_after is not None:
+                out.append(Moment(at + fault.restart_after, Step.BACK, fault, some))
+            if getattr(fault, "for_", 0.0):
+                out.append(Moment(fault.until, Step.END, fault, some))
+            if isinstance(fault, Drain):
+                out.append(Moment(fault.until + fault.restart_after, Step.BACK, fault, some))
+    return sorted(out, key=lambda moment: moment.at)
--- /dev/null
+++ b/dillport/lab/variant.py
@@ -0,0 +1,68 @@
+"""The node changed on purpose, for comparisons in the lab: `variant.py NAME` in place of `-m dillport`.
+
+Names: `random` chooses any listed backend that may be sent to; `delay-MS` holds every request back for so
+long; `burn-US` wastes so much processor time on every request. It runs on the standard library and the node
+alone, in the folder of the revision that is played.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import time
+from typing import Any
+
+
+def random_choice() -> None:
+    """Each attempt goes at once to a backend drawn from all that may have it: no limit, no shedding."""
+    from dillport.policy import Balancer
+
+    def route(self: Any, req: Any) -> None:
+        pool = [b for b in self.backends.values() if self._takes(b) and self._legal(req, b)]
+        if pool:
+            self._send(req, self.rng.choice(pool))
+        else:
+            self._finish(req, "none")
+
+    Balancer._route = route  # type: ignore[method-assign]
+
+
+def slower(wait: float, burn: float) -> None:
+    """Hold every request back for `wait` s, or spend `burn` s of processor time on it."""
+    from dillport.net.node import Node
+
+    original = Node.arrival
+
+    def arrival(self: Node, *args: Any, **kwargs: Any) -> None:
+        until = time.thread_time() + burn
+        while burn and time.thread_time() < until:
+            pass
+        if wait:
+            asyncio.get_running_loop().call_later(wait, lambda: original(self, *args, **kwargs))
+        else:
+            original(self, *args, **kwargs)
+
+    Node.arrival = arrival  # type: ignore[method-assign]
+
+
+def main() -> int:
+    """Change the node as told, then run it."""
+    sys.path[0] = os.getcwd()
+    kind, _, amount = sys.argv[1].partition("-")
+    if kind == "random":
+        random_choice()
+    elif kind == "delay":
+        slower(float(amount) / 1000, 0.0)
+    elif kind == "burn":
+        slower(0.0, float(amount) / 1e6)
+    else:
+        print(f"variant {sys.argv[1]!r} is none of random, delay-MS, burn-US", file=sys.stderr)
+        return 2
+    from dillport.__main__ import main as run
+
+    return run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dillport/lab/wires.py
@@ -0,0 +1,244 @@
+"""Sockets of the stand-ins with the network's faults on them.
+
+Each pair of parties has an address of its own, so a stand-in knows from which node a connection comes, and
+holds back at its own end what the network would hold back. Not taken: a relay process between each pair,
+which costs every byte two more trips through an event loop and with that two thirds of the load the rig can
+offer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+from dillport.lab.model.weather import Weather
+
+BACKLOG = 1024
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class Clock:
+    """Milliseconds since the run's first possible arrival; all processes of a run share its zero."""
+
+    def __init__(self) -> None:
+        self.zero = time.monotonic()
+
+    def now(self) -> float:
+        """The time now."""
+        return (time.monotonic() - self.zero) * 1000
+
+
+class Wire(asyncio.Protocol):
+    """One end of a TCP connection between `me` and `peer`, each a party's name."""
+
+    def __init__(self, weather: Weather, clock: Clock, me: str, peer: str) -> None:
+        self.weather, self.clock, self.me, self.peer = weather, clock, me, peer
+        self.transport: asyncio.Transport | None = None
+        self.open = False
+        self.inward: deque[tuple[float, bytes | None]] = deque()  # due and bytes; None: the end
+        self.outward: deque[tuple[float, bytes | None]] = deque()
+        self.timers: dict[bool, asyncio.TimerHandle] = {}
+        self.raw_at = 0.0  # when the latest bytes came off the socket
+
+    # --- for the party
+
+    def up(self) -> None:
+        """The connection stands."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes came."""
+
+    def ended(self) -> None:
+        """The peer has closed, or the connection broke."""
+
+    def raw_data(self) -> None:
+        """Bytes came off the socket, though the network may hold them back."""
+
+    def raw_end(self) -> None:
+        """The peer's end came off the socket, though the network may hold it back."""
+
+    def send(self, data: bytes) -> None:
+        """Write, by way of the network."""
+        self._pass(self.outward, data, False)
+
+    def finish(self) -> None:
+        """Close once everything is written."""
+        self._pass(self.outward, None, False)
+
+    def reset(self) -> None:
+        """Break the connection now."""
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            self.transport.abort()
+
+    # --- asyncio
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport, self.open = cast(asyncio.Transport, transport), True  # no subclass under uvloop
+        self.weather.watchers.append(self._changed)
+        self.up()
+
+    def data_received(self, data: bytes) -> None:
+        self.raw_at = self.clock.now()
+        self.raw_data()
+        self._pass(self.inward, data, True)
+
+    def eof_received(self) -> bool:
+        self.raw_at = self.clock.now()
+        self.raw_end()
+        self._pass(self.inward, None, True)
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.open:
+            return
+        self.open = False
+        self.raw_at = self.clock.now()
+        with contextlib.suppress(ValueError):
+            self.weather.watchers.remove(self._changed)
+        for timer in self.timers.values():
+            timer.cancel()
+        self.raw_end()
+        self.outward.clear()
+        cut = self.weather.between(self.peer, self.me).cut
+        if not cut:
+            for _, data in list(self.inward):
+                if data is not None:
+                    self.received(data)
+        self.inward.clear()
+        self.ended()
+
+    # --- the network
+
+    def _pass(self, queue: deque[tuple[float, bytes | None]], data: bytes | None, inward: bool) -> None:
+        if not self.open:
+            return
+        here, there = (self.peer, self.me) if inward else (self.me, self.peer)
+        held = self.weather.between(here, there)
+        if held.plain and not queue:
+            self._deliver(data, inward)
+            return
+        due = self.clock.now() + self.weather.lag(held, len(data or b""))
+        queue.append((max(due, queue[-1][0]) if queue else due, data))
+        if len(queue) == 1:
+            self._arm(inward)
+
+    def _arm(self, inward: bool) -> None:
+        queue = self.inward if inward else self.outward
+        wait = (queue[0][0] - self.clock.now()) / 1000
+        self.timers[inward] = asyncio.get_running_loop().call_later(max(0.0, wait), self._due, inward)
+
+    def _due(self, inward: bool) -> None:
+        queue = self.inward if inward else self.outward
+        here, there = (self.peer, self.me) if inward else (self.me, self.peer)
+        if self.weather.between(here, there).cut:
+            return  # goes on when the weather changes
+        # The loop counts whole milliseconds: what is due within the half of one goes now.
+        while queue and queue[0][0] <= self.clock.now() + 0.5:
+            self._deliver(queue.popleft()[1], inward)
+        if queue and self.open:
+            self._arm(inward)
+
+    def _changed(self) -> None:
+        for inward, queue in ((True, self.inward), (False, self.outward)):
+            if queue:
+                if inward in self.timers:
+                    self.timers[inward].cancel()
+                self._arm(inward)
+
+    def _deliver(self, data: bytes | None, inward: bool) -> None:
+        if inward:
+            if data is None:
+                self.ended()
+                if self.transport is not None:
+                    self.transport.close()
+            else:
+                self.received(data)
+        elif self.transport is not None and not self.transport.is_closing():
+            if data is None:
+                self.transport.close()
+            else:
+                self.transport.write(data)
+
+
+class Listener:
+    """A listening socket that can be gone (refused) or dark (connections never come up)."""
+
+    def __init__(self, address: tuple[str, int], make: Callable[[], asyncio.Protocol]) -> None:
+        self.address, self.make = address, make
+        self.sock: socket.socket | None = None
+        self.fillers: list[socket.socket] = []
+        self.tasks: set[asyncio.Task[object]] = set()
+
+    def open(self) -> None:
+        """Listen. Raises OSError."""
+        if self.sock is not None:
+            return
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        try:
+            sock.bind(self.address)
+            sock.listen(BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        self.sock = sock
+        asyncio.get_running_loop().add_reader(sock.fileno(), self._accept)
+
+    def close(self) -> None:
+        """Refuse connections from now on."""
+        if self.sock is not None:
+            asyncio.get_running_loop().remove_reader(self.sock.fileno())
+            self.sock.close()
+            self.sock = None
+        self._drop_fillers()
+
+    def darken(self, dark: bool) -> None:
+        """Let new connections never come up, by a queue of the kernel's that is full; or let them again."""
+        if self.sock is None or dark == bool(self.fillers):
+            return
+        loop = asyncio.get_running_loop()
+        if dark:
+            loop.remove_reader(self.sock.fileno())
+            self._accept()  # these came before
+            self.sock.listen(0)
+            for _ in range(2):
+                filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+                filler.setblocking(False)
+                filler.connect_ex(self.address)
+                self.fillers.append(filler)
+            return
+        while True:  # the fillers, and whoever slipped in before them: for him the connection resets
+            try:
+                self.sock.accept()[0].close()
+            except BlockingIOError:
+                break
+        self._drop_fillers()
+        self.sock.listen(BACKLOG)
+        loop.add_reader(self.sock.fileno(), self._accept)
+
+    def _drop_fillers(self) -> None:
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+
+    def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.sock is not None:
+            try:
+                connection, _ = self.sock.accept()
+            except (BlockingIOError, ConnectionError):
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = loop.create_task(loop.connect_accepted_socket(self.make, connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
