--- a/dillport/lab/backends.py
+++ b/dillport/lab/backends.py
@@ -132,15 +132,12 @@
         self.surplus = len(self.host.connections) >= self.host.cap
         self.host.connections.add(self)
 
-    def raw_data(self) -> None:
-        if not self.first:
-            self.first = self.raw_at
-
     def raw_end(self) -> None:
         if self.record is not None and not self.record.ended and not self.record.closed:
-            self.record.closed = self.raw_at
+            self.record.closed = self.closed_at
 
     def received(self, data: bytes) -> None:
+        self.first = self.first or self.came_at
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as err:
@@ -201,8 +198,8 @@
         if self.fresh:
             work += self.host.farm.spec.backends.handshake_ms
         self.record = records.AttemptRecord(
-            ident, self.node, self.host.number, method, self.url.decode("latin-1"), key, first, self.raw_at,
-            "", 0.0, 0.0, False, asked=self.body.decode("latin-1"),
+            ident, self.node, self.host.number, method, self.url.decode("latin-1"), key, first, self.came_at,
+            "", 0.0, self.closed_at, False, asked=self.body.decode("latin-1"),
         )  # fmt: skip
         self.host.farm.seen.attempts.append(self.record)
         job = self.job = Job(ident, self.node, work, now, now + timeout, key if span else "", span)
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -14,6 +14,7 @@
 import numpy as np
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
+from matplotlib.ticker import LogLocator, NullFormatter, ScalarFormatter
 
 from dillport.lab import records
 from dillport.lab.figures import WINDOW, backend_loads, series, wishes
@@ -102,6 +103,9 @@
     latency.plot(t, line["p50_ms"], color=INK, lw=1.4, label="p50")
     latency.plot(t, line["p99_ms"], color=BAD, lw=1.4, label="p99")
     latency.set_yscale("log")
+    latency.yaxis.set_major_formatter(ScalarFormatter())
+    latency.yaxis.set_minor_formatter(NullFormatter())
+    latency.yaxis.set_major_locator(LogLocator(subs=(1.0, 2.0, 5.0)))
     latency.set_ylabel("latency of served, ms")
     latency.legend(loc="upper right", fontsize=8, frameon=False)
     refused.fill_between(t, line["refused_per_s"], color=BAD, alpha=0.5, step="mid")
@@ -157,8 +161,8 @@
     parts = [
         f"<p>{html.escape(spec.about)}</p><p><small>seed {table['seed']}, program "
         f"{html.escape(table['program'])}, {spec.fleet.nodes} nodes, {spec.backends.count} backends, "
-        f"{spec.rate:.0f} first tries a second for {spec.seconds:g} s; a request's time counts from when it was "
-        f"meant to be sent</small></p>"
+        f"{spec.rate:.0f} first tries a second for {spec.seconds:g} s; a request's time counts "
+        f"from when it was meant to be sent</small></p>"
     ]
     if table["void"]:
         parts.append('<p class="short">Void: the rig itself was late, its figures tell nothing.</p>')
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -237,7 +237,7 @@
 
 async def play(spec: Experiment, seed: int, program: Program, out: Path, human: bool = False,
                live: Live | None = None) -> records.Seen:  # fmt: skip
-    """Play an experiment once. Raises LabError, and CancelledError on SIGINT and SIGTERM; no child is left."""
+    """Play an experiment once. Raises LabError, and CancelledError on SIGINT or SIGTERM; no child is left."""
     try:
         (out / "logs").mkdir(parents=True, exist_ok=True)
         block = Block(spec.fleet.nodes, spec.backends.count)
--- a/dillport/lab/timeline.py
+++ b/dillport/lab/timeline.py
@@ -27,7 +27,7 @@
 
 
 def timeline(spec: Experiment) -> list[Moment]:
-    """All moments in order of time. How long a node takes to end after SIGTERM is not known: no BACK for it."""
+    """All moments in order of time; none for a node's start after SIGTERM, as nobody knows when it ends."""
     out: list[Moment] = []
     for fault in spec.faults:
         names = choose(spec, fault.what) if hasattr(fault, "what") else []
--- a/dillport/lab/wires.py
+++ b/dillport/lab/wires.py
@@ -15,7 +15,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import NamedTuple, cast
 
 from dillport.lab.model.weather import Weather
 
@@ -34,6 +34,14 @@
         return (time.monotonic() - self.zero) * 1000
 
 
+class Piece(NamedTuple):
+    """Bytes on their way, ms: when they arrive, and when they were written or came off the socket."""
+
+    due: float
+    at: float
+    data: bytes | None  # None: the end
+
+
 class Wire(asyncio.Protocol):
     """One end of a TCP connection between `me` and `peer`, each a party's name."""
 
@@ -41,10 +49,11 @@
         self.weather, self.clock, self.me, self.peer = weather, clock, me, peer
         self.transport: asyncio.Transport | None = None
         self.open = False
-        self.inward: deque[tuple[float, bytes | None]] = deque()  # due and bytes; None: the end
-        self.outward: deque[tuple[float, bytes | None]] = deque()
+        self.inward: deque[Piece] = deque()
+        self.outward: deque[Piece] = deque()
         self.timers: dict[bool, asyncio.TimerHandle] = {}
-        self.raw_at = 0.0  # when the latest bytes came off the socket
+        self.came_at = 0.0  # when what is being received came off the socket
+        self.closed_at = 0.0  # when the peer's end came off the socket; 0: it did not
 
     # --- for the party
 
@@ -57,9 +66,6 @@
     def ended(self) -> None:
         """The peer has closed, or the connection broke."""
 
-    def raw_data(self) -> None:
-        """Bytes came off the socket, though the network may hold them back."""
-
     def raw_end(self) -> None:
         """The peer's end came off the socket, though the network may hold it back."""
 
@@ -87,13 +93,10 @@
         self.up()
 
     def data_received(self, data: bytes) -> None:
-        self.raw_at = self.clock.now()
-        self.raw_data()
         self._pass(self.inward, data, True)
 
     def eof_received(self) -> bool:
-        self.raw_at = self.clock.now()
-        self.raw_end()
+        self._closed()
         self._pass(self.inward, None, True)
         return True
 
@@ -101,39 +104,42 @@
         if not self.open:
             return
         self.open = False
-        self.raw_at = self.clock.now()
         with contextlib.suppress(ValueError):
             self.weather.watchers.remove(self._changed)
         for timer in self.timers.values():
             timer.cancel()
-        self.raw_end()
+        self._closed()
         self.outward.clear()
-        cut = self.weather.between(self.peer, self.me).cut
-        if not cut:
-            for _, data in list(self.inward):
-                if data is not None:
-                    self.received(data)
+        if not self.weather.between(self.peer, self.me).cut:
+            for piece in list(self.inward):
+                if piece.data is not None:
+                    self.came_at = piece.at
+                    self.received(piece.data)
         self.inward.clear()
         self.ended()
 
+    def _closed(self) -> None:
+        self.closed_at = self.closed_at or self.clock.now()
+        self.raw_end()
+
     # --- the network
 
-    def _pass(self, queue: deque[tuple[float, bytes | None]], data: bytes | None, inward: bool) -> None:
+    def _pass(self, queue: deque[Piece], data: bytes | None, inward: bool) -> None:
         if not self.open:
             return
         here, there = (self.peer, self.me) if inward else (self.me, self.peer)
-        held = self.weather.between(here, there)
+        held, now = self.weather.between(here, there), self.clock.now()
         if held.plain and not queue:
-            self._deliver(data, inward)
+            self._deliver(Piece(now, now, data), inward)
             return
-        due = self.clock.now() + self.weather.lag(held, len(data or b""))
-        queue.append((max(due, queue[-1][0]) if queue else due, data))
+        due = now + self.weather.lag(held, len(data or b""))
+        queue.append(Piece(max(due, queue[-1].due) if queue else due, now, data))
         if len(queue) == 1:
             self._arm(inward)
 
     def _arm(self, inward: bool) -> None:
         queue = self.inward if inward else self.outward
-        wait = (queue[0][0] - self.clock.now()) / 1000
+        wait = (queue[0].due - self.clock.now()) / 1000
         self.timers[inward] = asyncio.get_running_loop().call_later(max(0.0, wait), self._due, inward)
 
     def _due(self, inward: bool) -> None:
@@ -142,8 +148,8 @@
         if self.weather.between(here, there).cut:
             return  # goes on when the weather changes
         # The loop counts whole milliseconds: what is due within the half of one goes now.
-        while queue and queue[0][0] <= self.clock.now() + 0.5:
-            self._deliver(queue.popleft()[1], inward)
+        while queue and queue[0].due <= self.clock.now() + 0.5:
+            self._deliver(queue.popleft(), inward)
         if queue and self.open:
             self._arm(inward)
 
@@ -154,8 +160,10 @@
                     self.timers[inward].cancel()
                 self._arm(inward)
 
-    def _deliver(self, data: bytes | None, inward: bool) -> None:
+    def _deliver(self, piece: Piece, inward: bool) -> None:
+        data = piece.data
         if inward:
+            self.came_at = piece.at
             if data is None:
                 self.ended()
                 if self.transport is not None:
