--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -385,12 +385,15 @@
                     running.life.why = f"over its memory: {rss:.0f} MB"
                     running.signal(signal.SIGKILL)
 
-    async def end(self) -> None:
-        """All processes end, and all that watched them."""
+    async def end_all(self) -> None:
+        """All processes end as at a planned restart."""
         self.ending = True
         for node in self.nodes:
             node.stall(False)
         await asyncio.gather(*(node.terminate(node.alive()) for node in self.nodes))
+
+    async def settle(self) -> None:
+        """What watched processes that have ended ends, too."""
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=5.0)
 
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -147,10 +147,11 @@
         rest = zero + max(self.spec.seconds + TAIL, 0) - time.monotonic()
         await self._or_failed(asyncio.sleep(max(TAIL, rest)), 1e9, "")
         watch.cancel()
+        await self.fleet.end_all()
         for rig in self.rigs:
             rig.say(b"end")
         await self._or_failed(asyncio.gather(*(r.written.wait() for r in self.rigs)), 60.0, "the records")
-        await self.fleet.end()
+        await self.fleet.settle()
         self._collect()
 
     async def _nodes_ready(self) -> None:
@@ -230,7 +231,7 @@
                     rig.process.kill()
         for rig in self.rigs:
             await rig.process.wait()
-        await self.fleet.end()
+        await self.fleet.settle()
         if self.failed.done():
             self.failed.exception()
 
