bin/dillport demo: a small fleet that loses a backend and a node, live

Need: a newcomer could not start a fleet without writing a discovery service.

Change: the demo is an experiment built in code, its faults at the same parts of any length; the screen reads the rig's live lines four times a second. Not taken: a demo of its own beside the lab, which would judge nothing.

--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 import sys
+import tempfile
 from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
+import rich.live
 import typer
 import uvloop
 from rich.console import Console
@@ -117,6 +119,40 @@
         screen.print(f"[red]void[/red]: the rig's own lateness is {values['rig_late_p99_ms']:.1f} ms at p99")
 
 
+@app.command()
+def demo(
+    seconds: Annotated[float, typer.Option(min=4.0, max=600.0, help="How long clients come.")] = 20.0,
+    seed: Annotated[int, typer.Option(min=0)] = 1,
+    out: Annotated[Path | None, typer.Option(help="Keep records and report there.")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Three nodes, nine backends, clients; a backend and a node are killed. Exit code 0: no rule broke."""
+    from dillport.cli.demo import Screen, experiment
+
+    spec = experiment(seconds)
+    what = program(HERE)
+    with tempfile.TemporaryDirectory(prefix="dillport-demo-") as temporary:
+        folder = out or Path(temporary)
+        try:
+            with rich.live.Live(console=console, transient=True, refresh_per_second=4) as picture:
+                picture.update("starting three nodes")
+                seen, table = run_once(spec, seed, what, folder, False, Screen(picture))
+            if out is not None:
+                write_report(spec, seen, table, out)
+        except (LabError, OSError) as err:
+            raise stop(str(err)) from None
+        except (asyncio.CancelledError, KeyboardInterrupt):
+            raise stop("interrupted") from None
+    if as_json:
+        print(json.dumps(table))
+    else:
+        show(table)
+        ends = table["figures"]
+        print(f"{ends['served']:.2%} of {ends['offered_per_s']:.0f} requests a second were served; "
+              f"{'no rule broke' if not ends['broken_rules'] else 'RULES BROKE'}")  # fmt: skip
+    raise typer.Exit(verdict(table))
+
+
 @lab.command("run")
 def lab_run(
     experiment: Annotated[str, typer.Argument(help="A TOML file, or the name of one in lab/experiments.")],
