lab compare: two revisions on the same seeds, with intervals and an exact test

Need: no figure may be claimed that was not measured side by side.

Design: both programs play each seed, who goes first changes from seed to seed; a percentile bootstrap gives the interval of the median difference, an exact sign-flip test with Holm's correction over five figures the verdict. Not taken: 'the bootstrap interval leaves out 0' as the verdict, which at 8 seeds calls a program different from itself in some 7% of figures.

--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -15,10 +15,11 @@
 import typer
 import uvloop
 from rich.console import Console
+from rich.progress import Progress
 from rich.table import Table
 
 from dillport.lab import records
-from dillport.lab.figures import summary
+from dillport.lab.figures import FEWEST, JUDGED, summary
 from dillport.lab.judge import RULES, Judge
 from dillport.lab.programs import HERE, ROOT, Program, ProgramError, obtain
 from dillport.lab.run import LabError, Live, play
@@ -249,6 +250,73 @@
     Console().print(table)
 
 
+@lab.command("compare")
+def lab_compare(
+    a: Annotated[str, typer.Argument(help="REVISION[+VARIANT]; `.` is the working tree.")],
+    b: Annotated[str, typer.Argument(help="The other one. Variants: random, delay-MS, burn-US.")],
+    out: Out,
+    experiment: Annotated[str, typer.Option("--experiment", "-e", help="File or name.")] = "calm",
+    seeds: Annotated[int, typer.Option(min=2, max=100, help="Each is played by both.")] = FEWEST,
+    first_seed: Annotated[int, typer.Option(min=0)] = 1,
+    sets: Sets = None,
+    as_json: AsJson = False,
+) -> None:
+    """Play two programs on the same seeds. Exit code 0: no difference; 1: some figure differs; 2: not run."""
+    from dillport.lab.compare import compare, compare_page
+    from dillport.lab.compare import table as rows_of
+
+    try:
+        spec = load(find(experiment), sets or ())
+    except SpecError as err:
+        raise stop(str(err)) from None
+    programs = (program(a), program(b))
+    values: tuple[list[dict[str, float]], list[dict[str, float]]] = ([], [])
+    try:
+        with Progress(console=console, transient=True) as progress:
+            bar = progress.add_task(spec.name, total=2 * seeds)
+            for seed in range(first_seed, first_seed + seeds):
+                # Who plays first changes from seed to seed: a machine that drifts favours neither.
+                for side in ((0, 1), (1, 0))[seed % 2]:
+                    folder = out / f"{'ab'[side]}-{seed}"
+                    _, done = run_once(spec, seed, programs[side], folder)
+                    if done["void"]:
+                        raise stop(f"seed {seed}, {programs[side].label}: the rig was late; see {folder}")
+                    values[side].append(done["figures"])
+                    progress.advance(bar)
+        found = compare(*values)
+        names = (programs[0].label, programs[1].label)
+        result = {"experiment": spec.name, "a": names[0], "b": names[1], "seeds": seeds,
+                  "differences": rows_of(found)}  # fmt: skip
+        (out / "compare.json").write_text(json.dumps(result, indent=1) + "\n", "utf-8")
+        (out / "compare.html").write_text(compare_page(spec.name, names, *values, found), "utf-8")
+    except (LabError, OSError) as err:
+        raise stop(str(err)) from None
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        raise stop("interrupted") from None
+    if as_json:
+        print(json.dumps(result))
+    else:
+        _show_differences(result)
+        if seeds < FEWEST:
+            print(f"fewer than {FEWEST} seeds: {len(JUDGED)} figures cannot differ at this level")
+        print(out / "compare.html")
+    raise typer.Exit(Exit.SHORT if any(d.differs for d in found) else Exit.HELD)
+
+
+def _show_differences(result: dict[str, Any]) -> None:
+    rows = Table(title=f"{result['experiment']}: A {result['a']}, B {result['b']}, {result['seeds']} seeds",
+                 title_justify="left")  # fmt: skip
+    for name in ("figure", "A", "B", "B less A", "95%", "p", ""):
+        rows.add_column(name, justify="left" if name in ("figure", "") else "right")
+    for d in result["differences"]:
+        rows.add_row(
+            d["figure"], f"{d['median_a']:.4g}", f"{d['median_b']:.4g}", f"{d['median']:+.3g}",
+            f"{d['low']:+.3g} to {d['high']:+.3g}", f"{d['p']:.3f}",
+            "[red]differs[/red]" if d["differs"] else "no difference found",
+        )  # fmt: skip
+    Console().print(rows)
+
+
 def main() -> None:
     """Entry point."""
     app()
--- /dev/null
+++ b/dillport/lab/compare.py
@@ -0,0 +1,120 @@
+"""Two programs on the same seeds: paired differences, a bootstrap interval, and whether they differ at all.
+
+The interval is that of the median difference (percentile bootstrap, 95%). The verdict is by an exact
+sign-flip permutation test on the mean difference, with Holm's correction over the judged figures: a program
+compared with itself is called different in one comparison of twenty at the most, whatever the number of
+figures.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from itertools import product
+from typing import Any
+
+import numpy as np
+from matplotlib.figure import Figure
+from numpy.typing import NDArray
+
+from dillport.lab.figures import JUDGED
+from dillport.lab.report import BAD, GOOD, INK, QUIET, page, png, table_html
+from dillport.lab.streams import stream
+
+LEVEL = 0.05  # of the whole family of figures
+RESAMPLES = 10_000
+EXACT = 12  # differences up to which all sign flips are gone through
+
+Floats = NDArray[np.float64]
+
+
+@dataclass(slots=True, frozen=True)
+class Difference:
+    """One figure, B less A over the seeds."""
+
+    figure: str
+    median_a: float
+    median_b: float
+    median: float  # of the differences
+    low: float
+    high: float
+    p: float  # of the sign-flip test, corrected
+    differs: bool
+
+
+def interval(values: Floats) -> tuple[float, float]:
+    """The 95% interval of the median."""
+    picks = stream(0, "bootstrap").integers(0, len(values), (RESAMPLES, len(values)))
+    medians = np.median(values[picks], axis=1)
+    return float(np.quantile(medians, 0.025)), float(np.quantile(medians, 0.975))
+
+
+def sign_flip(values: Floats) -> float:
+    """The chance of a mean at least this far from 0 if each difference could as well have the other sign."""
+    if len(values) <= EXACT:
+        signs = np.array(list(product((-1.0, 1.0), repeat=len(values))))
+    else:
+        signs = stream(0, "signs").choice((-1.0, 1.0), (RESAMPLES, len(values)))
+    # What rounds to the same counts as the same: the observed signs must be among the flips.
+    return float(np.mean(np.abs(signs @ values) >= abs(values.sum()) * (1 - 1e-12)))
+
+
+def compare(a: list[dict[str, float]], b: list[dict[str, float]]) -> list[Difference]:
+    """The judged figures of runs paired by seed."""
+    pairs = {name: (np.array([f[name] for f in a]), np.array([f[name] for f in b])) for name in JUDGED}
+    raw = {name: sign_flip(y - x) if np.any(y != x) else 1.0 for name, (x, y) in pairs.items()}
+    corrected, least = {}, 0.0
+    for rank, name in enumerate(sorted(raw, key=lambda n: raw[n])):
+        least = max(least, min(1.0, raw[name] * (len(raw) - rank)))
+        corrected[name] = least
+    out = []
+    for name, (x, y) in pairs.items():
+        low, high = interval(y - x)
+        out.append(Difference(
+            name, float(np.median(x)), float(np.median(y)), float(np.median(y - x)), low, high,
+            corrected[name], corrected[name] <= LEVEL,
+        ))  # fmt: skip
+    return out
+
+
+def table(found: list[Difference]) -> list[dict[str, Any]]:
+    """The differences as plain data."""
+    return [asdict(d) for d in found]
+
+
+def _picture(a: list[dict[str, float]], b: list[dict[str, float]], found: list[Difference]) -> Figure:
+    figure = Figure(figsize=(10.5, 3.0), layout="constrained")
+    for ax, item in zip(figure.subplots(1, len(found)).tolist(), found, strict=True):
+        for x, y in zip(a, b, strict=True):
+            ax.plot(
+                [0, 1],
+                [x[item.figure], y[item.figure]],
+                color=QUIET,
+                lw=1,
+                marker="o",
+                ms=4,
+                mfc=INK,
+                mec=INK,
+            )
+        ax.plot([0, 1], [item.median_a, item.median_b], color=BAD if item.differs else GOOD, lw=3, alpha=0.6)
+        ax.set_xticks([0, 1], ["A", "B"])
+        ax.set_xlim(-0.3, 1.3)
+        ax.set_title(item.figure, fontsize=9)
+        ax.tick_params(labelsize=8)
+    return figure
+
+
+def compare_page(
+    experiment: str,
+    names: tuple[str, str],
+    a: list[dict[str, float]],
+    b: list[dict[str, float]],
+    found: list[Difference],
+) -> str:
+    """The report of a comparison."""
+    rows = [(d.figure, d.median_a, d.median_b, d.median, d.low, d.high, round(d.p, 4),
+             "differs" if d.differs else "no difference found") for d in found]  # fmt: skip
+    head = ("figure", "A, median", "B, median", "B less A", "95% from", "to", "p, corrected", "")
+    about = f"<p>A is {names[0]}, B is {names[1]}; {len(a)} seeds, each played by both.</p>"
+    return page(
+        f"{experiment}: {names[0]} and {names[1]}", about, table_html(rows, head), png(_picture(a, b, found))
+    )
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -21,6 +21,8 @@
 HIGHEST = 60_000_000  # us that a latency can have in the histogram
 RECOVERED = 0.95  # of the goodput before the first fault
 WINDOW = 0.5  # s of the series
+JUDGED = ("goodput", "refused", "latency_p50_ms", "latency_p99_ms", "node_cpu_us_per_try")  # of a comparison
+FEWEST = 8  # seeds from which on so many figures can be told apart
 
 Series = dict[str, list[float]]
 
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -129,7 +129,7 @@
     return figure
 
 
-def _table(rows: Iterable[Sequence[object]], head: Sequence[str]) -> str:
+def table_html(rows: Iterable[Sequence[object]], head: Sequence[str]) -> str:
     lines = ["<table><tr>" + "".join(f"<th>{html.escape(h)}</th>" for h in head) + "</tr>"]
     for row in rows:
         cells = []
@@ -167,14 +167,14 @@
     if table["void"]:
         parts.append('<p class="short">Void: the rig itself was late, its figures tell nothing.</p>')
     if expected:
-        parts.append(_table(expected, ("expected", "at least", "at most", "measured", "")))
+        parts.append(table_html(expected, ("expected", "at least", "at most", "measured", "")))
     parts.append(png(plots(spec, seen)))
     if table["breaks"]:
         rows = [(b["rule"], b["at_ms"], f"n{b['node']}", b["text"]) for b in table["breaks"]]
-        parts += ["<h2>Broken rules</h2>", _table(rows, ("rule", "at, ms", "node", "what"))]
+        parts += ["<h2>Broken rules</h2>", table_html(rows, ("rule", "at, ms", "node", "what"))]
     parts += [
         "<h2>All figures</h2><div class='columns'>",
-        _table(table["figures"].items(), ("figure", "")),
+        table_html(table["figures"].items(), ("figure", "")),
         "</div>",
     ]
     return page(f"{spec.name}: lab report", *parts)
