Membership's core: SWIM with Lifeguard's extensions, and a tier under a virtual clock

Need: nothing in the program knows of more than one process; all later rooms ask who is present.

Design: views are joined by the greatest (life, incarnation, state), so rumours may come late, twice or in any order; urgent news is broadcast by peers_all under a budget that counts what others broadcast; a suspicion makes a few others look for themselves; differing views are repaired by salted two-byte hashes of 104 buckets, then only what differs, paced; a death that a repair tells of is first put to the one concerned.

The part has no shell yet: run does not import it.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,262 @@
+"""The membership core: any datagrams at all, then whole tiers under a virtual clock with seeded faults."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dillport.membership.core import Changed, Config, Leave, Membership, Received, Tell, Tick
+from dillport.membership.messages import (
+    LAST_WORD,
+    MOST,
+    NOBODY,
+    Kind,
+    Message,
+    MessageError,
+    Rumour,
+    State,
+    decode,
+    encode,
+)
+from dillport.sim.members import LIFE_UNIT, Net, World
+
+COUNT = 6
+SOON = 15_000.0  # ms after which a small tier has settled
+STATES = [State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT]
+rumours = st.builds(
+    Rumour, st.integers(0, COUNT + 1), st.integers(0, 2**32 - 1), st.integers(0, LAST_WORD),
+    st.sampled_from(STATES), st.integers(0, COUNT),
+)  # fmt: skip
+messages = st.builds(
+    Message, st.integers(1, 9), st.integers(0, COUNT), st.integers(0, 2**32 - 1), st.integers(0, LAST_WORD),
+    st.integers(0, 2**32 - 1), st.integers(0, 2**32 - 1), st.integers(0, COUNT + 1) | st.just(NOBODY),
+    st.binary(max_size=140), st.lists(rumours, max_size=8).map(tuple),
+)  # fmt: skip
+
+
+def lone(**over: object) -> Membership:
+    return Membership(Config(**over), 0, COUNT, 100, 1, 0.0)  # type: ignore[arg-type]
+
+
+def said(sender: int, kind: Kind = Kind.GOSSIP, *what: Rumour, life: int = 50, subject: int = 0) -> Received:
+    return Received(sender, encode(Message(kind, sender, life, 0, 7, 0, subject, rumours=what)))
+
+
+def world(count: int, seed: int = 1, **over: object) -> World:
+    """A tier that has come up and agrees."""
+    out = World(count, seed, net=Net(**over))  # type: ignore[arg-type]
+    for node in range(count):
+        out.start(node)
+    assert out.settle(SOON) < SOON
+    return out
+
+
+@given(messages)
+def test_a_datagram_is_read_as_it_was_written(message: Message) -> None:
+    try:
+        data = encode(message)
+    except MessageError:
+        return
+    back = decode(data)
+    assert len(data) <= MOST
+    assert [r.key for r in back.rumours] == [r.key for r in message.rumours]
+    assert (back.kind, back.sender, back.extra, back.subject) == (
+        message.kind, message.sender, message.extra, message.subject,
+    )  # fmt: skip
+
+
+@given(messages, st.integers(0, MOST * 8 - 1))
+def test_a_flipped_bit_or_a_cut_is_seen(message: Message, bit: int) -> None:
+    try:
+        data = bytearray(encode(message))
+    except MessageError:
+        return
+    bit %= len(data) * 8
+    data[bit // 8] ^= 1 << bit % 8
+    for bad in (bytes(data), bytes(data[:-1])):
+        with pytest.raises(MessageError):
+            decode(bad)
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 3000), st.integers(0, COUNT), messages | st.binary(max_size=300)), max_size=40
+    )
+)
+def test_whatever_comes_nothing_breaks_and_numbers_only_rise(
+    steps: list[tuple[float, int, Message | bytes]],
+) -> None:
+    core, now = lone(), 0.0
+    before = [r.key for r in core.view.known]
+    for wait, source, what in steps:
+        now += wait
+        try:
+            data = what if isinstance(what, bytes) else encode(what)
+        except MessageError:
+            continue
+        for action in core.handle(now, Received(source, data)):
+            assert not isinstance(action, Tell) or len(action.data) <= MOST
+        after = [r.key for r in core.view.known]
+        assert all(b >= a for a, b in zip(before, after, strict=True))
+        assert core.view.known[0].state is State.ALIVE and core.view.known[0].key >= (
+            core.life,
+            core.incarnation,
+            1,
+        )
+        assert len(core._rumours) <= COUNT and len(core._timers) <= 4096
+        before = after
+
+
+def test_a_wrong_sender_is_counted_and_dropped() -> None:
+    core = lone()
+    core.handle(0.5, Tick())
+    message = Message(Kind.PING, 2, 50, 0, 1, 0, 0)
+    assert core.handle(1.0, Received(3, encode(message))) == []
+    assert core.counts["wrong_sender"] == 1 and core.members() == [0]
+
+
+def test_a_suspicion_of_oneself_is_refuted_and_one_of_a_former_life_is_not_worth_it() -> None:
+    core = lone()
+    core.handle(1.0, said(1, Kind.GOSSIP, Rumour(0, 100, 0, State.SUSPECT, 1)))
+    assert core.incarnation == 1
+    core.handle(2.0, said(1, Kind.GOSSIP, Rumour(0, 99, 5, State.DEAD)))
+    assert (core.life, core.incarnation) == (100, 1)
+    core.handle(
+        3.0, said(1, Kind.GOSSIP, Rumour(0, 200, 5, State.LEFT))
+    )  # this life began with too low a number
+    assert (core.life, core.incarnation) == (201, 0)
+
+
+def test_a_refuted_suspicion_never_becomes_death() -> None:
+    core = lone()
+    core.handle(1.0, said(1, Kind.GOSSIP, Rumour(2, 9, 0, State.SUSPECT, 1)))
+    assert core.view.known[2].state is State.SUSPECT
+    core.handle(500.0, said(1, Kind.GOSSIP, Rumour(2, 9, 1, State.ALIVE)))
+    changes = [
+        a for t in range(600, 20_000, 100) for a in core.handle(float(t), Tick()) if isinstance(a, Changed)
+    ]
+    assert not [
+        c
+        for c in changes
+        if c.member == 2 and c.after is State.DEAD and c.life == 9 and core.view.known[2].incarnation == 0
+    ]
+    core.handle(20_000.0, said(1, Kind.GOSSIP, Rumour(2, 9, 0, State.SUSPECT, 3)))
+    assert core.view.known[2].key >= (9, 1, State.ALIVE)
+
+
+def test_confirmations_shorten_a_suspicion() -> None:
+    slow, fast = lone(), lone()
+    for core in (slow, fast):
+        core.handle(1.0, said(5))
+        for peer in (1, 2, 3, 4):
+            core.handle(1.0, said(peer))
+    slow.handle(2.0, said(1, Kind.GOSSIP, Rumour(5, 50, 0, State.SUSPECT, 1)))
+    for accuser in (1, 2, 3, 4):
+        fast.handle(2.0, said(accuser, Kind.GOSSIP, Rumour(5, 50, 0, State.SUSPECT, accuser)))
+    assert fast._suspicions[5].until < slow._suspicions[5].until == 2.0 + Config().suspicion_most
+
+
+def test_a_minority_knows_that_it_is_one() -> None:
+    core = lone()
+    assert not core.quorum()
+    for peer in (1, 2):
+        core.handle(1.0, said(peer))
+    assert not core.quorum()  # three of six
+    core.handle(2.0, said(3))
+    assert core.quorum()
+
+
+# --- whole tiers
+
+
+def test_a_tier_comes_up_cold_and_a_killed_node_is_known_to_all() -> None:
+    tier = world(24, loss=0.1)
+    tier.kill(5)
+    assert tier.settle(SOON) < SOON
+    tier.run(tier.now + SOON)  # until everybody has heard everybody
+    assert all(h.core.agreement() == 1.0 for h in tier.hosts if h.core is not None)
+
+
+def test_a_restart_is_not_buried_by_rumours_of_the_life_before() -> None:
+    tier = world(12, loss=0.05, duplicate=0.2, late=0.2)
+    for _ in range(3):
+        tier.kill(4)
+        tier.run(tier.now + LIFE_UNIT + 400)
+        tier.start(4)
+        tier.run(tier.now + 2500)
+    tier.net.late = 0.0
+    assert tier.settle(2 * SOON) < 2 * SOON
+    lives = {h.core.view.known[4].life for h in tier.hosts if h.core is not None}
+    assert len(lives) == 1
+
+
+def test_one_that_leaves_is_left_and_never_comes_back_by_rumour() -> None:
+    tier = world(12, loss=0.1, duplicate=0.1, late=0.2)
+    begun = tier.now
+    tier.leave(7)
+    tier.run(begun + 3 * SOON)
+    states = {h.core.view.known[7].state for h in tier.hosts if h.core is not None}
+    assert states == {State.LEFT} and 7 not in {s.change.member for s in tier.deaths(begun)}
+    back = [s for s in tier.seen if s.change.member == 7 and s.change.before is State.LEFT]
+    assert back == []
+
+
+def test_a_partition_splits_the_views_and_heals() -> None:
+    tier = world(15)
+    tier.net.cut = lambda a, b: (a % 3 == 0) != (b % 3 == 0)
+    tier.run(tier.now + 2 * SOON)
+    small, large = tier.hosts[0].core, tier.hosts[1].core
+    assert small is not None and large is not None
+    assert small.members() == [0, 3, 6, 9, 12] and not small.quorum() and large.quorum()
+    tier.net.cut = lambda a, b: False
+    assert tier.settle(2 * SOON) < 2 * SOON
+
+
+def test_a_node_that_only_hears_is_reached_by_way_of_others() -> None:
+    tier = world(12)
+    begun = tier.now
+    tier.net.cut = lambda a, b: (a, b) == (3, 8)  # 3 does not reach 8, 8 reaches 3
+    tier.run(begun + 3 * SOON)
+    assert tier.deaths(begun) == [] and tier.agreed()
+
+
+def test_nodes_that_stall_do_not_bury_the_healthy() -> None:
+    tier = world(20, loss=0.05)
+    begun = tier.now
+    for step in range(6):
+        tier.at(begun + 10_000 * step, lambda: tier.stall(2, 2000.0))
+    tier.run(begun + 60_000)
+    assert [s for s in tier.deaths(begun) if s.change.member != 2] == []
+
+
+def test_one_seed_is_one_run() -> None:
+    def trace(seed: int) -> list[tuple[float, int, int, State]]:
+        tier = world(10, seed, loss=0.1, corrupt=0.02, duplicate=0.1)
+        tier.kill(3)
+        tier.run(tier.now + SOON)
+        return [(s.at, s.node, s.change.member, s.change.after) for s in tier.seen]
+
+    assert trace(5) == trace(5) != trace(6)
+
+
+def test_what_a_node_sends_does_not_grow_with_the_tier() -> None:
+    rates = []
+    for count in (10, 60):
+        tier = world(count)
+        tier.run(tier.now + SOON)
+        tier.sent.clear()
+        tier.run(tier.now + SOON)
+        rates.append(sum(tier.sent.values()) / count / SOON * 1000)
+    assert rates[1] < 1.3 * rates[0] and rates[1] < 4.0
+
+
+def test_leaving_is_said_twice_and_answered_for() -> None:
+    core = lone()
+    core.handle(1.0, said(1))
+    told = [a for a in core.handle(2.0, Leave()) if isinstance(a, Tell) and a.node is None]
+    told += [a for a in core.handle(300.0, Tick()) if isinstance(a, Tell) and a.node is None]
+    assert len(told) == 2
+    answers = [a for a in core.handle(301.0, said(1, Kind.PING)) if isinstance(a, Tell) and a.node == 1]
+    assert decode(answers[0].data).kind == Kind.ACK
