--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from functools import partial
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -22,6 +23,9 @@
 from dillport.net.node import Node
 from dillport.net.pair import Pair, steer, unsteer
 
+if TYPE_CHECKING:
+    from dillport.net.fleet import Fleet
+
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
@@ -48,13 +52,23 @@
     return min(max(c.deadline for c in settings.classes) / 1000, 3.0) + 0.7
 
 
+def fleet_of(config: Config) -> Fleet | None:
+    """The fleet's rooms, where `PROXY_FLEET` names their file; else nothing of them is even imported."""
+    if not os.environ.get("PROXY_FLEET"):
+        return None
+    from dillport.net.fleet import Fleet
+
+    return Fleet(os.environ, config)
+
+
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then answer what was taken and return."""
+    """Run until SIGTERM or SIGINT, then answer what was taken and return. Raises ConfigError."""
     loop = asyncio.get_running_loop()
     node = Node(config)
+    node.fleet = fleet = fleet_of(config)
     node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
     front, console = Front(node, config.shares(1)[0]), Console(node)
-    pair = Pair(node.meeting, partial(share, node, front))
+    pair = Pair(node.meeting, partial(beside_changed, node, front, fleet))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -81,17 +95,28 @@
         unsteer(front.socket)
     node.pulse(loop.time())
     logging.info("%s serves on %s:%d", config.name, *front.address)
+    if fleet is not None and not pair.beside:
+        fleet.start()
     await stop.wait()
-    await end(node, front, pair)
+    await end(node, front, pair, fleet)
     discovery.watch(False)
     node.pool.close()
     await asyncio.sleep(0.05)  # the last answers leave
     console.close()
     node.bans.stop()
     pair.stop()
+    if fleet is not None:
+        fleet.close()
     logging.info("%s ends", config.name)
 
 
+def beside_changed(node: Node, front: Front, fleet: Fleet | None, beside: bool) -> None:
+    """The other process of this node has begun or ended; a successor then takes its place as a member."""
+    share(node, front, beside)
+    if fleet is not None and not beside and node.listening and not node.stopping:
+        fleet.start()
+
+
 def share(node: Node, front: Front, beside: bool) -> None:
     """Keep to this process's part of the descriptors; what is open already may stay."""
     clients, upstream = node.config.shares(2 if beside else 1)
@@ -99,12 +124,14 @@
     node.pool.limit = max(upstream, node.pool.count) if beside else upstream
 
 
-async def end(node: Node, front: Front, pair: Pair) -> None:
+async def end(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
     """Answer all that was taken, before SIGKILL comes."""
     loop = asyncio.get_running_loop()
     last = loop.time() + until_killed(node.settings) - END
     pair.refresh()
     node.succeeded, node.stopping = pair.beside, True
+    if fleet is not None and not node.succeeded:
+        fleet.leave()
     if node.succeeded and front.socket is not None:
         steer(front.socket, 0 if pair.later else 1)
         await asyncio.sleep(last - CLOSE - loop.time())  # to the last: it may come on any open connection
@@ -126,6 +153,12 @@
         return 2
     try:
         uvloop.run(serve(config))
+    except ConfigError as err:
+        print(f"dillport: {' '.join(str(err).split())}", file=sys.stderr)
+        return 2
+    except ModuleNotFoundError as err:
+        print(f"dillport: PROXY_FLEET needs requirements-fleet.txt: {err}", file=sys.stderr)
+        return 2
     except OSError as err:
         print(f"dillport: listen: {err}", file=sys.stderr)
         return 2
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -20,6 +20,7 @@
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
 HIGHEST = 60_000_000  # us that a latency can have in the histogram
 RECOVERED = 0.95  # of the goodput before the first fault
+KNOWN_BY = 10_000.0  # ms within which a death has to be known
 WINDOW = 0.5  # s of the series
 JUDGED = ("goodput", "refused", "latency_p50_ms", "latency_p99_ms", "node_cpu_us_per_try")  # of a comparison
 FEWEST = 8  # seeds from which on so many figures can be told apart
@@ -172,6 +173,8 @@
         "rig_loop_lag_p99_ms": percentiles(seen.loop_lag, (99.0,))[0],
     } | _costs(seen)
     out |= {f"broken_{rule}": float(judged.broken[rule]) for rule in RULES}
+    if spec.fleet.membership:
+        out |= membership(seen)
     recovery = _recovery(spec, line)
     if recovery is not None:
         out["recovery_s"] = recovery
@@ -195,6 +198,32 @@
     }
 
 
+def membership(seen: records.Seen) -> dict[str, float]:
+    """How soon all that lived on knew of each node that was killed, and who was held for dead but lived."""
+    dead = [v for v in seen.views if v.state == "dead"]
+    kills = [(x.node, x.killed) for x in seen.lives if x.killed and not x.term]
+    slowest, missed = [], 0
+    for node, at in kills:
+        others = {
+            x.node for x in seen.lives if x.node != node and x.ready and not 0 < x.ended < at + KNOWN_BY
+        }
+        known: dict[int, float] = {}
+        for view in dead:
+            if view.member == node and at <= view.at <= at + KNOWN_BY:
+                known.setdefault(view.node, view.at - at)
+        missed += len(others - known.keys())
+        if others and others <= known.keys():
+            slowest.append(max(known[n] for n in others) / 1000)
+    false = sum(
+        not any(x.node == v.member and (0 < x.ended <= v.at or x.started > v.at) for x in seen.lives)
+        for v in dead
+    )
+    out = {"member_false_deaths": float(false), "member_missed": float(missed)}
+    if slowest:
+        out |= {"member_detect_s_median": float(np.median(slowest)), "member_detect_s_max": max(slowest)}
+    return out
+
+
 def held(expect: Expect, values: dict[str, float]) -> bool:
     """Whether an expectation holds; a figure that the run does not have does not."""
     value = values.get(expect.figure)
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -202,6 +202,9 @@
             "PROXY_DISCOVERY": text(fleet.places.discovery(self.number)),
             "PROXY_CONSOLE": text(fleet.places.console(self.number, process)),
         }  # fmt: skip
+        if fleet.spec.fleet.membership:
+            (self.folder / "fleet.toml").write_text("[membership]\n", "utf-8")
+            env["PROXY_FLEET"] = str(self.folder / "fleet.toml")
         child = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
--- a/dillport/lab/programs.py
+++ b/dillport/lab/programs.py
@@ -13,6 +13,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 CACHE = ROOT / ".lab"
 HERE = "."  # the working tree, where a revision is asked for
+EXTRA = "requirements-fleet.txt"
+NEEDED = ("deploy", "dillport", "requirements.txt", EXTRA, "pyproject.toml")  # of a revision
 STAMP = "built"  # in `.venv`: the requirements that it was built from
 
 
@@ -48,9 +50,8 @@
     if not (folder / "deploy").exists():
         draft = folder.with_suffix(".part")
         draft.mkdir(parents=True, exist_ok=True)
-        text = _git(
-            "archive", "--format=tar", full, "deploy", "dillport", "requirements.txt", "pyproject.toml"
-        )
+        present = _git("ls-tree", "--name-only", full).decode().split()
+        text = _git("archive", "--format=tar", full, *(name for name in NEEDED if name in present))
         with tarfile.open(fileobj=io.BytesIO(text)) as tar:
             tar.extractall(draft, filter="data")
         draft.rename(folder)
@@ -65,10 +66,15 @@
     except ProgramError as err:
         raise ProgramError(f"revision {revision!r} cannot be had: {err}") from None
     deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text("utf-8"))
-    wanted = hashlib.sha256((root / "requirements.txt").read_bytes()).hexdigest()
+    files = [p for name in ("requirements.txt", EXTRA) if (p := root / name).exists()]
+    wanted = hashlib.sha256(b"".join(p.read_bytes() for p in files)).hexdigest()
     stamp = root / ".venv" / STAMP
     if not stamp.exists() or stamp.read_text("utf-8") != wanted:
-        done = subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=root, capture_output=True, check=False)
+        # With what a fleet file needs: a node without one imports none of it.
+        build = str(deploy["build"])
+        if root / EXTRA in files:
+            build += f" && .venv/bin/pip -q install --disable-pip-version-check -r {EXTRA}"
+        done = subprocess.run(["/bin/sh", "-c", build], cwd=root, capture_output=True, check=False)
         if done.returncode:
             raise ProgramError(f"build of {label}: {done.stderr.decode().strip().split(chr(10))[-1]}")
         stamp.write_text(wanted, "utf-8")
--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -94,6 +94,15 @@
     why: str = ""
 
 
+class ViewRecord(msgspec.Struct, array_like=True):
+    """A node's log says what it has come to think of a member: present, suspected, dead, left."""
+
+    node: int
+    at: float
+    member: int
+    state: str
+
+
 class Sample(msgspec.Struct, array_like=True):
     """A look at one node's processes."""
 
@@ -114,6 +123,7 @@
     bans: list[BanRecord] = msgspec.field(default_factory=list)
     lives: list[LifeRecord] = msgspec.field(default_factory=list)
     samples: list[Sample] = msgspec.field(default_factory=list)
+    views: list[ViewRecord] = msgspec.field(default_factory=list)
     lateness: list[float] = msgspec.field(default_factory=list)  # ms, of each send of the rig
     loop_lag: list[float] = msgspec.field(default_factory=list)  # ms, of each process of the rig every 20 ms
     unknown: list[str] = msgspec.field(default_factory=list)  # requests in a form no client sent
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 import os
+import re
 import resource
 import shutil
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +32,7 @@
 MOST_WORKERS = 3
 LEAD = 0.4  # s from the rig's last preparation to the first possible arrival
 SAMPLE = 0.5  # s between two looks at the nodes' processes
+VIEW_LINE = re.compile(r"^(\S+ \S+) INFO membership: node (\d+) (?:is|has) (\w+)$", re.M)
 TAIL = 1.5  # s that late answers have after the last client's time
 WORKER_READY = 20.0  # s
 
@@ -223,6 +226,11 @@
         self.seen.lives.extend(self.fleet.lives)
         self.seen.samples.extend(self.fleet.samples)
         self.seen.bans.extend(self.bans)
+        if self.spec.fleet.membership:
+            wall = time.time() - (
+                time.monotonic() - self.fleet.zero
+            )  # of the run's zero; one machine, one clock
+            self.seen.views.extend(views(self.out / "logs", wall))
         records.write(self.seen, self.out / "records.msgpack")
         shutil.rmtree(self.out / "nodes", ignore_errors=True)
 
@@ -240,6 +248,15 @@
             self.failed.exception()
 
 
+def views(logs: Path, wall_zero: float) -> Iterator[records.ViewRecord]:
+    """What the nodes' logs say of members; `wall_zero` is the run's zero in Unix time, s."""
+    for path in sorted(logs.glob("n*-*.log")):
+        node = int(path.stem[1:].split("-")[0])
+        for found in VIEW_LINE.finditer(path.read_text("utf-8", "replace")):
+            stamp = datetime.strptime(found[1], "%Y-%m-%d %H:%M:%S,%f").timestamp()
+            yield records.ViewRecord(node, (stamp - wall_zero) * 1000, int(found[2]), found[3])
+
+
 async def _each(events: list[asyncio.Event]) -> None:
     for event in events:
         await event.wait()
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -33,6 +33,7 @@
     cores: float = 1.0
     memory_mb: int = 192
     sockets: int = 1024
+    membership: bool = False  # nodes get a fleet file with `[membership]`
     ready_within: float = 30.0  # s
 
 
@@ -413,6 +414,7 @@
     yield "fleet.cores", 0 < spec.fleet.cores <= 1
     yield "fleet.memory-mb", spec.fleet.memory_mb >= 32
     yield "fleet.sockets", spec.fleet.sockets >= 64
+    yield "fleet.membership", not spec.fleet.membership or spec.network.peers
     yield "backends.count", 1 <= spec.backends.count <= 200
     yield "backends.cores", spec.backends.cores >= 1
     yield "backends.speed", 0 < spec.backends.speed[0] <= spec.backends.speed[1]
--- /dev/null
+++ b/dillport/membership/shell.py
@@ -0,0 +1,147 @@
+"""The membership on a socket: datagrams in, datagrams out, one timer. It decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections.abc import Callable
+
+from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
+from dillport.membership.messages import State
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+EPOCH = 1_577_836_800.0  # s, Unix time: the year 2020, from which lives are counted
+LIFE_UNIT = 0.256  # s: a life's number fits four bytes until 2054, and a process takes longer to start
+LINES, SPAN = 30, 10.0  # log lines of one kind at most in so many seconds
+WORDS = {
+    State.ALIVE: "is present",
+    State.SUSPECT: "is suspected",
+    State.DEAD: "is dead",
+    State.LEFT: "has left",
+}
+
+
+def life_now() -> int:
+    """A number for a life that begins now: above that of the life before, unless the clock went back."""
+    return max(1, int((time.time() - EPOCH) / LIFE_UNIT)) & 0xFFFFFFFF
+
+
+class MembershipShell(asyncio.DatagramProtocol):
+    """The socket of one node's membership. `changed` is told of each change in what is known of a member."""
+
+    def __init__(self, config: Config, me: int, listen: Address, peers: list[Address], everybody: Address,
+                 seed: int, changed: Callable[[Changed], None] = lambda change: None) -> None:  # fmt: skip
+        self.config, self.me, self.listen, self.peers, self.everybody = config, me, listen, peers, everybody
+        self.seed, self.changed = seed, changed
+        self.number = {address: node for node, address in enumerate(peers)}
+        self.loop = asyncio.get_running_loop()
+        self.core: Membership | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.due = float("inf")
+        self.foreign = 0  # datagrams from no address of `peers`
+        self._lines: dict[State, list[float]] = {}
+        self._unsaid = 0
+
+    async def open(self) -> None:
+        """Listen, and be present from now on. Raises OSError."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_CLOEXEC)
+        try:
+            sock.setblocking(False)
+            sock.bind(self.listen)
+        except OSError:
+            sock.close()
+            raise
+        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self.transport = transport
+        self.core = Membership(self.config, self.me, len(self.peers), life_now(), self.seed, self._now())
+        log.info("membership: node %d of %d on %s:%d", self.me, len(self.peers), *self.listen)
+        self._handle(Tick())
+
+    def _now(self) -> float:
+        return time.monotonic() * 1000
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """A datagram counts only if it comes from an address of `peers`."""
+        node = self.number.get((addr[0], addr[1]))
+        if node is None:
+            self.foreign += 1
+        else:
+            self._handle(Received(node, data))
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer's machine refused: its silence says as much."""
+
+    def _handle(self, event: Event) -> None:
+        if self.core is None:
+            return
+        for action in self.core.handle(self._now(), event):
+            if isinstance(action, Tell):
+                self._send(action)
+            else:
+                self._say(action)
+                self.changed(action)
+        if self.core.due < self.due:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.due = self.core.due
+            self.timer = self.loop.call_later(max(0.0, self.due - self._now()) / 1000, self._tick)
+
+    def _tick(self) -> None:
+        self.due, self.timer = float("inf"), None
+        self._handle(Tick())
+
+    def _send(self, action: Tell) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(
+                action.data, self.everybody if action.node is None else self.peers[action.node]
+            )
+
+    def _say(self, change: Changed) -> None:
+        """A line for each change, but no flood of them."""
+        now = self.loop.time()
+        lately = [t for t in self._lines.get(change.after, ()) if t > now - SPAN]
+        self._lines[change.after] = lately
+        if len(lately) >= LINES:
+            self._unsaid += 1
+            return
+        lately.append(now)
+        if self._unsaid:
+            log.info("membership: %d more changes", self._unsaid)
+            self._unsaid = 0
+        log.info("membership: node %d %s", change.member, WORDS.get(change.after, change.after.name))
+
+    def leave(self) -> None:
+        """Say that this node leaves; it goes on answering until `close`."""
+        self._handle(Leave())
+
+    def close(self) -> None:
+        """Fall silent."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+        self.core = None
+
+    def stats(self) -> dict[str, object]:
+        """What operators are shown."""
+        core = self.core
+        if core is None:
+            return {"present": False}
+        states = {state: [r.member for r in core.view.known if r.state is state] for state in State}
+        return {
+            "present": True,
+            "me": self.me,
+            "life": core.life,
+            "incarnation": core.incarnation,
+            "view": f"{core.view.hash:08x}",
+            "agreement": round(core.agreement(), 3),
+            "quorum": core.quorum(),
+            "health": core.health,
+            "members": {state.name.lower(): who for state, who in states.items()},
+            "counts": dict(core.counts) | {"foreign": self.foreign},
+        }
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -49,6 +49,13 @@
         """The long answer is whole."""
 
 
+class Rooms(Protocol):
+    """What the fleet's rooms tell the node."""
+
+    def stats(self) -> dict[str, object]:
+        """Their part of the figures."""
+
+
 class Watcher(Protocol):
     """What brings the list."""
 
@@ -114,6 +121,7 @@
         self.pool = Pool(config.settings, config.shares(1)[1], self.figures, self.budget)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
+        self.fleet: Rooms | None = None
         self.ready = self.listening = self.stopping = self.succeeded = False
         self.fresh = asyncio.Event()  # discovery has told of the list
         self._events: deque[api.Event] = deque()
@@ -252,11 +260,12 @@
 
     def stats(self) -> dict[str, object]:
         """The figures, as they are now."""
-        return self.figures.table(list(self.classes)) | {
+        out = self.figures.table(list(self.classes)) | {
             "pending": sum(not request.answered for request in self.open.values()),
             "members": len(self.pool.hosts),
             "members_unavailable": self.balancer.unavailable(self.now()),
         }
+        return out if self.fleet is None else out | {"fleet": self.fleet.stats()}
 
     def gone(self, name: str) -> None:
         """The client has left."""
