--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -175,6 +175,8 @@
     out |= {f"broken_{rule}": float(judged.broken[rule]) for rule in RULES}
     if spec.fleet.membership:
         out |= membership(seen)
+        if (agreed_s := agreed(spec, seen)) is not None:
+            out["member_agreed_s"] = agreed_s
     recovery = _recovery(spec, line)
     if recovery is not None:
         out["recovery_s"] = recovery
@@ -224,6 +226,26 @@
     return out
 
 
+def agreed(spec: Experiment, seen: records.Seen) -> float | None:
+    """Seconds from the last fault's end until each node's log holds just those for present that live.
+
+    None where some view is wrong when the nodes are told to end.
+    """
+    over = min((x.term for x in seen.lives if x.term > spec.seconds * 1000), default=spec.seconds * 1000)
+    alive = {x.node for x in seen.lives if x.started < over and (not x.ended or x.ended > over)}
+    last: dict[tuple[int, int], tuple[float, bool]] = {}
+    for view in sorted(seen.views, key=lambda v: v.at):
+        present = view.state in ("present", "suspected")
+        before = last.get((view.node, view.member))
+        if view.at < over and (before is None or before[1] != present):
+            last[view.node, view.member] = (view.at, present)
+    pairs = {pair: state for pair, state in last.items() if pair[0] in alive}
+    if any(present != (member in alive) for (_, member), (_, present) in pairs.items()):
+        return None
+    end = max((f.until for f in spec.faults), default=0.0)
+    return max(0.0, max((at for at, _ in pairs.values()), default=0.0) / 1000 - end)
+
+
 def held(expect: Expect, values: dict[str, float]) -> bool:
     """Whether an expectation holds; a figure that the run does not have does not."""
     value = values.get(expect.figure)
