--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -26,6 +26,7 @@
 from dillport.membership.messages import (
     BUCKETS,
     DIGEST,
+    LAST_LIFE,
     LAST_WORD,
     NOBODY,
     ROOM,
@@ -432,8 +433,11 @@
             return False
         if rumour.life == self.life and rumour.incarnation < LAST_WORD - 1:
             self.incarnation = rumour.incarnation + 1
-        else:  # this life began with too low a number, or its numbers are used up
+        elif max(self.life, rumour.life) < LAST_LIFE:  # this life's number was too low, or is used up
             self.life, self.incarnation = max(self.life, rumour.life) + 1, 0
+        else:  # no number is above it: whoever says so keeps this node out, and operators see it counted
+            self.counts["outbid"] += 1
+            return False
         self.counts["refutations"] += 1
         if rumour.state is State.SUSPECT:  # after a partition all are held for dead: no sign of their health
             self._worse(1)
--- a/dillport/membership/messages.py
+++ b/dillport/membership/messages.py
@@ -24,6 +24,7 @@
 NOBODY = 0xFFFF  # a subject that names no member
 BUCKETS = 104  # of the digest: two members in each where there are 200
 DIGEST = struct.Struct(f">B{BUCKETS}H")
+LAST_LIFE = 0xFFFFFFFF
 LAST_WORD = 0xFFFF  # the incarnation of a member that has left: nothing of this life comes after it
 
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+"""The same examples in every run: a verdict must not hang on the day's draw."""
+
+from hypothesis import settings
+
+settings.register_profile("fixed", derandomize=True, database=None, deadline=None)
+settings.load_profile("fixed")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 
 from dillport.membership.core import Changed, Config, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import (
+    LAST_LIFE,
     LAST_WORD,
     MOST,
     NOBODY,
@@ -127,6 +128,8 @@
         3.0, said(1, Kind.GOSSIP, Rumour(0, 200, 5, State.LEFT))
     )  # this life began with too low a number
     assert (core.life, core.incarnation) == (201, 0)
+    core.handle(4.0, said(1, Kind.GOSSIP, Rumour(0, LAST_LIFE, 5, State.DEAD)))  # nothing is above it
+    assert (core.life, core.incarnation, core.counts["outbid"]) == (201, 0, 1)
 
 
 def test_a_refuted_suspicion_never_becomes_death() -> None:
