The lab: one piece where two said the same, and what nobody used is gone

Found on a second reading, behaviour as it was but for one figure: 'either way is cut' and 'a fault lies on either way' stood three times each (Weather.severed, touches); the wording of a request twice (clients, judge); the end of a fault three times, by kind (timeline.over); the error handling and the end of three commands (one_line, finish, judged); the number of the rig's processes twice (workers); a planned restart's moments beside the timeline. The wire of a try was searched among all wires at each time-out; it is kept now. Gone: fields and a method nobody read, a draining flag of the backend's core that nothing set, FAULT_KINDS, Directory.next_change, Front.stop.

The one figure: 'the last fault's end' counts a drained backend's return for recovery_s, and all batches for member_agreed_s, as the schedule has it; no expectation of the repository rests on either with such a fault.

--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import sys
 import tempfile
+from collections.abc import Iterator
 from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
@@ -22,7 +24,7 @@
 from dillport.lab.figures import FEWEST, JUDGED, summary
 from dillport.lab.judge import RULES, Judge
 from dillport.lab.programs import HERE, ROOT, Program, ProgramError, obtain
-from dillport.lab.run import LabError, Live, play
+from dillport.lab.run import LabError, Live, Run, play
 from dillport.lab.spec import Experiment, SpecError, load
 
 EXPERIMENTS = ROOT / "lab" / "experiments"
@@ -57,10 +59,24 @@
     return typer.Exit(Exit.NOT_RUN)
 
 
-def find(name: str) -> Path:
-    """An experiment by its path, or by its name among those of the repository."""
+@contextlib.contextmanager
+def one_line() -> Iterator[None]:
+    """What can go wrong while something is played ends the command with one line."""
+    try:
+        yield
+    except (LabError, OSError) as err:
+        raise stop(str(err)) from None
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        raise stop("interrupted") from None
+
+
+def experiment_of(name: str, sets: list[str] | None) -> Experiment:
+    """An experiment by its path, or by its name among those of the repository, with fields overridden."""
     path = Path(name)
-    return path if path.suffix == ".toml" else EXPERIMENTS / f"{name}.toml"
+    try:
+        return load(path if path.suffix == ".toml" else EXPERIMENTS / f"{name}.toml", sets or ())
+    except SpecError as err:
+        raise stop(str(err)) from None
 
 
 def program(what: str) -> Program:
@@ -76,10 +92,15 @@
              live: Live | None = None) -> tuple[records.Seen, dict[str, Any]]:  # fmt: skip
     """Play, judge and write `summary.json` and `experiment.json`; raises LabError or OSError."""
     seen = uvloop.run(play(spec, seed, what, out, human, live))
-    table = summary(spec, seed, what.label, seen, Judge(spec, seen).judge())
     (out / "experiment.json").write_bytes(msgspec.json.encode(spec))
+    return seen, judged(spec, seed, what.label, seen, out)
+
+
+def judged(spec: Experiment, seed: int, label: str, seen: records.Seen, out: Path) -> dict[str, Any]:
+    """Judge the records and write `summary.json`; raises OSError."""
+    table = summary(spec, seed, label, seen, Judge(spec, seen).judge())
     (out / "summary.json").write_text(json.dumps(table, indent=1) + "\n", "utf-8")
-    return seen, table
+    return table
 
 
 def verdict(table: dict[str, Any]) -> Exit:
@@ -90,6 +111,17 @@
     return Exit.HELD if good else Exit.SHORT
 
 
+def finish(table: dict[str, Any], as_json: bool, *lines: str) -> typer.Exit:
+    """Print a run's outcome, with further lines for people."""
+    if as_json:
+        print(json.dumps(table))
+    else:
+        show(table)
+        for line in lines:
+            print(line)
+    return typer.Exit(verdict(table))
+
+
 def show(table: dict[str, Any]) -> None:
     """A run's outcome for people."""
     screen = Console()
@@ -134,24 +166,15 @@
     what = program(HERE)
     with tempfile.TemporaryDirectory(prefix="dillport-demo-") as temporary:
         folder = out or Path(temporary)
-        try:
+        with one_line():
             with rich.live.Live(console=console, transient=True, refresh_per_second=4) as picture:
                 picture.update("starting three nodes")
                 seen, table = run_once(spec, seed, what, folder, False, Screen(picture))
             if out is not None:
                 write_report(spec, seen, table, out)
-        except (LabError, OSError) as err:
-            raise stop(str(err)) from None
-        except (asyncio.CancelledError, KeyboardInterrupt):
-            raise stop("interrupted") from None
-    if as_json:
-        print(json.dumps(table))
-    else:
-        show(table)
-        ends = table["figures"]
-        print(f"{ends['served']:.2%} of {ends['offered_per_s']:.0f} requests a second were served; "
-              f"{'no rule broke' if not ends['broken_rules'] else 'RULES BROKE'}")  # fmt: skip
-    raise typer.Exit(verdict(table))
+    ends = table["figures"]
+    served = f"{ends['served']:.2%} of {ends['offered_per_s']:.0f} requests a second were served"
+    raise finish(table, as_json, f"{served}; {'RULES BROKE' if ends['broken_rules'] else 'no rule broke'}")
 
 
 @lab.command("run")
@@ -165,29 +188,18 @@
     verbose: Annotated[bool, typer.Option("--verbose", "-v", help="Show the lab's log as it goes.")] = False,
 ) -> None:
     """Play an experiment. Exit code 0: expectations held; 1: one fell short; 2: not run, or rig too late."""
-    try:
-        spec = load(find(experiment), sets or ())
-    except SpecError as err:
-        raise stop(str(err)) from None
+    spec = experiment_of(experiment, sets)
     what = program(revision)
-    try:
-        with console.status(f"{spec.name}: {spec.seconds:g} s with {spec.fleet.nodes} nodes") as status:
-            seen, table = run_once(
-                spec, seed, what, out, verbose, None if verbose else lambda run: status.update(
-                    f"{spec.name}: {max(0.0, run.fleet.now() / 1000):.0f} of {spec.seconds:g} s"
-                ),
-            )  # fmt: skip
-            write_report(spec, seen, table, out)
-    except (LabError, OSError) as err:
-        raise stop(str(err)) from None
-    except (asyncio.CancelledError, KeyboardInterrupt):
-        raise stop("interrupted") from None
-    if as_json:
-        print(json.dumps(table))
-    else:
-        show(table)
-        print(f"{out / 'report.html'}")
-    raise typer.Exit(verdict(table))
+    title = f"{spec.name}: {spec.seconds:g} s with {spec.fleet.nodes} nodes"
+    with one_line(), console.status(title) as status:
+
+        def live(run: Run) -> None:
+            at = max(0.0, run.fleet.now() / 1000)
+            status.update(f"{spec.name}: {at:.0f} of {spec.seconds:g} s")
+
+        seen, table = run_once(spec, seed, what, out, verbose, None if verbose else live)
+        write_report(spec, seen, table, out)
+    raise finish(table, as_json, str(out / "report.html"))
 
 
 def write_report(spec: Experiment, seen: records.Seen, table: dict[str, Any], out: Path) -> None:
@@ -206,16 +218,11 @@
         spec = msgspec.json.decode((folder / "experiment.json").read_bytes(), type=Experiment)
         seen = records.read(folder / "records.msgpack")
         old = json.loads((folder / "summary.json").read_text("utf-8"))
-        table = summary(spec, old["seed"], old["program"], seen, Judge(spec, seen).judge())
-        (folder / "summary.json").write_text(json.dumps(table, indent=1) + "\n", "utf-8")
+        table = judged(spec, old["seed"], old["program"], seen, folder)
         write_report(spec, seen, table, folder)
     except (OSError, ValueError, KeyError, msgspec.MsgspecError) as err:
         raise stop(f"{folder} holds no whole run: {err}") from None
-    if as_json:
-        print(json.dumps(table))
-    else:
-        show(table)
-    raise typer.Exit(verdict(table))
+    raise finish(table, as_json)
 
 
 @lab.command("list")
@@ -265,13 +272,10 @@
     from dillport.lab.compare import compare, compare_page
     from dillport.lab.compare import table as rows_of
 
-    try:
-        spec = load(find(experiment), sets or ())
-    except SpecError as err:
-        raise stop(str(err)) from None
+    spec = experiment_of(experiment, sets)
     programs = (program(a), program(b))
     values: tuple[list[dict[str, float]], list[dict[str, float]]] = ([], [])
-    try:
+    with one_line():
         with Progress(console=console, transient=True) as progress:
             bar = progress.add_task(spec.name, total=2 * seeds)
             for seed in range(first_seed, first_seed + seeds):
@@ -289,10 +293,6 @@
                   "differences": rows_of(found)}  # fmt: skip
         (out / "compare.json").write_text(json.dumps(result, indent=1) + "\n", "utf-8")
         (out / "compare.html").write_text(compare_page(spec.name, names, *values, found), "utf-8")
-    except (LabError, OSError) as err:
-        raise stop(str(err)) from None
-    except (asyncio.CancelledError, KeyboardInterrupt):
-        raise stop("interrupted") from None
     if as_json:
         print(json.dumps(result))
     else:
--- a/dillport/lab/backends.py
+++ b/dillport/lab/backends.py
@@ -50,9 +50,7 @@
     def weather_changed(self) -> None:
         """Silence on the way of a node: its connections do not come up."""
         for node, listener in enumerate(self.listeners):
-            there, here = f"n{node}", self.name
-            weather = self.farm.weather
-            listener.darken(weather.between(there, here).cut or weather.between(here, there).cut)
+            listener.darken(self.farm.weather.severed(f"n{node}", self.name))
 
     def open(self) -> None:
         """Listen."""
@@ -175,7 +173,7 @@
         method = self.parser.get_method().decode()
         first, self.first = self.first, 0.0
         if method == "GET" and path in ("/alive", "/metrics/load"):
-            self._probe(path)
+            self._probe()
             return
         ident = self.headers.get(b"request-id", b"").decode("latin-1")
         if not ident:
@@ -220,11 +218,10 @@
         if self.host.alive and self.alive:
             self.host.offer(job, self)
 
-    def _probe(self, path: str) -> None:
+    def _probe(self) -> None:
         handled, waiting = self.host.core.report
         report = f"Server-Load: TEXT inflight={handled}, queue={waiting}"
-        up = not self.host.core.draining
-        self.send(answer("200 OK" if up else "503 Service Unavailable", b"", report))
+        self.send(answer("200 OK", b"", report))
 
     def conclude(self, job: Job) -> None:
         """The attempt has ended at the backend: answer it, or break."""
--- a/dillport/lab/clients.py
+++ b/dillport/lab/clients.py
@@ -17,8 +17,9 @@
 from dillport.lab.model.load import Arrivals, draw
 from dillport.lab.model.weather import Weather
 from dillport.lab.places import Places
-from dillport.lab.spec import Experiment, RequestClass, Terminate, batches, choose
+from dillport.lab.spec import Experiment, RequestClass, Terminate
 from dillport.lab.streams import stream
+from dillport.lab.timeline import timeline
 from dillport.lab.wires import Clock, Wire
 
 OVERDUE = 500.0  # ms after its time that an answer is still looked for: by then a request counts as lost
@@ -50,11 +51,6 @@
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self._watch(node)) for node in self.up]
 
-    def stop(self) -> None:
-        """Look no more."""
-        for task in self.tasks:
-            task.cancel()
-
     async def _watch(self, node: int) -> None:
         missed = 0
         while True:
@@ -69,8 +65,7 @@
             await asyncio.sleep(self.spec.clients.notice_s / 2 if self.up[node] else CHECK_OUT)
 
     async def _check(self, node: int) -> bool:
-        here, there = f"c-{self.zone}", f"n{node}"
-        if self.weather.between(here, there).cut or self.weather.between(there, here).cut:
+        if self.weather.severed(f"c-{self.zone}", f"n{node}"):
             return False
         writer: asyncio.StreamWriter | None = None
         try:
@@ -109,6 +104,7 @@
     step: Try
     record: records.TryRecord
     data: bytes
+    wire: ClientWire | None = None  # what it was written to last
     over: bool = False  # the client has moved on
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
@@ -118,7 +114,8 @@
 
     def __init__(self, crowd: Crowd, node: int, flight: Flight, uses: int) -> None:
         super().__init__(crowd.weather, crowd.clock, f"c-{crowd.zone}", f"n{node}")
-        self.crowd, self.node, self.flight, self.uses = crowd, node, flight, uses
+        self.crowd, self.node, self.uses = crowd, node, uses
+        self.flight: Flight | None = flight
         self.parser = httptools.HttpResponseParser(self)
         self.fresh = self.keep = True
 
@@ -129,7 +126,7 @@
 
     def write(self, flight: Flight) -> None:
         """Send a request on this connection."""
-        self.flight = flight
+        self.flight, flight.wire = flight, self
         flight.record.node, flight.record.fresh = self.node, self.fresh
         if flight.over:  # its time ran out while the connection came up
             self.crowd.free(self)
@@ -164,7 +161,7 @@
         record.body, record.retry_after = self.body.decode("latin-1"), self.retry_after
         end = End.SERVED if code == 200 else End.REFUSED if code in (429, 503) else End.FAILED
         self.keep = self.parser.should_keep_alive()
-        self.flight = None  # type: ignore[assignment]
+        self.flight = None
         self.crowd.ended(flight, end)
         self.crowd.free(self)
 
@@ -194,12 +191,11 @@
     def start(self) -> None:
         """The clock's zero is set: send from now on."""
         loop = asyncio.get_running_loop()
-        for fault in self.spec.faults:
-            if isinstance(fault, Terminate):
-                for step, names in enumerate(batches(choose(self.spec, fault.what), fault.batches)):
-                    at = fault.at + step * fault.every + LEAVES - self.clock.now() / 1000
-                    for name in names:
-                        loop.call_later(max(0.0, at), self.front.leave, int(name[1:]))
+        for moment in timeline(self.spec):
+            if isinstance(moment.fault, Terminate):
+                at = moment.at + LEAVES - self.clock.now() / 1000
+                for name in moment.names:
+                    loop.call_later(max(0.0, at), self.front.leave, int(name[1:]))
         self._due()
 
     def _due(self) -> None:
@@ -256,11 +252,10 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _connect(self, flight: Flight, node: int) -> None:
-        here, there = f"c-{self.zone}", f"n{node}"
         loop = asyncio.get_running_loop()
         flight.record.node = node
         uses = int(self.random.geometric(1 / self.spec.clients.per_connection))
-        while self.weather.between(here, there).cut or self.weather.between(there, here).cut:
+        while self.weather.severed(f"c-{self.zone}", f"n{node}"):
             if flight.over:
                 return
             await asyncio.sleep(0.02)
@@ -277,7 +272,7 @@
 
     def free(self, wire: ClientWire) -> None:
         """A connection is idle again."""
-        wire.flight = None  # type: ignore[assignment]
+        wire.flight = None
         if wire.uses <= 0 or not wire.keep:
             wire.finish()
         else:
@@ -288,7 +283,7 @@
         self.wires.discard(wire)
         with contextlib.suppress(ValueError):
             self.idle.remove(wire)
-        flight, wire.flight = wire.flight, None  # type: ignore[assignment]
+        flight, wire.flight = wire.flight, None
         if flight is None:
             return
         crossed = not wire.fresh and not flight.record.began and not flight.over and not flight.record.crossed
@@ -306,16 +301,10 @@
         flight.over, record.ended, record.end = True, now, end.value
         for timer in flight.timers:
             timer.cancel()
-        wire = (
-            next((w for w in self.wires if w.flight is flight), None)
-            if end in (End.SILENT, End.LEFT)
-            else None
-        )
-        if wire is not None:
-            if end is End.LEFT:
-                wire.reset()
-            else:
-                asyncio.get_running_loop().call_later(OVERDUE / 1000, self._hang_up, wire, flight)
+        if end is End.LEFT:
+            self._hang_up(flight)
+        elif end is End.SILENT:
+            asyncio.get_running_loop().call_later(OVERDUE / 1000, self._hang_up, flight)
         self.counts[end.value] += 1
         if end is End.SERVED:
             self.recent.append(now - flight.wish.intended)
@@ -329,9 +318,9 @@
             wait = max(0.0, when - now) / 1000
             asyncio.get_running_loop().call_later(wait, self._try, flight.wish, flight.row, when, record.wish)
 
-    def _hang_up(self, wire: ClientWire, flight: Flight) -> None:
-        if wire.flight is flight:
-            wire.reset()
+    def _hang_up(self, flight: Flight) -> None:
+        if flight.wire is not None and flight.wire.flight is flight:
+            flight.wire.reset()
 
     def live(self) -> dict[str, Any]:
         """Figures for the screen: ends of tries so far, and times of the answers since the last look."""
@@ -343,8 +332,13 @@
         }
 
 
+def wording(cls: RequestClass, wish: str) -> tuple[str, str]:
+    """The method and the body of an operation's requests."""
+    return ("GET", "") if cls.effect == "retryable" else ("POST", f'{{"wish":"{wish}"}}')
+
+
 def _request(record: records.TryRecord, cls: RequestClass, work: float, wait: float) -> bytes:
-    method = "GET" if cls.effect == "retryable" else "POST"
+    method, body = wording(cls, record.wish)
     lines = [
         f"{method} /{cls.name}/{record.wish}?{WORK}={work:.3f} HTTP/1.1", "Host: api.internal",
         f"Request-Id: {record.ident}", f"Request-Timeout: {wait:.3f}m",
@@ -353,10 +347,9 @@
         lines.append(f"Idempotency-Key: {record.key}")
     if record.number:
         lines.append("Client-Retry: 1")
-    body = b"" if method == "GET" else f'{{"wish":"{record.wish}"}}'.encode()
     if body:
         lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", body]).encode()
 
 
 def _part(whole: Arrivals, part: int, of: int) -> Arrivals:
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -15,7 +15,8 @@
 from dillport.lab import records
 from dillport.lab.judge import RULES, Judgement
 from dillport.lab.model.client import End
-from dillport.lab.spec import Expect, Experiment, Kill, Terminate
+from dillport.lab.spec import Expect, Experiment
+from dillport.lab.timeline import over
 
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
 HIGHEST = 60_000_000  # us that a latency can have in the histogram
@@ -116,11 +117,7 @@
     before = [
         g for t, g in zip(line["t_s"], line["goodput"], strict=True) if spec.warmup <= t < begin - WINDOW
     ]
-    ends = [f.until for f in spec.faults]
-    ends += [f.at + f.every * (f.batches - 1) for f in spec.faults if isinstance(f, (Kill, Terminate))]
-    ends += [f.at + f.every * (f.batches - 1) + f.restart_after for f in spec.faults
-             if isinstance(f, Kill) and f.restart_after is not None]  # fmt: skip
-    end, wanted = max(ends), RECOVERED * (float(np.mean(before)) if before else 1.0)
+    end, wanted = over(spec), RECOVERED * (float(np.mean(before)) if before else 1.0)
     good = 0
     for t, goodput in zip(line["t_s"], line["goodput"], strict=True):
         if t + WINDOW <= end:
@@ -231,19 +228,18 @@
 
     None where some view is wrong when the last clients have come.
     """
-    over = spec.seconds * 1000
-    alive = {x.node for x in seen.lives if x.started < over and (not x.ended or x.ended > over)}
+    until = spec.seconds * 1000
+    alive = {x.node for x in seen.lives if x.started < until and (not x.ended or x.ended > until)}
     last: dict[tuple[int, int], tuple[float, bool]] = {}
     for view in sorted(seen.views, key=lambda v: v.at):
         present = view.state in ("present", "suspected")
         before = last.get((view.node, view.member))
-        if view.at < over and (before is None or before[1] != present):
+        if view.at < until and (before is None or before[1] != present):
             last[view.node, view.member] = (view.at, present)
     pairs = {pair: state for pair, state in last.items() if pair[0] in alive}
     if any(present != (member in alive) for (_, member), (_, present) in pairs.items()):
         return None
-    end = max((f.until for f in spec.faults), default=0.0)
-    return max(0.0, max((at for at, _ in pairs.values()), default=0.0) / 1000 - end)
+    return max(0.0, max((at for at, _ in pairs.values()), default=0.0) / 1000 - over(spec))
 
 
 def held(expect: Expect, values: dict[str, float]) -> bool:
--- a/dillport/lab/judge.py
+++ b/dillport/lab/judge.py
@@ -14,7 +14,7 @@
 from itertools import pairwise
 
 from dillport.lab import records
-from dillport.lab.clients import OVERDUE
+from dillport.lab.clients import OVERDUE, wording
 from dillport.lab.model.backend import Verdict
 from dillport.lab.model.client import End
 from dillport.lab.model.directory import Phase
@@ -154,7 +154,7 @@
             return True
         return any(
             f.at * 1000 <= until and one.sent <= f.until * 1000
-            and (self.weather.hits(f, zone, name) or self.weather.hits(f, name, zone))
+            and self.weather.touches(f, zone, name)
             for f in self.links
         )  # fmt: skip
 
@@ -176,12 +176,10 @@
                 self.out.add("changed", attempt.first, attempt.node, f"{attempt.ident}: no client sent it")
                 continue
             cls = self.spec.load.classes[one.kind]
-            body = "" if cls.effect == "retryable" else f'{{"wish":"{one.wish}"}}'
             same = (
-                attempt.method == ("GET" if cls.effect == "retryable" else "POST")
+                (attempt.method, attempt.asked) == wording(cls, one.wish)
                 and attempt.path.startswith(f"/{cls.name}/{one.wish}?")
                 and attempt.key == one.key
-                and attempt.asked == body
             )
             if not same:
                 self.out.add(
@@ -274,9 +272,7 @@
                 continue
             if isinstance(fault, (DiscoveryDown, DiscoveryLate)):
                 return True
-            if isinstance(fault, Link) and (
-                self.weather.hits(fault, f"n{node}", "d") or self.weather.hits(fault, "d", f"n{node}")
-            ):
+            if isinstance(fault, Link) and self.weather.touches(fault, f"n{node}", "d"):
                 return True
         return any(n == f"n{node}" and a <= end and begin <= b for n, a, b in self.stalls)
 
--- a/dillport/lab/model/backend.py
+++ b/dillport/lab/model/backend.py
@@ -83,7 +83,6 @@
     random: np.random.Generator
     started: float = -1e12  # ms; long ago: warm
     trouble: Trouble = field(default_factory=Trouble)
-    draining: bool = False
     toppled: Topple | None = None
     stalled_at: float | None = None
 
@@ -105,7 +104,7 @@
             self.cell.pop(job.key, None)
         self.waiting.clear()
         self.fresh.clear()
-        self.draining, self.toppled, self.stalled_at = False, None, None
+        self.toppled = self.stalled_at = None
         self.trouble = Trouble()
 
     def warmth(self, now: float) -> float:
@@ -138,7 +137,7 @@
     def offer(self, now: float, job: Job) -> Verdict | None:
         """An attempt's last byte came; what it ends with at once, or None while it is held."""
         self._press(now, job)
-        if self.draining or self.toppled is not None:
+        if self.toppled is not None:
             return Verdict.TURNED_AWAY
         if self.trouble.gray and self._die() < self.trouble.gray:
             return Verdict.ERROR
--- a/dillport/lab/model/directory.py
+++ b/dillport/lab/model/directory.py
@@ -48,11 +48,6 @@
     def _last(self, name: str) -> Listed:
         return next(entry for _, entry in reversed(self.changes) if entry.name == name)
 
-    @property
-    def next_change(self) -> float | None:
-        """When `advance` has something to do."""
-        return self.planned[0][0] if self.planned else None
-
     def advance(self, now: float) -> list[Listed]:
         """What becomes known by `now`."""
         out: list[Listed] = []
--- a/dillport/lab/model/weather.py
+++ b/dillport/lab/model/weather.py
@@ -67,6 +67,14 @@
         here, there = self._chosen(fault.from_), self._chosen(fault.to)
         return (source in here and target in there) or (fault.both and source in there and target in here)
 
+    def touches(self, fault: Link, one: str, other: str) -> bool:
+        """Whether a fault lies on either way between two parties."""
+        return self.hits(fault, one, other) or self.hits(fault, other, one)
+
+    def severed(self, one: str, other: str) -> bool:
+        """Whether either way between two parties is cut: no connection comes up then."""
+        return self.between(one, other).cut or self.between(other, one).cut
+
     def between(self, source: str, target: str) -> Conditions:
         """What holds from `source` to `target` now."""
         found = self._known.get((source, target))
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -135,9 +135,7 @@
 
     process: asyncio.subprocess.Process
     life: records.LifeRecord
-    reader: asyncio.Task[None]
     stalled: bool = False
-    throttle: asyncio.Task[None] | None = None
 
     @property
     def alive(self) -> bool:
@@ -219,12 +217,13 @@
         )
         life = records.LifeRecord(self.number, process, fleet.now())
         fleet.lives.append(life)
-        out = Running(child, life, fleet.task(self._log(child, process)))
+        out = Running(child, life)
         self.running.append(out)
+        fleet.task(self._log(child, process))
         fleet.task(self._watch(out))
         fleet.task(self._ready(out, process))
         if fleet.spec.fleet.cores < 1:
-            out.throttle = fleet.task(throttle(out, fleet.spec.fleet.cores))
+            fleet.task(throttle(out, fleet.spec.fleet.cores))
         fleet.log.say(self.name, "started", pid=child.pid, process=process)
         return out
 
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -18,7 +18,8 @@
 
 from dillport.lab import records
 from dillport.lab.figures import WINDOW, backend_loads, series, wishes
-from dillport.lab.spec import Drain, Experiment, Kill, Link, Terminate, tag
+from dillport.lab.spec import Experiment, Link, tag
+from dillport.lab.timeline import over
 
 INK, GOOD, BAD, QUIET = "#1f2a37", "#1b7f5c", "#b3261e", "#8a94a3"
 SHADE = "#f2c14e"
@@ -42,15 +43,10 @@
     """Each fault's begin and end in seconds, and its name."""
     out = []
     for fault in spec.faults:
-        end = fault.until
-        if isinstance(fault, (Kill, Terminate)):
-            end += fault.every * (fault.batches - 1) + (fault.restart_after or 0.0)
-        elif isinstance(fault, Drain):
-            end += fault.restart_after
         what = getattr(fault, "what", "")
         if isinstance(fault, Link):
             what = f"{fault.from_} {'to and from' if fault.both else 'to'} {fault.to}"
-        out.append((fault.at, max(end, fault.at + 0.05), f"{tag(fault)} {what}".strip()))
+        out.append((fault.at, max(over(spec, fault), fault.at + 0.05), f"{tag(fault)} {what}".strip()))
     return out
 
 
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -26,7 +26,7 @@
 from dillport.lab.programs import ROOT, Program
 from dillport.lab.spec import Disk, Experiment, Kill, Maint, Reload, Stall, Terminate, Upgrade, tag
 from dillport.lab.timeline import Moment, Step, timeline
-from dillport.lab.worker import Plan
+from dillport.lab.worker import Plan, Role
 
 PER_WORKER = 1700.0  # first tries a second that one process of clients offers without being late
 MOST_WORKERS = 3
@@ -77,9 +77,10 @@
         self.rigs: list[Rig] = []
         self.bans: list[records.BanRecord] = []
         self.seen = records.Seen()
+        self.recent: list[float] = []  # ms: times of the answers since the last look at the live figures
         self.failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
-    async def _rig(self, role: str, part: int, of: int) -> None:
+    async def _rig(self, role: Role, part: int, of: int) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", "-m", "dillport.lab.worker", cwd=ROOT, start_new_session=True,
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=2**24,
@@ -87,7 +88,7 @@
         )  # fmt: skip
         rig = Rig(role, process, self.out / f"{role}-{part}.part.msgpack")
         self.rigs.append(rig)
-        plan = Plan(self.spec, self.seed, self.places.block, role, part, of, str(rig.path))  # type: ignore[arg-type]
+        plan = Plan(self.spec, self.seed, self.places.block, role, part, of, str(rig.path))
         rig.say(msgspec.json.encode(plan))
         self.log.say(f"{role}-{part}", "started", pid=process.pid)
         self.fleet.task(self._listen(rig))
@@ -109,8 +110,6 @@
         if not rig.written.is_set() and not self.failed.done():
             self.failed.set_exception(LabError(rig.error or f"the rig's {rig.role} ended with code {code}"))
 
-    recent: list[float]  # ms: times of the answers since the last look at the live figures
-
     async def _or_failed(self, work: Any, wait: float, what: str) -> None:
         """Wait for it, but not past a failure of the rig."""
         task = asyncio.ensure_future(work)
@@ -127,9 +126,7 @@
 
     async def whole(self) -> None:
         """Everything, from the start of the rig to the records."""
-        self.recent = []
-        count = min(MOST_WORKERS, 1 + int(self.spec.rate // PER_WORKER))
-        for role, of in (("backends", min(2, count)), ("clients", count), ("hub", 1)):
+        for role, of in workers(self.spec).items():
             for part in range(of):
                 await self._rig(role, part, of)
         await self._or_failed(_each([r.ready for r in self.rigs]), WORKER_READY, "the rig")
@@ -151,8 +148,8 @@
             _each([r.done for r in clients]), self.spec.seconds + longest + LEAD + 30,
             "the clients' last requests",
         )  # fmt: skip
-        rest = zero + max(self.spec.seconds + TAIL, 0) - time.monotonic()
-        await self._or_failed(asyncio.sleep(max(TAIL, rest)), 1e9, "")
+        rest = max(TAIL, zero + self.spec.seconds + TAIL - time.monotonic())
+        await self._or_failed(asyncio.sleep(rest), rest + TAIL, "the wait for late answers")
         watch.cancel()
         await self.fleet.end_all()
         for rig in self.rigs:
@@ -227,9 +224,8 @@
         self.seen.samples.extend(self.fleet.samples)
         self.seen.bans.extend(self.bans)
         if self.spec.fleet.membership:
-            wall = time.time() - (
-                time.monotonic() - self.fleet.zero
-            )  # of the run's zero; one machine, one clock
+            # One machine, one clock: the run's zero in Unix time.
+            wall = time.time() - (time.monotonic() - self.fleet.zero)
             self.seen.views.extend(views(self.out / "logs", wall))
         records.write(self.seen, self.out / "records.msgpack")
         shutil.rmtree(self.out / "nodes", ignore_errors=True)
@@ -257,6 +253,12 @@
             yield records.ViewRecord(node, (stamp - wall_zero) * 1000, int(found[2]), found[3])
 
 
+def workers(spec: Experiment) -> dict[Role, int]:
+    """How many processes of the rig play each role."""
+    count = min(MOST_WORKERS, 1 + int(spec.rate // PER_WORKER))
+    return {"backends": min(2, count), "clients": count, "hub": 1}
+
+
 async def _each(events: list[asyncio.Event]) -> None:
     for event in events:
         await event.wait()
@@ -264,8 +266,7 @@
 
 def _check_descriptors(spec: Experiment) -> None:
     """A process of backends listens for every pair, and holds the nodes' connections."""
-    parts = min(2, 1 + int(spec.rate // PER_WORKER))
-    listeners = spec.fleet.nodes * -(-spec.backends.count // parts)
+    listeners = spec.fleet.nodes * -(-spec.backends.count // workers(spec)["backends"])
     held = spec.fleet.nodes * spec.fleet.sockets
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     if listeners + min(held, 2 * listeners) + 100 > most:
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -9,7 +9,7 @@
 import tomllib
 from collections.abc import Iterable
 from pathlib import Path
-from typing import Any, Literal, get_args
+from typing import Any, Literal
 
 import msgspec
 from msgspec import field
@@ -488,6 +488,3 @@
         raise SpecError(f"{where.rstrip('`') or path.name}: {text}") from None
     _check(spec)
     return spec
-
-
-FAULT_KINDS = tuple(str(kind.__struct_config__.tag) for kind in get_args(AnyFault))
--- a/dillport/lab/timeline.py
+++ b/dillport/lab/timeline.py
@@ -26,6 +26,11 @@
     names: tuple[str, ...]
 
 
+def over(spec: Experiment, fault: AnyFault | None = None) -> float:
+    """When the last that is planned of a fault, or of all, has happened, in s; 0 where there is none."""
+    return max((m.at for m in timeline(spec) if fault is None or m.fault is fault), default=0.0)
+
+
 def timeline(spec: Experiment) -> list[Moment]:
     """All moments in order of time; none for a node's start after SIGTERM, as nobody knows when it ends."""
     out: list[Moment] = []
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -44,13 +44,16 @@
 PULSE = 0.02  # s between two looks at the event loop's lag
 
 
+Role = Literal["backends", "clients", "hub"]
+
+
 class Plan(msgspec.Struct):
     """What one process of the rig plays."""
 
     experiment: Experiment
     seed: int
     block: int
-    role: Literal["backends", "clients", "hub"]
+    role: Role
     part: int
     of: int
     records: str
@@ -127,7 +130,7 @@
         ]
         wires += [wire for crowd in self.crowds for wire in crowd.wires]
         for wire in wires:
-            if any(self.weather.hits(fault, *way) for way in ((wire.me, wire.peer), (wire.peer, wire.me))):
+            if self.weather.touches(fault, wire.me, wire.peer):
                 wire.reset()
 
     def _list(self, directory: DirectoryService, moment: Moment) -> None:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -10,7 +10,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -276,7 +275,10 @@
             sock.setblocking(False)
             sockets.append(sock)
         loop = asyncio.get_running_loop()
-        receive: Callable[[int], Any] = lambda n: asyncio.wait_for(loop.sock_recvfrom(sockets[n], 300), WAIT)  # noqa: E731
+
+        async def receive(node: int) -> Any:
+            return await asyncio.wait_for(loop.sock_recvfrom(sockets[node], 300), WAIT)
+
         sockets[0].sendto(b"hello", block.places.relay(0, 2))
         assert await receive(2) == (b"hello", block.places.relay(2, 0))
         sockets[1].sendto(b"all", block.places.relay(1, 1))
