Membership and the fleet file: the node's file has one reader, and less stands in the core

Found on a second reading, behaviour as it was: net/fleet.py read and checked the platform's file by itself, beside net/config.py (read and address_at are public now and serve both; a missing peer_listen says 'is missing', as any other field); return values that nobody used; a callback of the socket that nobody gave; lines broken in odd places.

--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -2,10 +2,9 @@
 
 Sources: SWIM (Das, Gupta, Motivala 2002): probes in round-robin over a shuffled order, indirect probes,
 suspicion, incarnations. Lifeguard (Dadgar, Phillips, Currey 2018): local health, a suspicion time that
-shortens with independent
-confirmations, the suspect told first. Beyond them, as the platform allows one datagram to all (`peers_all`):
-what is urgent is broadcast under a budget that counts what others broadcast, so that it costs a node no more
-in a larger fleet.
+shortens with independent confirmations, the suspect told first. Beyond them, as the platform allows one
+datagram to all (`peers_all`): what is urgent is broadcast under a budget that counts what others broadcast,
+so that it costs a node no more in a larger fleet.
 
 All that is known of a member is ordered by (life, incarnation, state), and views are joined by the greatest:
 rumours may come late, twice or in any order. A node alone raises its own incarnation, and `left` ends a life
@@ -192,9 +191,8 @@
         self._number = self._sequence = self._periods = 0
         self._order: list[int] = []
         self._probes: dict[int, Probe] = {}  # by sequence
-        self._relays: dict[
-            int, tuple[int, int]
-        ] = {}  # by own sequence: for whom, and under which number of his
+        # By own sequence: for whom a probe is, and under which number of his.
+        self._relays: dict[int, tuple[int, int]] = {}
         self._suspicions: dict[int, Suspicion] = {}
         self._doubts: dict[int, Rumour] = {}  # deaths that repairs told of, of members that seem alive
         self._rumours: dict[int, int] = {}  # members that are gossiped about: how often so far
@@ -348,16 +346,12 @@
         self._worse(probe.nacks_due - probe.nacks if probe.nacks_due else 1)
         known = self.view.known[probe.target]
         if known.state in PRESENT:
-            self._suspect(known, self.me)
+            self._suspect(known)
 
     # --- suspicion
 
-    def _suspect(self, known: Rumour, accuser: int) -> None:
-        rumour = Rumour(known.member, known.life, known.incarnation, State.SUSPECT, accuser)
-        if known.state is State.SUSPECT:
-            self._confirm(rumour)
-        else:
-            self._learn(rumour)
+    def _suspect(self, known: Rumour) -> None:
+        self._learn(Rumour(known.member, known.life, known.incarnation, State.SUSPECT, self.me))
 
     def _confirm(self, rumour: Rumour) -> None:
         """Somebody else has come to the same suspicion: that is news as long as it shortens it."""
@@ -399,20 +393,19 @@
 
     # --- what is learned
 
-    def _learn(self, rumour: Rumour) -> bool:
-        """Take a rumour if it is newer than what is known; whether it was."""
+    def _learn(self, rumour: Rumour) -> None:
+        """Take a rumour if it is newer than what is known."""
         if not 0 <= rumour.member < self.count:
             self.counts["no_such_member"] += 1
-            return False
+            return
         if rumour.member == self.me:
-            return self._about_me(rumour)
+            self._about_me(rumour)
+            return
         known = self.view.known[rumour.member]
-        if rumour.key <= known.key:
-            if rumour.key == known.key and rumour.state is State.SUSPECT:
-                self._confirm(rumour)
-            return False
-        self._take(rumour)
-        return True
+        if rumour.key > known.key:
+            self._take(rumour)
+        elif rumour.key == known.key and rumour.state is State.SUSPECT:
+            self._confirm(rumour)
 
     def _take(self, rumour: Rumour) -> None:
         was, old = self.view.hash, self.view.put(rumour)
@@ -426,25 +419,24 @@
         if old.state is not rumour.state or old.life != rumour.life:
             self._acts.append(Changed(rumour.member, old.state, rumour.state, rumour.life))
 
-    def _about_me(self, rumour: Rumour) -> bool:
+    def _about_me(self, rumour: Rumour) -> None:
         """Others say what is not true: of this life it is refuted, an earlier one is out of date anyway."""
         own = self.view.known[self.me]
         if rumour.key <= own.key or self.leaving:
-            return False
+            return
         if rumour.life == self.life and rumour.incarnation < LAST_WORD - 1:
             self.incarnation = rumour.incarnation + 1
         elif max(self.life, rumour.life) < LAST_LIFE:  # this life's number was too low, or is used up
             self.life, self.incarnation = max(self.life, rumour.life) + 1, 0
         else:  # no number is above it: whoever says so keeps this node out, and operators see it counted
             self.counts["outbid"] += 1
-            return False
+            return
         self.counts["refutations"] += 1
         if rumour.state is State.SUSPECT:  # after a partition all are held for dead: no sign of their health
             self._worse(1)
         fresh = Rumour(self.me, self.life, self.incarnation, State.ALIVE)
         self._take(fresh)
         self._broadcast(fresh)
-        return True
 
     def _leave(self) -> None:
         if not self.leaving:
@@ -494,11 +486,10 @@
                 self._spend(1.0)  # a broadcast that another one made counts here, too
 
     def _doubted(self, rumour: Rumour) -> bool:
-        """Whether a repair says that one is dead whom this node holds for alive: he is asked before it is
-        believed.
+        """Whether a repair says that one is dead whom this node holds for alive.
 
-        After a partition each side holds the other for dead; told so, the living would bury their own
-        neighbours.
+        He is asked before it is believed: after a partition each side holds the other for dead; told so, the
+        living would bury their own neighbours.
         """
         known = self.view.known[rumour.member] if rumour.member < self.count else None
         if rumour.state is not State.DEAD or known is None or known.state is not State.ALIVE:
@@ -583,9 +574,8 @@
         self, kind: Kind, sequence: int, subject: int, extra: bytes, rumours: tuple[Rumour, ...]
     ) -> bytes:
         incarnation = LAST_WORD if self.leaving else self.incarnation
-        return encode(Message(kind, self.me, self.life, incarnation, sequence & 0xFFFFFFFF, self.view.hash,
-        subject,
-                              extra, rumours))  # fmt: skip
+        number, view = sequence & 0xFFFFFFFF, self.view.hash
+        return encode(Message(kind, self.me, self.life, incarnation, number, view, subject, extra, rumours))
 
     def _gossip(self, first: Rumour | None, room: int) -> tuple[Rumour, ...]:
         """One rumour that must go, then those that were told least so far."""
--- a/dillport/membership/messages.py
+++ b/dillport/membership/messages.py
@@ -1,7 +1,7 @@
 """Datagrams between nodes: at most 256 bytes, checked, versioned. What is unknown is skipped.
 
-    crc32:u32 version:u8 kind:u8 sender:u16 life:u32 incarnation:u16 sequence:u32 view:u32 subject:u16
-    extra:u8 (extra bytes) (rumours)
+    crc32:u32 version:u8 kind:u8 sender:u16 life:u32 incarnation:u16
+    sequence:u32 view:u32 subject:u16 extra:u8 (extra bytes) (rumours)
 
 A rumour is member:u16 life:u32 incarnation:u16 state:u8, and accuser:u16 where the state is SUSPECT. All
 numbers are big-endian. A datagram of a later version has its new fields in `extra`; a kind or a state that
@@ -95,10 +95,11 @@
 def encode(message: Message) -> bytes:
     """The bytes of a message; raises MessageError if it is too long."""
     m = message
-    parts = [
-        HEAD.pack(0, VERSION, m.kind, m.sender, m.life, m.incarnation, m.sequence, m.view, m.subject,
-        len(m.extra)), m.extra,
-    ]  # fmt: skip
+    extra = len(m.extra)
+    head = HEAD.pack(
+        0, VERSION, m.kind, m.sender, m.life, m.incarnation, m.sequence, m.view, m.subject, extra
+    )
+    parts = [head, m.extra]
     for r in m.rumours:
         parts.append(RUMOUR.pack(r.member, r.life, r.incarnation, r.state))
         if r.state is State.SUSPECT:
@@ -135,14 +136,5 @@
             at += ACCUSER.size
         if State.UNKNOWN < state <= State.LEFT:
             rumours.append(Rumour(member, its_life, its_incarnation, State(state), accuser))
-    return Message(
-        kind,
-        sender,
-        life,
-        incarnation,
-        sequence,
-        view,
-        subject,
-        data[HEAD.size : HEAD.size + extra],
-        tuple(rumours),
-    )
+    more = data[HEAD.size : HEAD.size + extra]
+    return Message(kind, sender, life, incarnation, sequence, view, subject, more, tuple(rumours))
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -6,7 +6,6 @@
 import logging
 import socket
 import time
-from collections.abc import Callable
 
 from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
@@ -31,12 +30,12 @@
 
 
 class MembershipShell(asyncio.DatagramProtocol):
-    """The socket of one node's membership. `changed` is told of each change in what is known of a member."""
+    """The socket of one node's membership."""
 
     def __init__(self, config: Config, me: int, listen: Address, peers: list[Address], everybody: Address,
-                 seed: int, changed: Callable[[Changed], None] = lambda change: None) -> None:  # fmt: skip
+                 seed: int) -> None:  # fmt: skip
         self.config, self.me, self.listen, self.peers, self.everybody = config, me, listen, peers, everybody
-        self.seed, self.changed = seed, changed
+        self.seed = seed
         self.number = {address: node for node, address in enumerate(peers)}
         self.loop = asyncio.get_running_loop()
         self.core: Membership | None = None
@@ -84,7 +83,6 @@
                 self._send(action)
             else:
                 self._say(action)
-                self.changed(action)
         if self.core.due < self.due:
             if self.timer is not None:
                 self.timer.cancel()
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -125,7 +125,8 @@
     return News(revision, complete, tuple(map(_member, raw["members"])))
 
 
-def _at(raw: Mapping[str, Any], env: Mapping[str, str], name: str) -> Address:
+def address_at(raw: Mapping[str, Any], env: Mapping[str, str], name: str) -> Address:
+    """A field that is an address; the environment takes precedence over the file. Raises ConfigError."""
     value = env.get(PREFIX + name.upper()) or raw.get(name)
     if value is None:
         raise ConfigError(f"{name} is missing")
@@ -135,7 +136,8 @@
         raise ConfigError(f"{name} makes no sense: {value!r:.120}") from None
 
 
-def _read(env: Mapping[str, str]) -> dict[str, Any]:
+def read(env: Mapping[str, str]) -> dict[str, Any]:
+    """The platform's file as it stands; raises ConfigError."""
     path = env.get(PREFIX + "CONFIG")
     if not path:
         raise ConfigError(f"{PREFIX}CONFIG is missing")
@@ -169,7 +171,7 @@
 
     Guards against a file that lost a key: it would fall back to a default that nobody asked for.
     """
-    raw = _read(env)
+    raw = read(env)
     if lost := sorted(held.keys - set(_keys(raw))):
         raise ConfigError(f"{lost[0]} is missing")
     # The environment is as old as the process: the file alone says where discovery is now.
@@ -182,7 +184,7 @@
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment points to; raises ConfigError."""
-    return _checked(_read(env), env)
+    return _checked(read(env), env)
 
 
 def _checked(raw: Mapping[str, Any], env: Mapping[str, str]) -> Config:
@@ -211,14 +213,14 @@
     asked_for = env.get(PREFIX + "CONSOLE") or raw.get("console")
     return Config(
         name=str(env.get(PREFIX + "NAME") or raw.get("name", "")),
-        listen=_at(raw, env, "listen"),
-        discovery=_at(raw, env, "discovery"),
+        listen=address_at(raw, env, "listen"),
+        discovery=address_at(raw, env, "discovery"),
         seed=number,
         settings=settings,
         known=known,
         sockets=sockets,
         memory_mb=float(memory),
-        console=None if asked_for is None else _at(raw, env, "console"),
+        console=None if asked_for is None else address_at(raw, env, "console"),
         keys=frozenset(_keys(raw)),
         class_keys=_class_keys(raw),
     )
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import tomllib
 from collections.abc import Mapping
@@ -17,7 +16,8 @@
 
 from dillport.membership.core import Config as MembershipConfig
 from dillport.membership.shell import MembershipShell
-from dillport.net.config import PREFIX, Address, Config, ConfigError, address
+from dillport.net import config
+from dillport.net.config import Address, ConfigError, address, address_at
 
 log = logging.getLogger(__name__)
 
@@ -66,30 +66,23 @@
         if one in found:
             raise ConfigError(f"peers[{index}] is there twice: {row}")
         found.append(one)
-    others = []
-    for name in ("peer_listen", "peers_all"):
-        try:
-            others.append(address(raw.get(name)))
-        except ValueError:
-            raise ConfigError(f"{name} makes no sense: {raw.get(name)!r:.120}") from None
-    return others[0], found, others[1]
+    return address_at(raw, {}, "peer_listen"), found, address_at(raw, {}, "peers_all")
 
 
 class Fleet:
     """The rooms that the fleet file switches on, for one process of a node."""
 
-    def __init__(self, env: Mapping[str, str], config: Config) -> None:
+    def __init__(self, env: Mapping[str, str], held: config.Config) -> None:
         table = read(Path(env[VARIABLE]))
         self.membership: MembershipShell | None = None
         self._opening: asyncio.Task[None] | None = None
         if table.membership is not None:
-            raw = json.loads(Path(env[PREFIX + "CONFIG"]).read_text("utf-8"))
-            listen, peers, everybody = _peers(raw)
-            me = config.settings.me
+            listen, peers, everybody = _peers(config.read(env))
+            me = held.settings.me
             if me >= len(peers):
                 raise ConfigError(f"settings: me makes no sense: {me} of {len(peers)} peers")
             scale = table.membership.period_ms / MembershipConfig().period
-            self.membership = MembershipShell(_scaled(scale), me, listen, peers, everybody, config.seed)
+            self.membership = MembershipShell(_scaled(scale), me, listen, peers, everybody, held.seed)
 
     def start(self) -> None:
         """Be present, unless it is so already. A successor calls this when its predecessor has ended."""
