Membership: pages and roll calls to all, a second ping, damping; view events; peers at SIGHUP

Need: after a healed partition of 200 nodes views agreed only after 10 to 12 s (bound 5) at 2.5 times the usual rate (bound 2); 5% loss cost 4.4 datagrams a second (bound 4); nodes that stall were buried at nearly every stall.

Cause, by a time series of wrong entries and of datagrams by kind after the heal: each death was refuted one by one as probes happened to meet, and everybody began to repair everybody at once (1.5 digests and 1 page a node a second). Change: a death that was none makes nodes call the roll of those they hold for dead, all to one page; the named answer the caller, and his page tells all. Pages go out after exponential waits, so the tier sends 8 a second whatever its size, and what was heard on one is not told on (as in SRM). A repair waits until all views heard differ for a period. A probe goes out once more before others are asked. A member whose death was none gets twice the time at the next suspicion. New: events ViewChanged and Disagreement, `Peers` at SIGHUP, `fleet members|view` of the command line, details in /stats. Not taken: gossip of the dead to all after a heal: their own neighbours would bury them before they refute it.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -32,15 +32,18 @@
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
-def reload(node: Node, discovery: Discovery) -> None:
+def reload(node: Node, discovery: Discovery, fleet: Fleet | None) -> None:
     """SIGHUP: the configuration file has been replaced; a bad one changes nothing."""
     try:
         config = config_file.reload(os.environ, node.config)
+        rooms = fleet.checked(os.environ, config) if fleet is not None else None
     except ConfigError as err:
         node.figures.reload_errors += 1
         logging.warning("reload: %s; nothing is taken", " ".join(str(err).split()))
         return
     node.reconfigure(config)
+    if rooms is not None:
+        rooms()
     logging.info("reload: classes %s, %d attempts, discovery at %s:%d",
                  " ".join(node.classes), config.settings.max_attempts, *config.discovery)  # fmt: skip
     if config.discovery != discovery.address:
@@ -72,7 +75,7 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, node, discovery)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, discovery, fleet)
     beside = False
     if config.console is not None:
         await console.listen(config.console)
--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -5,10 +5,8 @@
 import asyncio
 import contextlib
 import json
-import sys
 import tempfile
 from collections.abc import Iterator
-from enum import IntEnum
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -20,6 +18,8 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from dillport.cli import fleet
+from dillport.cli.output import Exit, stop
 from dillport.lab import records
 from dillport.lab.figures import FEWEST, JUDGED, summary
 from dillport.lab.judge import RULES, Judge
@@ -35,17 +35,10 @@
     help="Experiments: real nodes, stand-ins round them, faults between them.", no_args_is_help=True
 )
 app.add_typer(lab, name="lab")
+app.add_typer(fleet.app, name="fleet")
 console = Console(stderr=True)
 
 
-class Exit(IntEnum):
-    """What the exit code says."""
-
-    HELD = 0
-    SHORT = 1
-    NOT_RUN = 2
-
-
 Out = Annotated[Path, typer.Option("--out", help="Folder for the results; made if it is missing.")]
 Sets = Annotated[
     list[str] | None, typer.Option("--set", help="KEY=VALUE overrides a field, dotted. Repeatable.")
@@ -53,12 +46,6 @@
 AsJson = Annotated[bool, typer.Option("--json", help="Print the result as JSON on standard output.")]
 
 
-def stop(text: str) -> typer.Exit:
-    """One line on standard error, exit code 2."""
-    print(f"dillport: {' '.join(text.split())}", file=sys.stderr)
-    return typer.Exit(Exit.NOT_RUN)
-
-
 @contextlib.contextmanager
 def one_line() -> Iterator[None]:
     """What can go wrong while something is played ends the command with one line."""
--- /dev/null
+++ b/dillport/cli/fleet.py
@@ -0,0 +1,206 @@
+"""`dillport fleet`: what one node's console says of the tier. Exit code 0: all is well; 1: it is not.
+
+Well is: every member present and none suspected (`members`); more than half of the tier present, and all
+peers heard lately hold the same for present (`view`).
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Annotated, Any
+
+import msgspec
+import rich.live
+import typer
+from rich.console import Console, Group, RenderableType
+from rich.table import Table
+from rich.text import Text
+
+from dillport.cli.output import Exit, stop
+from dillport.net.config import address
+
+PATIENCE = 2.0  # s for a console to answer
+EVERY = 1.0  # s between two looks of --watch
+COLOURS = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim", "unknown": "dim"}
+
+app = typer.Typer(
+    help="The tier as one node sees it: who is present, and whether the others agree.", no_args_is_help=True
+)
+
+At = Annotated[str, typer.Option("--console", help="HOST:PORT of a node's console.")]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON, with --watch a line for each look.")]
+Watch = Annotated[bool, typer.Option("--watch", help="Look every second until Ctrl-C.")]
+
+
+class Membership(msgspec.Struct):
+    """`fleet.membership` of `/stats`, as far as it is shown; what is unknown is skipped."""
+
+    present: bool
+    me: int = 0
+    nodes: int = 0
+    present_nodes: int = 0
+    life: int = 0
+    incarnation: int = 0
+    view: str = ""
+    view_for_ms: int = 0
+    view_reason: str = ""
+    agreement: float = 1.0
+    quorum: bool = False
+    health: int = 0
+    columns: list[str] = []
+    members: list[list[Any]] = []
+    counts: dict[str, int] = {}
+
+    def rows(self) -> list[dict[str, Any]]:
+        """The members, each with its number and named fields."""
+        return [{"node": n} | dict(zip(self.columns, m, strict=False)) for n, m in enumerate(self.members)]
+
+
+class Rooms(msgspec.Struct):
+    """The `fleet` object."""
+
+    membership: Membership | None = None
+
+
+class Stats(msgspec.Struct):
+    """`GET /stats`, as far as it is read here."""
+
+    fleet: Rooms | None = None
+
+
+def look(console: str) -> Membership:
+    """What the console says now; raises typer.Exit with one line where it says nothing of use."""
+    try:
+        host, port = address(console)
+    except ValueError as err:
+        raise stop(f"--console makes no sense: {err}") from None
+    link = http.client.HTTPConnection(host, port, timeout=PATIENCE)
+    try:
+        link.request("GET", "/stats")
+        answer = link.getresponse()
+        body = answer.read()
+    except (OSError, http.client.HTTPException) as err:
+        raise stop(f"{console} does not answer: {err}") from None
+    finally:
+        link.close()
+    if answer.status != 200:
+        raise stop(f"{console} answers {answer.status} to GET /stats")
+    try:
+        stats = msgspec.json.decode(body, type=Stats)
+    except msgspec.MsgspecError as err:
+        raise stop(f"{console} gives no figures of a node: {err}") from None
+    if stats.fleet is None or stats.fleet.membership is None:
+        raise stop(f"{console}: membership is off there (PROXY_FLEET names no file with [membership])")
+    if not stats.fleet.membership.present:
+        raise stop(f"{console}: the node takes no part: its socket could not be had, or it has ended")
+    return stats.fleet.membership
+
+
+def ago(ms: float) -> str:
+    """A time span for people."""
+    for unit, size in (("d", 86_400_000), ("h", 3_600_000), ("min", 60_000), ("s", 1000)):
+        if ms >= size:
+            return f"{ms / size:.0f} {unit}"
+    return f"{ms:.0f} ms"
+
+
+def table_of(seen: Membership) -> RenderableType:
+    """The members for people."""
+    table = Table(title=f"{seen.present_nodes} of {seen.nodes} present, as node {seen.me} sees it",
+                  title_justify="left")  # fmt: skip
+    for name in ("node", "state", "for", "life", "incarnation", "its view"):
+        table.add_column(name, justify="right" if name in ("node", "for", "life", "incarnation") else "left")
+    for row in seen.rows():
+        state, own = row["state"], row["node"] == seen.me
+        view = seen.view if own else row["view"]
+        note = "" if view is None else view if view == seen.view else f"[yellow]{view}[/yellow]"
+        colour = COLOURS.get(state, "")
+        table.add_row(f"{row['node']}{'*' if own else ''}", f"[{colour}]{state}[/{colour}]",
+                      ago(row["changed_ms"]), str(row["life"]), str(row["incarnation"]), note)  # fmt: skip
+    return table
+
+
+def members_held(seen: Membership) -> bool:
+    """Whether every member is present and none is suspected."""
+    return all(row["state"] == "alive" for row in seen.rows())
+
+
+def summary(seen: Membership) -> dict[str, Any]:
+    """The view in few fields."""
+    states = Counter(row["state"] for row in seen.rows())
+    others = [r["node"] for r in seen.rows()
+              if r["state"] in ("alive", "suspect") and r["view"] not in (None, seen.view)
+              and r["node"] != seen.me]  # fmt: skip
+    return {
+        "node": seen.me, "view": seen.view, "for_ms": seen.view_for_ms, "reason": seen.view_reason,
+        "nodes": seen.nodes, "present": seen.present_nodes, "states": dict(states), "quorum": seen.quorum,
+        "agreement": seen.agreement, "last_said_otherwise": others, "health": seen.health,
+        "life": seen.life, "incarnation": seen.incarnation, "counts": seen.counts,
+    }  # fmt: skip
+
+
+def view_of(seen: Membership) -> RenderableType:
+    """The view for people."""
+    row = summary(seen)
+    quorum = "more than half" if seen.quorum else "[red]a minority[/red]"
+    agree = f"{seen.agreement:.0%}" if seen.agreement == 1 else f"[yellow]{seen.agreement:.0%}[/yellow]"
+    states = ", ".join(f"{count} {state}" for state, count in sorted(row["states"].items()))
+    named = row["last_said_otherwise"]
+    more = f" and {len(named) - 20} more" if len(named) > 20 else ""
+    others = ", ".join(map(str, named[:20])) + more if named else "none"
+    counts = ", ".join(f"{name} {count}" for name, count in sorted(seen.counts.items()))
+    lines = [
+        f"node {seen.me}, life {seen.life}, incarnation {seen.incarnation}, late by {seen.health} of 8",
+        f"view {seen.view} for {ago(seen.view_for_ms)} ({seen.view_reason})",
+        f"{seen.present_nodes} of {seen.nodes} present, {quorum}: {states}",
+        f"{agree} of the peers heard lately agree; last said otherwise: {others}",
+        f"counts: {counts}",
+    ]
+    return Group(*(Text.from_markup(line) for line in lines))
+
+
+def view_held(seen: Membership) -> bool:
+    """Whether this node is of a majority whose views agree."""
+    return seen.quorum and seen.agreement == 1.0
+
+
+def show(
+    at: str, as_json: bool, watch: bool, data: Callable[[Membership], Any],
+    draw: Callable[[Membership], RenderableType], held: Callable[[Membership], bool],
+) -> typer.Exit:  # fmt: skip
+    """Look once, or again and again; the exit code is that of the last look."""
+    seen = look(at)
+    try:
+        if watch and not as_json:
+            with rich.live.Live(draw(seen), console=Console(), refresh_per_second=2) as picture:
+                while True:
+                    time.sleep(EVERY)
+                    seen = look(at)
+                    picture.update(draw(seen))
+        while watch:
+            print(json.dumps(data(seen)), flush=True)
+            time.sleep(EVERY)
+            seen = look(at)
+    except KeyboardInterrupt:
+        return typer.Exit(Exit.HELD if held(seen) else Exit.SHORT)
+    if as_json:
+        print(json.dumps(data(seen)))
+    else:
+        Console().print(draw(seen))
+    return typer.Exit(Exit.HELD if held(seen) else Exit.SHORT)
+
+
+@app.command()
+def members(console: At, as_json: AsJson = False, watch: Watch = False) -> None:
+    """Every member, its state and life. Exit code 0: all present; 1: some are not; 2: no answer."""
+    raise show(console, as_json, watch, Membership.rows, table_of, members_held)
+
+
+@app.command()
+def view(console: At, as_json: AsJson = False, watch: Watch = False) -> None:
+    """Whether the tier agrees. Exit code 0: a majority that agrees; 1: not; 2: no answer."""
+    raise show(console, as_json, watch, summary, view_of, view_held)
--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -9,6 +9,11 @@
 All that is known of a member is ordered by (life, incarnation, state), and views are joined by the greatest:
 rumours may come late, twice or in any order. A node alone raises its own incarnation, and `left` ends a life
 for good.
+
+Where much is new at once (a cold start, a healed partition), pages of rumours go to all: every node that has
+a page waiting sends it after an exponential wait of mean count / `pages`, so that the tier as a whole sends
+so many a second whatever its size, and what a node hears on a page it tells no further (suppression as in
+SRM, Floyd et al. 1997).
 """
 
 from __future__ import annotations
@@ -21,6 +26,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 from dillport.membership.messages import (
     BUCKETS,
@@ -29,6 +35,7 @@
     LAST_WORD,
     NOBODY,
     ROOM,
+    RUMOUR,
     Kind,
     Message,
     MessageError,
@@ -42,10 +49,16 @@
 MIX, MASK = 0x9E3779B97F4A7C15, 2**64 - 1
 PRESENT = frozenset({State.ALIVE, State.SUSPECT})
 HEARD_LATELY = 15  # periods for which a peer's view counts in `agreement`
+MOST_FLAPS = 3  # more do not lengthen a suspicion further
 MOST_TIMERS = 4096
 PER_DATAGRAM = ROOM // 9  # rumours
-MOST_EXTRA = 1  # datagrams a period that carry rumours alone, while more wait than one holds
+MANY = 1  # rumours that were hardly told so far: enough for a page
+CROWD = 4  # members suspected at once from which one helper is enough: no lost datagram explains them
+LAST_ROUNDS = 4  # how often a rumour heard on a page is told on: some have missed the page
 MOST_REPAIRS = 8  # peers that are repaired at once
+QUIET = 1  # periods in which all views heard differ and the own does not change, before a repair begins
+ANYWAY = 3  # periods after which it begins without such a quiet
+ROLL_AGAIN = 10  # periods between two roll calls of the same member
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,7 +66,7 @@
     """Times in ms. The defaults hold the bounds in `docs/membership.md`."""
 
     period: float = 700.0  # between two probes
-    direct: float = 250.0  # until a probe that is not answered goes by way of others
+    direct: float = 250.0  # until a probe goes by way of others; after half of it it is sent once more
     indirect: float = 300.0  # and until it has failed
     helpers: int = 3
     suspicion_least: float = 600.0
@@ -61,11 +74,21 @@
     confirmations: int = 3  # that bring the suspicion's time to its least
     checks: float = 4.0  # nodes, on average, that look for themselves when one is suspected
     broadcasts: float = 4.0  # a second, own and heard
+    pages: float = 8.0  # a second, of all nodes together, while much is new
+    disagreement: float = 10_000.0  # until views that differ are worth a word to the operators
     reconnect: int = 4  # periods between two probes of a member that is not present
     repair: int = 40  # periods between two repairs with somebody whose view seems the same
     local_health: bool = True
     suspect_first: bool = True  # the suspect hears of it first
     shorten: bool = True  # suspicion shortens with confirmations
+    retry: bool = True  # a probe is sent once more before it goes by way of others
+    damping: float = 120_000.0  # for which a member that was held for dead and lived gets more time; 0: none
+
+    @classmethod
+    def plain(cls) -> Config:
+        """SWIM as published in 2002, to be compared with: no extension, nothing to all."""
+        return cls(checks=0.0, broadcasts=0.0, pages=0.0, local_health=False, suspect_first=False,
+                   shorten=False, retry=False, damping=0.0)  # fmt: skip
 
 
 # --- events
@@ -89,7 +112,15 @@
     """The node is about to end in good order. It goes on answering until it does."""
 
 
-Event = Tick | Received | Leave
+@dataclass(slots=True, frozen=True)
+class Peers:
+    """The tier is of so many nodes now; at the numbers `replaced` others are at home than before."""
+
+    count: int
+    replaced: frozenset[int] = frozenset()
+
+
+Event = Tick | Received | Leave | Peers
 
 # --- actions
 
@@ -112,7 +143,25 @@
     life: int
 
 
-Action = Tell | Changed
+@dataclass(slots=True, frozen=True)
+class ViewChanged:
+    """Who is present is another set than before, or their lives are; one for each event at most."""
+
+    view: int  # hash of the members that are present, and their lives
+    present: int
+    quorum: bool
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Disagreement:
+    """Peers' views have differed from this one for longer than `Config.disagreement`, or do no more."""
+
+    lasts: bool
+    share: float  # of the present peers heard lately, those that agree
+
+
+Action = Tell | Changed | ViewChanged | Disagreement
 
 
 @dataclass(slots=True)
@@ -138,10 +187,55 @@
     """A probe under way."""
 
     target: int
+    helpers: int
     nacks_due: int = 0
     nacks: int = 0
 
 
+class Queue:
+    """Members that are gossiped about, least told first; among equals the one that waits longest."""
+
+    def __init__(self, most: int) -> None:
+        self.levels: list[dict[int, None]] = [{} for _ in range(most)]  # by how often they were told
+        self.told: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return len(self.told)
+
+    def put(self, member: int, told: int = 0) -> None:
+        """Gossip about a member as if it had been told `told` times so far."""
+        self.drop(member)
+        if told < len(self.levels):
+            self.told[member] = told
+            self.levels[told][member] = None
+
+    def drop(self, member: int) -> None:
+        """No more gossip about a member."""
+        if (told := self.told.pop(member, None)) is not None:
+            del self.levels[told][member]
+
+    def hardly_told(self) -> int:
+        """How many were told once at the most."""
+        return sum(map(len, self.levels[:2]))
+
+    def take(self, view: View, room: int, but: int | None) -> list[Rumour]:
+        """Rumours of at most `room` bytes together, each told once more by that."""
+        out: list[Rumour] = []
+        for level in self.levels:
+            for member in level:
+                rumour = view.known[member]
+                if rumour.size <= room and member != but:
+                    out.append(rumour)
+                    room -= rumour.size
+                if room < RUMOUR.size:
+                    break
+            if room < RUMOUR.size:
+                break
+        for rumour in out:
+            self.put(rumour.member, self.told[rumour.member] + 1)
+        return out
+
+
 @dataclass
 class View:
     """What is known of everybody; hashes are kept up with each change."""
@@ -170,6 +264,20 @@
         return [(bucket * factor & MASK) >> 48 for bucket in self.buckets]
 
 
+def _most_told(count: int) -> int:
+    """How often a rumour is told: so often that it reaches all, as SWIM has it."""
+    return 4 * math.ceil(math.log10(count + 1))
+
+
+def _reason(actions: list[Action]) -> str:
+    """Why the view has changed, in a few words."""
+    changes = [a for a in actions if isinstance(a, Changed)]
+    if not changes:
+        return "a new life"
+    first = f"node {changes[0].member} {changes[0].after.name.lower()}"
+    return first if len(changes) == 1 else f"{first} and {len(changes) - 1} more"
+
+
 def _hash(*values: int) -> int:
     """Eight bytes that mix well: sums of plain checksums would cancel out."""
     text = b"".join(v.to_bytes(4, "big") for v in values)
@@ -194,12 +302,20 @@
         # By own sequence: for whom a probe is, and under which number of his.
         self._relays: dict[int, tuple[int, int]] = {}
         self._suspicions: dict[int, Suspicion] = {}
+        # Members whose death was none: how often, and when they last refuted something.
+        self._flaps: dict[int, tuple[int, float]] = {}
         self._doubts: dict[int, Rumour] = {}  # deaths that repairs told of, of members that seem alive
-        self._rumours: dict[int, int] = {}  # members that are gossiped about: how often so far
+        self._rumours = Queue(_most_told(count))
+        self._rolled: dict[int, float] = {}  # members that a roll call named lately, and when
+        self._roll_until = -math.inf  # roll calls go on that long after a death that was none
+        self._pages_due: set[Kind] = set()  # pages and roll calls under way
         self._views: dict[int, tuple[float, int]] = {}  # what each peer's view was, and when it said so
         self._repairs: dict[int, list[int]] = {}  # for whom: members whose rumours he lacks
         self._budget, self._budget_at = config.broadcasts, now
         self._changed = now  # when this node's view last did
+        self._since: float | None = None  # since when peers disagree
+        self._said = False  # and whether that was said
+        self._differ = math.inf  # since when every view heard has differed
         self._repaired = now  # when a repair was last begun for a view that differed
         self._take(Rumour(me, life, 0, State.ALIVE))
         # Starts spread over a period: nodes that come up at once must not probe in step.
@@ -215,17 +331,21 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """What to do about an event, at a time that never goes back."""
-        self.now = max(self.now, now)
+        self.now, view = max(self.now, now), self.view.hash
         self._awake()
         match event:
             case Received():
                 self._received(event)
             case Leave():
                 self._leave()
+            case Peers():
+                self._peers(event)
         while self._timers and self._timers[0][0] <= self.now:
             heapq.heappop(self._timers)[2]()
         self.last = self.now
         out, self._acts = self._acts, []
+        if self.view.hash != view:
+            out.append(ViewChanged(self.view.hash, self.view.present, self.quorum(), _reason(out)))
         return out
 
     def members(self) -> list[int]:
@@ -238,10 +358,17 @@
 
     def agreement(self) -> float:
         """The share of present peers, of those heard since its last change, whose view is this one's."""
+        said = self._opinions()
+        return sum(said) / len(said) if said else 1.0
+
+    def _opinions(self) -> list[bool]:
         since = max(self.now - HEARD_LATELY * self.config.period, self._changed)
-        said = [view == self.view.hash for member, (at, view) in self._views.items()
+        return [view == self.view.hash for member, (at, view) in self._views.items()
                 if at >= since and self.view.known[member].state in PRESENT]  # fmt: skip
-        return sum(said) / len(said) if said else 1.0
+
+    def said_by(self, member: int) -> tuple[float, int] | None:
+        """When a peer last told of its view, and that view."""
+        return self._views.get(member)
 
     # --- time
 
@@ -281,19 +408,33 @@
         else:
             self._probe(self._next())
         self._ask_doubted()
-        waiting = len(self._rumours) // PER_DATAGRAM
-        peers = self._others()
-        for peer in self.random.sample(peers, min(MOST_EXTRA, waiting, len(peers))):
-            self._tell(peer, Kind.GOSSIP, 0, peer)
-        absent = [r.member for r in self.view.known if r.state in (State.UNKNOWN, State.DEAD)]
-        if absent and self._periods % self.config.reconnect == 0:
-            self._ping(self.random.choice(absent))
-        if self._periods % self.config.repair == 0 and peers:
+        if self._periods % self.config.reconnect == 0:
+            absent = [r.member for r in self.view.known if r.state in (State.UNKNOWN, State.DEAD)]
+            if absent:
+                self._ping(self.random.choice(absent))
+        if self._periods % self.config.repair == 0 and (peers := self._others()):
             self._digest(self.random.choice(peers), True)
+        self._look_round()
+
+    def _look_round(self) -> None:
+        """Whether peers hold others for present than this node does, and for how long they have done so."""
+        said = self._opinions()
+        share = sum(said) / len(said) if said else 1.0
+        if share < 1.0:
+            self._since = self.now if self._since is None else self._since
+            if not self._said and self.now - self._since >= self.config.disagreement:
+                self._said = True
+                self._acts.append(Disagreement(True, share))
+        elif said:
+            self._since = None
+            if self._said:
+                self._said = False
+                self._acts.append(Disagreement(False, share))
 
     def _ask_doubted(self) -> None:
         """Tell some that are said to be dead: the living refute it, the others fail the probe."""
-        for member in self.random.sample(sorted(self._doubts), min(MOST_EXTRA, len(self._doubts))):
+        if self._doubts:
+            member = self.random.choice(sorted(self._doubts))
             rumour = self._doubts.pop(member)
             if rumour.key > self.view.known[member].key:
                 self._probe(member, rumour)
@@ -323,18 +464,28 @@
         self._tell(member, Kind.PING, self._sequence, member, first=first)
         return self._sequence
 
-    def _probe(self, member: int | None, first: Rumour | None = None) -> None:
+    def _probe(self, member: int | None, first: Rumour | None = None, helpers: int | None = None) -> None:
         if member is None:
             return
         sequence = self._ping(member, first)
-        self._probes[sequence] = Probe(member)
-        self._at(self._slow(self.config.direct), partial(self._unanswered, sequence))
+        self._probes[sequence] = Probe(member, self.config.helpers if helpers is None else helpers)
+        if self.config.retry:
+            self._at(self._slow(self.config.direct / 2), partial(self._once_more, sequence))
+        else:
+            self._at(self._slow(self.config.direct), partial(self._unanswered, sequence))
+
+    def _once_more(self, sequence: int) -> None:
+        """A second try costs two datagrams, the way by others a dozen; most often one datagram is lost."""
+        if (probe := self._probes.get(sequence)) is not None:
+            self._tell(probe.target, Kind.PING, sequence, probe.target)
+            self._at(self._slow(self.config.direct / 2), partial(self._unanswered, sequence))
 
     def _unanswered(self, sequence: int) -> None:
         if (probe := self._probes.get(sequence)) is None:
             return
         others = self._others(probe.target)
-        for helper in self.random.sample(others, min(self.config.helpers, len(others))):
+        helpers = probe.helpers if len(self._suspicions) < CROWD else 1
+        for helper in self.random.sample(others, min(helpers, len(others))):
             probe.nacks_due += 1
             self._tell(helper, Kind.PING_REQ, sequence, probe.target)
         self._at(self._slow(self.config.indirect), partial(self._failed, sequence))
@@ -361,7 +512,7 @@
         if len(suspicion.accusers) > suspicion.needed:
             return
         suspicion.accusers.add(rumour.accuser)
-        self._rumours[rumour.member] = 0
+        self._rumours.put(rumour.member)
         self.view.known[rumour.member] = rumour
         if rumour.accuser == self.me:
             self._broadcast(rumour)
@@ -379,17 +530,33 @@
         self._learn(dead)
         self._broadcast(dead)
 
+    def _least(self, member: int) -> float:
+        """The least time of a suspicion: twice as long for each time that its death was none lately."""
+        times, at = self._flaps.get(member, (0, -math.inf))
+        if self.now - at > self.config.damping:
+            self._flaps.pop(member, None)
+            times = 0
+        return min(self.config.suspicion_least * (1 << times), self.config.suspicion_most)
+
+    def _flapped(self, old: Rumour) -> None:
+        """It was suspected or held for dead, and has refuted it: a node that stalls goes on stalling."""
+        times, _ = self._flaps.get(old.member, (0, -math.inf))
+        if old.state is State.DEAD:
+            self._flaps[old.member] = (min(times + 1, MOST_FLAPS), self.now)
+        elif times:
+            self._flaps[old.member] = (times, self.now)
+
     def _begin_suspicion(self, rumour: Rumour) -> None:
         config = self.config
         needed = min(config.confirmations, max(0, self.view.present - 3)) if config.shorten else 0
-        least = config.suspicion_least if config.shorten else config.suspicion_most
+        least = self._least(rumour.member) if config.shorten else config.suspicion_most
         suspicion = Suspicion(self.now, least, config.suspicion_most, needed, {rumour.accuser})
         self._suspicions[rumour.member] = suspicion
         self._at(suspicion.until - self.now, partial(self._expire, rumour.member, suspicion))
         if rumour.accuser == self.me:
             self._broadcast(rumour)
         elif self.random.random() * max(1, self.view.present - 2) < config.checks:
-            self._probe(rumour.member)
+            self._probe(rumour.member, helpers=1)  # it is one look of several
 
     # --- what is learned
 
@@ -411,15 +578,25 @@
         was, old = self.view.hash, self.view.put(rumour)
         if self.view.hash != was:
             self._changed = self.now
-        self._rumours[rumour.member] = 0
+        self._rumours.put(rumour.member)
         if rumour.state is State.SUSPECT:
             self._begin_suspicion(rumour)
         else:
             self._suspicions.pop(rumour.member, None)
+        if rumour.state is State.ALIVE and old.life == rumour.life and self.config.damping:
+            self._flapped(old)
+        if old.life != rumour.life:
+            self._flaps.pop(rumour.member, None)
+        if old.state is State.DEAD and rumour.state is State.ALIVE and old.life == rumour.life:
+            # A death that was none: others may be none either.
+            self._roll_until = self.now + ROLL_AGAIN * self.config.period
+            self._later(Kind.ROLL)
+        if self._rumours.hardly_told() >= MANY:
+            self._later(Kind.PAGE)
         if old.state is not rumour.state or old.life != rumour.life:
             self._acts.append(Changed(rumour.member, old.state, rumour.state, rumour.life))
 
-    def _about_me(self, rumour: Rumour) -> None:
+    def _about_me(self, rumour: Rumour, aloud: bool = True) -> None:
         """Others say what is not true: of this life it is refuted, an earlier one is out of date anyway."""
         own = self.view.known[self.me]
         if rumour.key <= own.key or self.leaving:
@@ -436,7 +613,8 @@
             self._worse(1)
         fresh = Rumour(self.me, self.life, self.incarnation, State.ALIVE)
         self._take(fresh)
-        self._broadcast(fresh)
+        if aloud:
+            self._broadcast(fresh)
 
     def _leave(self) -> None:
         if not self.leaving:
@@ -447,6 +625,99 @@
             for wait in (0.0, self.config.direct):  # twice: the first may be lost
                 self._at(wait, partial(self._broadcast, gone))
 
+    # --- much that is new at once
+
+    def _later(self, kind: Kind) -> None:
+        """A page or a roll call goes out some time: the tier as a whole sends so many a second."""
+        if kind not in self._pages_due and not self.leaving and self.config.pages:
+            self._pages_due.add(kind)
+            wait = self.random.expovariate(self.config.pages / self.count) * 1000
+            self._at(wait, partial(self._now, kind))
+
+    def _now(self, kind: Kind) -> None:
+        self._pages_due.discard(kind)
+        if self.leaving:
+            return
+        if kind is Kind.ROLL:
+            self._roll()
+        elif self._rumours.hardly_told() >= MANY:
+            self._page()
+            if self._rumours.hardly_told() >= MANY:
+                self._later(Kind.PAGE)
+
+    def _page(self) -> None:
+        """Rumours that were told least so far, to all."""
+        page = self._gossip(None, ROOM)
+        if page:
+            self._acts.append(Tell(None, self._packed(Kind.PAGE, 0, NOBODY, b"", page)))
+            self.counts["pages"] += 1
+
+    def _heard_page(self, message: Message) -> None:
+        """All have heard it: a few more words for those that missed it are enough."""
+        told = len(self._rumours.levels) - LAST_ROUNDS
+        for rumour in message.rumours:
+            member = rumour.member
+            if self._rumours.told.get(member, told) < told and self.view.known[member] == rumour:
+                self._rumours.put(member, told)
+
+    def _roll(self) -> None:
+        """Ask some that this node holds for dead whether they are: one that was held so has come back.
+
+        Those that live answer this node, and what they answered goes to all on a page. Not taken: to tell all
+        that they are dead, as gossip does: their own neighbours would bury them before they refute it.
+        """
+        again = self.now - ROLL_AGAIN * self.config.period
+        self._rolled = {m: at for m, at in self._rolled.items() if at > again}
+        dead = [r for r in self.view.known if r.state is State.DEAD and r.member not in self._rolled]
+        if not dead or self.now > self._roll_until:
+            return
+        page = tuple(self.random.sample(dead, min(len(dead), PER_DATAGRAM)))
+        self._rolled.update((r.member, self.now) for r in page)
+        self._acts.append(Tell(None, self._packed(Kind.ROLL, 0, NOBODY, b"", page)))
+        self.counts["roll_calls"] += 1
+        self._at(self.config.direct, self._page)
+        if len(page) < len(dead):
+            self._later(Kind.ROLL)
+
+    def _called(self, message: Message) -> None:
+        """A roll call: the named answer for themselves, the others do not call them again."""
+        for rumour in message.rumours:
+            if rumour.member != self.me:
+                if rumour.member < self.count:
+                    self._rolled[rumour.member] = self.now
+            elif not self.leaving:
+                self._about_me(rumour, aloud=False)
+                self._tell(message.sender, Kind.ACK, 0, self.me)
+
+    # --- another tier
+
+    def _peers(self, event: Peers) -> None:
+        """Members that are gone have left, as far as this node goes; new ones are unknown until heard.
+
+        Nothing of it is told: each node has its list from its own file, at a time of its own.
+        """
+        gone = {m for m in range(self.count) if m >= event.count or m in event.replaced} - {self.me}
+        for member in gone:
+            old = self.view.put(Rumour(member, 0, 0, State.UNKNOWN))
+            if old.state in PRESENT:
+                self._acts.append(Changed(member, old.state, State.LEFT, old.life))
+            tables: tuple[dict[int, Any], ...] = (
+                self._suspicions, self._doubts, self._views, self._repairs, self._rolled, self._flaps
+            )  # fmt: skip
+            for table in tables:
+                table.pop(member, None)
+        self._probes = {s: p for s, p in self._probes.items() if p.target not in gone}
+        self._order = [m for m in self._order if m not in gone]
+        known = self.view.known
+        del known[event.count :]
+        known.extend(Rumour(m, 0, 0, State.UNKNOWN) for m in range(len(known), event.count))
+        self.count, self._changed = event.count, self.now
+        told, self._rumours = self._rumours.told, Queue(_most_told(event.count))
+        for member, times in told.items():
+            if member not in gone:
+                self._rumours.put(member, times)
+        self._join()
+
     # --- datagrams
 
     def _received(self, event: Received) -> None:
@@ -462,6 +733,9 @@
         if message.incarnation != LAST_WORD:
             self._learn(Rumour(message.sender, message.life, message.incarnation, State.ALIVE))
         self._views[message.sender] = (self.now, message.view)
+        if message.kind == Kind.ROLL:
+            self._called(message)
+            return
         repair = message.kind == Kind.GOSSIP and message.subject == self.me
         for rumour in message.rumours:
             if repair and self._doubted(rumour):
@@ -484,6 +758,8 @@
                 self._compare(message)
             case Kind.GOSSIP if message.subject == NOBODY:
                 self._spend(1.0)  # a broadcast that another one made counts here, too
+            case Kind.PAGE:
+                self._heard_page(message)
 
     def _doubted(self, rumour: Rumour) -> bool:
         """Whether a repair says that one is dead whom this node holds for alive.
@@ -518,7 +794,13 @@
 
     def _disagree(self, message: Message) -> None:
         """Views that differ are repaired, now and then: what is on its way by rumour may settle it before."""
-        if message.view != self.view.hash and self.now >= self._repaired + 2 * self.config.period:
+        period = self.config.period
+        if message.view == self.view.hash:
+            self._differ = math.inf
+            return
+        self._differ = min(self._differ, self.now)
+        since = max(self._differ, self._repaired)
+        if self.now >= min(max(since, self._changed) + QUIET * period, since + ANYWAY * period):
             self._repaired = self.now
             self._digest(message.sender, True)
 
@@ -579,19 +861,9 @@
 
     def _gossip(self, first: Rumour | None, room: int) -> tuple[Rumour, ...]:
         """One rumour that must go, then those that were told least so far."""
-        out = [] if first is None else [first]
-        room -= sum(r.size for r in out)
-        most = 4 * math.ceil(math.log10(self.count + 1))
-        for one in heapq.nsmallest(room // 9, self._rumours, key=lambda m: (self._rumours[m], m)):
-            rumour = self.view.known[one]
-            if rumour.size > room or rumour is first:
-                continue
-            out.append(rumour)
-            room -= rumour.size
-            self._rumours[one] += 1
-            if self._rumours[one] >= most:
-                del self._rumours[one]
-        return tuple(out)
+        if first is None:
+            return tuple(self._rumours.take(self.view, room, None))
+        return (first, *self._rumours.take(self.view, room - first.size, first.member))
 
     def _spend(self, amount: float) -> bool:
         earned = (self.now - self._budget_at) / 1000 * self.config.broadcasts
--- a/dillport/membership/messages.py
+++ b/dillport/membership/messages.py
@@ -15,6 +15,7 @@
 import zlib
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 VERSION = 1
 MOST = 256  # bytes of a datagram
@@ -42,6 +43,9 @@
     LEFT = 4
 
 
+STATES = tuple(State)
+
+
 class Kind(IntEnum):
     """What a datagram is for."""
 
@@ -51,10 +55,11 @@
     NACK = 4  # `subject` has not answered me so far
     DIGEST = 5  # hashes of what I know, in `extra`; its first byte asks for the like
     GOSSIP = 6  # rumours alone
+    PAGE = 7  # to all: rumours that many lack
+    ROLL = 8  # to all: who of these, whom I hold for dead, lives? They alone take it to heart
 
 
-@dataclass(slots=True, frozen=True)
-class Rumour:
+class Rumour(NamedTuple):
     """What somebody says of a member. `key` orders all that can be said of one."""
 
     member: int
@@ -66,7 +71,7 @@
     @property
     def key(self) -> tuple[int, int, int]:
         """Greater is newer: views are joined by the greatest key, in whatever order rumours come."""
-        return self.life, self.incarnation, self.state
+        return self[1:4]
 
     @property
     def size(self) -> int:
@@ -135,6 +140,6 @@
             (accuser,) = ACCUSER.unpack_from(data, at)
             at += ACCUSER.size
         if State.UNKNOWN < state <= State.LEFT:
-            rumours.append(Rumour(member, its_life, its_incarnation, State(state), accuser))
+            rumours.append(Rumour(member, its_life, its_incarnation, STATES[state], accuser))
     more = data[HEAD.size : HEAD.size + extra]
     return Message(kind, sender, life, incarnation, sequence, view, subject, more, tuple(rumours))
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -7,7 +7,19 @@
 import socket
 import time
 
-from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
+from dillport.membership.core import (
+    Changed,
+    Config,
+    Disagreement,
+    Event,
+    Leave,
+    Membership,
+    Peers,
+    Received,
+    Tell,
+    Tick,
+    ViewChanged,
+)
 from dillport.membership.messages import State
 
 log = logging.getLogger(__name__)
@@ -15,6 +27,7 @@
 Address = tuple[str, int]
 EPOCH = 1_577_836_800.0  # s, Unix time: the year 2020, from which lives are counted
 LIFE_UNIT = 0.256  # s: a life's number fits four bytes until 2054, and a process takes longer to start
+COLUMNS = ("state", "life", "incarnation", "changed_ms", "view")  # of a member in `stats`
 LINES, SPAN = 30, 10.0  # log lines of one kind at most in so many seconds
 WORDS = {
     State.ALIVE: "is present",
@@ -45,6 +58,9 @@
         self.foreign = 0  # datagrams from no address of `peers`
         self._lines: dict[State, list[float]] = {}
         self._unsaid = 0
+        self._viewed: ViewChanged | None = None
+        self._viewed_at = 0.0  # ms, as `_now`
+        self._changed_at = [0.0] * len(peers)  # ms, when the state of each member last changed
 
     async def open(self) -> None:
         """Listen, and be present from now on. Raises OSError."""
@@ -58,6 +74,8 @@
         transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
         self.transport = transport
         self.core = Membership(self.config, self.me, len(self.peers), life_now(), self.seed, self._now())
+        self._viewed_at = self._now()
+        self._changed_at = [self._viewed_at] * len(self.peers)
         log.info("membership: node %d of %d on %s:%d", self.me, len(self.peers), *self.listen)
         self._handle(Tick())
 
@@ -79,10 +97,16 @@
         if self.core is None:
             return
         for action in self.core.handle(self._now(), event):
-            if isinstance(action, Tell):
-                self._send(action)
-            else:
-                self._say(action)
+            match action:
+                case Tell():
+                    self._send(action)
+                case Changed():
+                    self._changed_at[action.member] = self._now()
+                    self._say(action)
+                case ViewChanged():
+                    self._view(action)
+                case Disagreement():
+                    self._disagreed(action)
         if self.core.due < self.due:
             if self.timer is not None:
                 self.timer.cancel()
@@ -113,6 +137,38 @@
             self._unsaid = 0
         log.info("membership: node %d %s", change.member, WORDS.get(change.after, change.after.name))
 
+    def _view(self, change: ViewChanged) -> None:
+        """Who is present has changed. Whether this node is of a minority now is worth a line."""
+        before, self._viewed, self._viewed_at = self._viewed, change, self._now()
+        if before is not None and before.quorum != change.quorum:
+            log.info("membership: %s with %d of %d present (%s)", "more than half again" if change.quorum else
+                     "a minority now", change.present, len(self.peers), change.reason)  # fmt: skip
+
+    def _disagreed(self, change: Disagreement) -> None:
+        """The core says it once, and once when it is over."""
+        if change.lasts:
+            log.warning("membership: views differ for over %.0f s, %.0f%% of the peers heard lately agree",
+                        self.config.disagreement / 1000, 100 * change.share)  # fmt: skip
+        else:
+            log.info("membership: views agree again")
+
+    def move(self, peers: list[Address], everybody: Address) -> None:
+        """The tier has another list of addresses, by node; this node keeps its number and its own address.
+
+        A node whose address has changed is another one: what was known of the one before is forgotten.
+        """
+        both = min(len(peers), len(self.peers))
+        replaced = frozenset(m for m in range(both) if peers[m] != self.peers[m]) - {self.me}
+        fewer = self._changed_at[: len(peers)]
+        self._changed_at = fewer + [self._now()] * (len(peers) - len(fewer))
+        changed = peers != self.peers
+        self.peers, self.everybody = peers, everybody
+        self.number = {address: node for node, address in enumerate(peers)}
+        if changed:
+            log.info("membership: %d nodes by the new list, %d of them others than before",
+                     len(peers), len(replaced) + max(0, len(peers) - both))  # fmt: skip
+            self._handle(Peers(len(peers), replaced))
+
     def leave(self) -> None:
         """Say that this node leaves; it goes on answering until `close`."""
         self._handle(Leave())
@@ -130,16 +186,27 @@
         core = self.core
         if core is None:
             return {"present": False}
-        states = {state: [r.member for r in core.view.known if r.state is state] for state in State}
+        now = self._now()
+        members = []
+        for r in core.view.known:
+            said = core.said_by(r.member)
+            view = None if said is None else f"{said[1]:08x}"
+            members.append([r.state.name.lower(), r.life, r.incarnation,
+                            round(now - self._changed_at[r.member]), view])  # fmt: skip
         return {
             "present": True,
             "me": self.me,
+            "nodes": core.count,
+            "present_nodes": core.view.present,
             "life": core.life,
             "incarnation": core.incarnation,
             "view": f"{core.view.hash:08x}",
+            "view_for_ms": round(now - self._viewed_at),
+            "view_reason": self._viewed.reason if self._viewed is not None else "",
             "agreement": round(core.agreement(), 3),
             "quorum": core.quorum(),
             "health": core.health,
-            "members": {state.name.lower(): who for state, who in states.items()},
+            "columns": list(COLUMNS),
+            "members": members,  # by the node's number, the fields in the order of `columns`
             "counts": dict(core.counts) | {"foreign": self.foreign},
         }
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -8,7 +8,8 @@
 import asyncio
 import logging
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -69,8 +70,18 @@
     return address_at(raw, {}, "peer_listen"), found, address_at(raw, {}, "peers_all")
 
 
+def _numbered(me: int, peers: list[Address]) -> None:
+    """Check that this node is one of the tier; raises ConfigError."""
+    if me >= len(peers):
+        raise ConfigError(f"settings: me makes no sense: {me} of {len(peers)} peers")
+
+
 class Fleet:
-    """The rooms that the fleet file switches on, for one process of a node."""
+    """The rooms that the fleet file switches on, for one process of a node.
+
+    The fleet file itself is read once. At SIGHUP the platform's file may bring other peers; this node's
+    number and `peer_listen` stay for the life of its process.
+    """
 
     def __init__(self, env: Mapping[str, str], held: config.Config) -> None:
         table = read(Path(env[VARIABLE]))
@@ -79,8 +90,7 @@
         if table.membership is not None:
             listen, peers, everybody = _peers(config.read(env))
             me = held.settings.me
-            if me >= len(peers):
-                raise ConfigError(f"settings: me makes no sense: {me} of {len(peers)} peers")
+            _numbered(me, peers)
             scale = table.membership.period_ms / MembershipConfig().period
             self.membership = MembershipShell(_scaled(scale), me, listen, peers, everybody, held.seed)
 
@@ -89,6 +99,19 @@
         if self.membership is not None and self._opening is None:
             self._opening = asyncio.get_running_loop().create_task(self._open(self.membership))
 
+    def checked(self, env: Mapping[str, str], new: config.Config) -> Callable[[], None]:
+        """What a replaced file brings for the rooms: a call that takes it over. Raises ConfigError."""
+        shell = self.membership
+        if shell is None:
+            return lambda: None
+        listen, peers, everybody = _peers(config.read(env))
+        if new.settings.me != shell.me:
+            raise ConfigError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
+        _numbered(shell.me, peers)
+        if listen != shell.listen:
+            raise ConfigError("peer_listen cannot change in one life")
+        return partial(shell.move, peers, everybody)
+
     async def _open(self, shell: MembershipShell) -> None:
         try:
             await shell.open()
--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -14,9 +14,10 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from dillport.membership.core import Changed, Config, Leave, Membership, Received, Tell, Tick
+from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
 
+KIND_AT = 5  # byte of a datagram that tells its kind
 LIFE_UNIT = 256.0  # ms of the start's time that one life number stands for
 
 
@@ -65,6 +66,7 @@
         self.planned = 0
         self.seen: list[Seen] = []
         self.sent: Counter[int] = Counter()  # datagrams by node; one to all counts once
+        self.kinds: Counter[int] = Counter()  # datagrams by `Kind`
         self.delivered = 0
         self.per_second: Counter[int] = Counter()
 
@@ -108,9 +110,10 @@
         return [i for i, h in enumerate(self.hosts) if h.core is not None]
 
     def agreed(self) -> bool:
-        """Whether every node that lives holds just those that live for present."""
-        alive = self.alive()
-        return all((c := self.hosts[i].core) is not None and c.members() == alive for i in alive)
+        """Whether every node that lives holds just those that live for present, and the same lives."""
+        cores = [h.core for h in self.hosts if h.core is not None]
+        views = {(c.view.hash, c.view.present) for c in cores}
+        return len(views) == 1 and cores[0].members() == self.alive()
 
     def settle(self, most: float, step: float = 50.0) -> float:
         """Run until all agree; the ms it took, infinity if it took longer than `most`."""
@@ -144,15 +147,17 @@
             host.tick_at = float("inf")
             self._handle(node, Tick())
 
-    def _handle(self, node: int, event: Tick | Received | Leave) -> None:
+    def _handle(self, node: int, event: Event) -> None:
         host = self.hosts[node]
         if host.core is None:
             return
         for action in host.core.handle(self.now, event):
             if isinstance(action, Changed):
                 self.seen.append(Seen(self.now, node, action))
+            if not isinstance(action, Tell):
                 continue
             self.sent[node] += 1
+            self.kinds[action.data[KIND_AT]] += 1
             self.per_second[int(self.now / 1000)] += 1
             targets = range(self.count) if action.node is None else (action.node,)
             for target in targets:
