--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -247,7 +247,7 @@
 @lab.command("compare")
 def lab_compare(
     a: Annotated[str, typer.Argument(help="REVISION[+VARIANT]; `.` is the working tree.")],
-    b: Annotated[str, typer.Argument(help="The other one. Variants: random, delay-MS, burn-US.")],
+    b: Annotated[str, typer.Argument(help="The other one. Variants: alone, random, delay-MS, burn-US.")],
     out: Out,
     experiment: Annotated[str, typer.Option("--experiment", "-e", help="File or name.")] = "calm",
     seeds: Annotated[int, typer.Option(min=2, max=100, help="Each is played by both.")] = FEWEST,
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -15,7 +15,7 @@
 from dillport.lab import records
 from dillport.lab.judge import RULES, Judgement
 from dillport.lab.model.client import End
-from dillport.lab.spec import Expect, Experiment
+from dillport.lab.spec import Expect, Experiment, Link, Stall, choose
 from dillport.lab.timeline import over
 
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
@@ -171,7 +171,7 @@
     } | _costs(seen)
     out |= {f"broken_{rule}": float(judged.broken[rule]) for rule in RULES}
     if spec.fleet.membership:
-        out |= membership(seen)
+        out |= membership(spec, seen)
         if (agreed_s := agreed(spec, seen)) is not None:
             out["member_agreed_s"] = agreed_s
     recovery = _recovery(spec, line)
@@ -197,7 +197,39 @@
     }
 
 
-def membership(seen: records.Seen) -> dict[str, float]:
+def flaky(spec: Experiment) -> set[int]:
+    """Nodes that stall, or that lose half or more of what they say to all: no healthy ones."""
+    out: set[int] = set()
+    for fault in spec.faults:
+        names: list[str] = []
+        if isinstance(fault, Stall):
+            names = choose(spec, fault.what)
+        elif isinstance(fault, Link) and (fault.cut or fault.loss >= 0.5):
+            names = choose(spec, fault.from_) if choose(spec, fault.to) == spec.node_names else []
+        out |= {int(name[1:]) for name in names if name.startswith("n")}
+    return out
+
+
+def presence(spec: Experiment, seen: records.Seen) -> dict[int, list[tuple[float, int]]]:
+    """How many members each node's log holds for present over time: node to (s, count)."""
+    out: dict[int, list[tuple[float, int]]] = defaultdict(list)
+    held: dict[int, set[int]] = defaultdict(set)
+    for view in sorted(seen.views, key=lambda v: v.at):
+        mine = held[view.node]
+        if view.member == view.node and view.state == "present":
+            mine.clear()  # a new process
+        if view.state in ("present", "suspected"):
+            mine.add(view.member)
+        else:
+            mine.discard(view.member)
+        out[view.node].append((view.at / 1000, len(mine)))
+    for life in seen.lives:
+        if life.ended and life.ended < spec.seconds * 1000:
+            out[life.node].append((life.ended / 1000, 0))
+    return {node: sorted(points) for node, points in sorted(out.items())}
+
+
+def membership(spec: Experiment, seen: records.Seen) -> dict[str, float]:
     """How soon all that lived on knew of each node that was killed, and who was held for dead but lived."""
     dead = [v for v in seen.views if v.state == "dead"]
     kills = [(x.node, x.killed) for x in seen.lives if x.killed and not x.term]
@@ -213,11 +245,14 @@
         missed += len(others - known.keys())
         if others and others <= known.keys():
             slowest.append(max(known[n] for n in others) / 1000)
-    false = sum(
-        not any(x.node == v.member and (0 < x.ended <= v.at or x.started > v.at) for x in seen.lives)
-        for v in dead
-    )
-    out = {"member_false_deaths": float(false), "member_missed": float(missed)}
+    false = [
+        v for v in dead
+        if not any(x.node == v.member and (0 < x.ended <= v.at or x.started > v.at) for x in seen.lives)
+    ]  # fmt: skip
+    weak = flaky(spec)
+    sound = [v for v in false if v.member not in weak and v.node not in weak]
+    out = {"member_false_deaths": float(len(false)), "member_false_deaths_healthy": float(len(sound)),
+           "member_missed": float(missed)}  # fmt: skip
     if slowest:
         out |= {"member_detect_s_median": float(np.median(slowest)), "member_detect_s_max": max(slowest)}
     return out
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -17,7 +17,7 @@
 from matplotlib.ticker import LogLocator, NullFormatter, ScalarFormatter
 
 from dillport.lab import records
-from dillport.lab.figures import WINDOW, backend_loads, series, wishes
+from dillport.lab.figures import WINDOW, backend_loads, presence, series, wishes
 from dillport.lab.spec import Experiment, Link, tag
 from dillport.lab.timeline import over
 
@@ -77,14 +77,30 @@
         ax.set_yticks(range(spec.fleet.nodes), spec.node_names)
 
 
+def _views(ax: Axes, spec: Experiment, seen: records.Seen) -> None:
+    """How many members each node held for present, by its log, against those that lived."""
+    for points in presence(spec, seen).values():
+        ax.step([t for t, _ in points] + [spec.seconds], [n for _, n in points] + [points[-1][1]],
+                where="post", color=QUIET, lw=0.8, alpha=0.7)  # fmt: skip
+    edges = sorted({0.0, spec.seconds} | {x / 1000 for life in seen.lives for x in (life.ready, life.ended)
+                                          if 0 < x < spec.seconds * 1000})  # fmt: skip
+    alive = [len({x.node for x in seen.lives if x.ready <= t * 1000 and not 0 < x.ended <= t * 1000})
+             for t in edges]  # fmt: skip
+    ax.step(edges, alive, where="post", color=INK, lw=1.6, label="live")
+    ax.set(ylabel="held for present", xlabel="seconds", ylim=(0, spec.fleet.nodes * 1.08))
+    ax.legend(loc="lower right", fontsize=8, frameon=False)
+
+
 def plots(spec: Experiment, seen: records.Seen) -> Figure:
     """Goodput and load, latency, refusals, load per backend, nodes; faults as bands."""
     line = series(spec, seen, wishes(spec, seen))
     t = np.array(line["t_s"]) + WINDOW / 2
     heights = [2.2, 2.2, 1.2, 2.2, max(1.2, min(3.5, 0.22 * spec.fleet.nodes))]
+    if spec.fleet.membership:
+        heights.append(2.2)
     figure = Figure(figsize=(10.5, 1.35 * sum(heights)), layout="constrained")
-    axes: Sequence[Axes] = figure.subplots(5, 1, sharex=True, height_ratios=heights).tolist()
-    goodput, latency, refused, backends, nodes = axes
+    axes: Sequence[Axes] = figure.subplots(len(heights), 1, sharex=True, height_ratios=heights).tolist()
+    goodput, latency, refused, backends, nodes = axes[:5]
     _shade((goodput, latency, refused, nodes), spec)
     goodput.plot(t, line["goodput"], color=GOOD, lw=1.8)
     goodput.set(ylabel="goodput (share of worth)", ylim=(0, 1.04))
@@ -118,7 +134,10 @@
     backends.set_ylabel("backends")
     _lives(nodes, spec, seen.lives)
     nodes.set(ylabel="nodes", xlabel="seconds", xlim=(0, spec.seconds))
-    for ax in (goodput, latency, refused, nodes):
+    if spec.fleet.membership:
+        _views(axes[5], spec, seen)
+        _shade(axes[5:], spec)
+    for ax in (goodput, latency, refused, nodes, *axes[5:]):
         ax.grid(axis="y", color="#e3e7ec", lw=0.6)
         for side in ("top", "right"):
             ax.spines[side].set_visible(False)
--- a/dillport/lab/variant.py
+++ b/dillport/lab/variant.py
@@ -1,8 +1,8 @@
 """The node changed on purpose, for comparisons in the lab: `variant.py NAME` in place of `-m dillport`.
 
-Names: `random` chooses any listed backend that may be sent to; `delay-MS` holds every request back for so
-long; `burn-US` wastes so much processor time on every request. It runs on the standard library and the node
-alone, in the folder of the revision that is played.
+Names: `alone` leaves the fleet file out; `random` chooses any listed backend that may be sent to; `delay-MS`
+holds every request back for so long; `burn-US` wastes so much processor time on every request. It runs on
+the standard library and the node alone, in the folder of the revision that is played.
 """
 
 from __future__ import annotations
@@ -52,12 +52,14 @@
     kind, _, amount = sys.argv[1].partition("-")
     if kind == "random":
         random_choice()
+    elif kind == "alone":
+        os.environ.pop("PROXY_FLEET", None)
     elif kind == "delay":
         slower(float(amount) / 1000, 0.0)
     elif kind == "burn":
         slower(0.0, float(amount) / 1e6)
     else:
-        print(f"variant {sys.argv[1]!r} is none of random, delay-MS, burn-US", file=sys.stderr)
+        print(f"variant {sys.argv[1]!r} is none of alone, random, delay-MS, burn-US", file=sys.stderr)
         return 2
     from dillport.__main__ import main as run
 
--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -654,7 +654,8 @@
 
     def _heard_page(self, message: Message) -> None:
         """All have heard it: a few more words for those that missed it are enough."""
-        told = len(self._rumours.levels) - LAST_ROUNDS
+        most = len(self._rumours.levels)
+        told = max(most - LAST_ROUNDS, most // 2)
         for rumour in message.rumours:
             member = rumour.member
             if self._rumours.told.get(member, told) < told and self.view.known[member] == rumour:
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -101,7 +101,8 @@
                 case Tell():
                     self._send(action)
                 case Changed():
-                    self._changed_at[action.member] = self._now()
+                    if action.member < len(self._changed_at):  # else it is no longer of the tier
+                        self._changed_at[action.member] = self._now()
                     self._say(action)
                 case ViewChanged():
                     self._view(action)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,23 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
+import threading
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
+from typer.testing import CliRunner
 
+from dillport.cli import fleet as command
+from dillport.cli.app import app
 from dillport.lab import records
-from dillport.lab.places import Places
+from dillport.lab.places import Block, Places, text
 from dillport.lab.processes import configuration
 from dillport.lab.programs import ROOT, Program
-from dillport.lab.run import play
+from dillport.lab.run import Run, play
 from dillport.lab.spec import load
+from dillport.membership.core import Config
+from dillport.membership.shell import MembershipShell
+from dillport.net import config
 from dillport.net.config import ConfigError
-from dillport.net.fleet import read
+from dillport.net.fleet import Fleet, read
 
 NODE = Program("tests", ROOT, f"exec {sys.executable} -B -m dillport")
 SPEC = """
@@ -49,12 +57,35 @@
 """
 
 
+class Watcher:
+    """Looks at node 0's console as the command does, once it has heard of the kill."""
+
+    def __init__(self) -> None:
+        self.looks: list[command.Membership] = []
+        self.thread: threading.Thread | None = None
+
+    def __call__(self, run: Run) -> None:
+        if run.fleet.now() > 8000 and self.thread is None:
+            console = text(run.fleet.places.console(0, 0))
+            self.thread = threading.Thread(target=lambda: self.looks.append(command.look(console)))
+            self.thread.start()
+
+
 @pytest.fixture(scope="module")
-def seen(tmp_path_factory: pytest.TempPathFactory) -> records.Seen:
-    """A run with membership on."""
-    folder = tmp_path_factory.mktemp("fleet")
+def played(tmp_path_factory: pytest.TempPathFactory) -> tuple[records.Seen, command.Membership]:
+    """A run with membership on, and what node 0 told in its midst."""
+    folder, watcher = tmp_path_factory.mktemp("fleet"), Watcher()
     (folder / "spec.toml").write_text(SPEC)
-    return uvloop.run(play(load(folder / "spec.toml"), 1, NODE, folder / "out"))
+    seen = uvloop.run(play(load(folder / "spec.toml"), 1, NODE, folder / "out", False, watcher))
+    assert watcher.thread is not None
+    watcher.thread.join()
+    return seen, watcher.looks[0]
+
+
+@pytest.fixture(scope="module")
+def seen(played: tuple[records.Seen, command.Membership]) -> records.Seen:
+    """What the run saw."""
+    return played[0]
 
 
 def states(seen: records.Seen, node: int, member: int) -> list[str]:
@@ -118,3 +149,79 @@
 def test_a_fleet_file_that_is_not_there_is_said(tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match="PROXY_FLEET cannot be read"):
         read(tmp_path / "none")
+
+
+def test_the_console_tells_who_is_present(played: tuple[records.Seen, command.Membership]) -> None:
+    told = played[1]
+    rows = told.rows()
+    assert [r["node"] for r in rows] == [0, 1, 2, 3, 4] and rows[1]["state"] == "dead"
+    assert not command.members_held(told) and told.quorum
+    assert command.summary(told)["states"].get("dead") == 1 and told.view_reason
+
+
+def test_a_console_that_gives_no_view_is_one_line() -> None:
+    runner = CliRunner()
+    for argument, line in (("127.0.0.1:1", "does not answer"), ("nowhere", "--console makes no sense")):
+        done = runner.invoke(app, ["fleet", "view", "--console", argument])
+        assert done.exit_code == 2 and line in done.stderr and done.stderr.count("\n") == 1
+
+
+async def reach(shells: list[MembershipShell], members: list[int]) -> None:
+    """Wait until some nodes hold just these for present."""
+    async with asyncio.timeout(20):
+        while not all(s.core is not None and s.core.members() == members for s in shells):
+            await asyncio.sleep(0.02)
+
+
+def test_another_list_of_peers_is_taken_over_by_nodes_that_run() -> None:
+    async def body() -> None:
+        block = Block(4, 1)
+        peers = [block.places.peer(node) for node in range(4)]
+        quick = Config(period=70.0, direct=25.0, indirect=30.0, suspicion_least=60.0, suspicion_most=300.0)
+        shells = [MembershipShell(quick, n, peers[n], peers[:3], peers[n], n) for n in range(3)]
+        try:
+            for shell in shells:
+                await shell.open()
+            await reach(shells, [0, 1, 2])
+            for shell in shells[:2]:
+                shell.move(peers[:2], peers[0])
+            shells[2].close()
+            await reach(shells[:2], [0, 1])
+            fourth = MembershipShell(quick, 2, peers[3], [*peers[:2], peers[3]], peers[3], 9)
+            shells[2] = fourth
+            await fourth.open()
+            for shell in shells[:2]:  # number two is at home elsewhere now
+                shell.move([*peers[:2], peers[3]], peers[0])
+            await reach(shells, [0, 1, 2])
+        finally:
+            for shell in shells:
+                shell.close()
+            block.close()
+
+    uvloop.run(body())
+
+
+def test_peers_that_make_no_sense_at_sighup_change_nothing(tmp_path: Path) -> None:
+    table = configuration(load_text(tmp_path), Places(16, 3), 0, 1, 4)
+    path, fleet = tmp_path / "config.json", tmp_path / "fleet.toml"
+    fleet.write_text("[membership]\n")
+    path.write_text(json.dumps(table))
+    env = {"PROXY_CONFIG": str(path), "PROXY_FLEET": str(fleet)}
+
+    async def body() -> None:
+        held = config.load(env)
+        rooms = Fleet(env, held)
+        assert rooms.membership is not None
+        for over, line in (
+            ({"peer_listen": "127.0.0.1:9"}, "peer_listen cannot change"),
+            ({"peers": []}, "peers is missing"),
+            ({"settings": table["settings"] | {"me": 1}}, "me cannot change from 0 to 1"),
+        ):
+            path.write_text(json.dumps(table | over))
+            with pytest.raises(ConfigError, match=line):
+                rooms.checked(env, config.load(env))
+        path.write_text(json.dumps(table | {"peers": table["peers"][:3]}))
+        rooms.checked(env, config.load(env))()
+        assert len(rooms.membership.peers) == 3
+
+    uvloop.run(body())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dillport.membership.core import Changed, Config, Leave, Membership, Received, Tell, Tick
+from dillport.membership.core import (
+    Action,
+    Changed,
+    Config,
+    Disagreement,
+    Leave,
+    Membership,
+    Peers,
+    Queue,
+    Received,
+    Tell,
+    Tick,
+    View,
+    ViewChanged,
+)
 from dillport.membership.messages import (
     LAST_LIFE,
     LAST_WORD,
@@ -171,6 +185,111 @@
     assert core.quorum()
 
 
+def told(actions: list[Action], kind: Kind) -> list[Message]:
+    """The datagrams of a kind among some actions."""
+    found = [decode(a.data) for a in actions if isinstance(a, Tell)]
+    return [m for m in found if m.kind == kind]
+
+
+def met(*peers: int, **over: object) -> Membership:
+    """A lone core that has heard of some peers."""
+    core = lone(**over)
+    for peer in peers:
+        core.handle(1.0, said(peer))
+    return core
+
+
+def test_the_queue_tells_first_what_was_told_least_and_forgets_what_was_told_enough() -> None:
+    view = View([Rumour(m, 1, 0, State.ALIVE) for m in range(4)])
+    queue = Queue(2)
+    for member in (2, 0, 1):
+        queue.put(member)
+    order = [queue.take(view, 9, None)[0].member for _ in range(5)]
+    assert order == [2, 0, 1, 2, 0] and len(queue) == 1
+    queue.put(3)
+    assert [r.member for r in queue.take(view, 30, 3)] == [1]  # 3 is said anyway
+
+
+def test_a_death_that_was_none_brings_a_roll_call_and_the_answers_go_to_all() -> None:
+    core = met(1, 2, 3)
+    dead = (Rumour(2, 50, 0, State.DEAD), Rumour(3, 50, 0, State.DEAD))
+    core.handle(2.0, said(1, Kind.GOSSIP, *dead, subject=NOBODY))
+    acts = core.handle(3.0, said(1, Kind.GOSSIP, Rumour(2, 50, 1, State.ALIVE)))
+    for step in range(40):
+        acts += core.handle(3.0 + 100 * step, Tick())
+    called = told(acts, Kind.ROLL)
+    assert [[r.member for r in m.rumours] for m in called] == [[3]]
+    assert told(acts, Kind.PAGE)
+
+
+def test_whoever_is_called_answers_the_caller_and_nobody_else_believes_the_call() -> None:
+    core = met(1, 2)
+    acts = core.handle(2.0, said(1, Kind.ROLL, Rumour(0, 100, 0, State.DEAD), Rumour(2, 50, 0, State.DEAD)))
+    assert core.incarnation == 1 and core.view.known[2].state is State.ALIVE
+    answers = [(a.node, decode(a.data).kind) for a in acts if isinstance(a, Tell)]
+    assert answers == [(1, Kind.ACK)]
+
+
+def test_what_was_heard_on_a_page_is_hardly_told_on() -> None:
+    core = met(1, 2)
+    core.handle(2.0, said(1, Kind.GOSSIP, Rumour(3, 50, 0, State.ALIVE)))
+    before = core._rumours.told[3]
+    core.handle(3.0, said(2, Kind.PAGE, Rumour(3, 50, 0, State.ALIVE), subject=NOBODY))
+    assert core._rumours.told[3] >= before + 2
+
+
+def test_a_member_whose_death_was_none_gets_more_time_until_a_new_life() -> None:
+    core = met(1, 2, 3)
+    spans = []
+    for turn in range(3):
+        core.handle(10.0 + turn, said(1, Kind.GOSSIP, Rumour(3, 50, turn, State.SUSPECT, 1)))
+        spans.append(core._suspicions[3].least)
+        core.handle(10.2 + turn, said(1, Kind.GOSSIP, Rumour(3, 50, turn, State.DEAD)))
+        core.handle(10.4 + turn, said(1, Kind.GOSSIP, Rumour(3, 50, turn + 1, State.ALIVE)))
+    base = Config().suspicion_least
+    assert spans == [base, 2 * base, 4 * base]
+    core.handle(20.0, said(3, life=51))
+    core.handle(20.1, said(1, Kind.GOSSIP, Rumour(3, 51, 0, State.SUSPECT, 1)))
+    assert core._suspicions[3].least == base
+
+
+def test_a_change_of_the_view_is_one_event_with_its_reason() -> None:
+    core = lone()
+    core.handle(0.5, Tick())
+    events = [a for a in core.handle(1.0, said(1, Kind.GOSSIP, Rumour(2, 9, 0, State.ALIVE)))
+              if isinstance(a, ViewChanged)]  # fmt: skip
+    assert [(e.present, e.quorum, e.reason) for e in events] == [(3, False, "node 1 alive and 1 more")]
+    quiet = core.handle(2.0, said(1, Kind.GOSSIP, Rumour(2, 9, 0, State.SUSPECT, 1)))
+    assert not [a for a in quiet if isinstance(a, ViewChanged)]  # a suspect is present
+
+
+def test_disagreement_that_lasts_is_said_once_and_its_end_too() -> None:
+    core, found = met(1, 2), []
+    agreed = False
+    for step in range(60):
+        now = 10.0 + 500 * step
+        agreed = agreed or step >= 40
+        view = core.view.hash if agreed else 7
+        for peer in (1, 2):
+            message = Message(Kind.NACK, peer, 50, 0, 0, view)
+            found += core.handle(now, Received(peer, encode(message)))
+    assert [(a.lasts, a.share) for a in found if isinstance(a, Disagreement)] == [(True, 0.0), (False, 1.0)]
+
+
+def test_another_list_of_peers_lets_some_leave_and_others_come() -> None:
+    core = met(1, 2, 4, 5)
+    acts = core.handle(2.0, Peers(5, frozenset({2})))
+    assert [(a.member, a.after) for a in acts if isinstance(a, Changed)] == [(2, State.LEFT), (5, State.LEFT)]
+    assert core.members() == [0, 1, 4] and core.quorum()
+    core.handle(3.0, said(2, life=60))  # the new one of that number
+    core.handle(3.0, Peers(8))
+    assert core.members() == [0, 1, 2, 4] and not core.quorum()
+    same = Membership(Config(), 0, 8, 100, 1, 0.0)
+    for member in (1, 2, 4):
+        same.handle(1.0, said(member, life=60 if member == 2 else 50))
+    assert same.view.hash == core.view.hash and same.view.buckets == core.view.buckets
+
+
 # --- whole tiers
 
 
@@ -217,6 +336,32 @@
     assert tier.settle(2 * SOON) < 2 * SOON
 
 
+def test_a_healed_partition_is_agreed_on_without_a_flood() -> None:
+    tier = world(60, loss=0.03)
+    tier.run(tier.now + SOON)
+    tier.sent.clear()
+    tier.run(tier.now + SOON)
+    usual = sum(tier.sent.values()) / SOON * 1000
+    tier.net.cut = lambda a, b: (a % 3 == 0) != (b % 3 == 0)
+    tier.run(tier.now + 2 * SOON)
+    tier.net.cut = lambda a, b: False
+    tier.per_second.clear()
+    assert tier.settle(5000) <= 5000
+    tier.run(tier.now + 5000)
+    assert max(tier.per_second.values()) <= 2 * usual
+
+
+def test_a_node_that_stalls_again_and_again_is_buried_less_and_less() -> None:
+    tier = world(20)
+    begun = tier.now
+    for step in range(12):
+        tier.at(begun + 10_000 * step, lambda: tier.stall(2, 2000.0))
+    tier.run(begun + 120_000)
+    early = [s for s in tier.deaths(begun) if s.at < begun + 40_000]
+    late = [s for s in tier.deaths(begun) if s.at >= begun + 80_000]
+    assert len(late) < len(early) / 2
+
+
 def test_a_node_that_only_hears_is_reached_by_way_of_others() -> None:
     tier = world(12)
     begun = tier.now
