--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -264,6 +264,11 @@
         return [(bucket * factor & MASK) >> 48 for bucket in self.buckets]
 
 
+def _refutes(rumours: tuple[Rumour, ...]) -> bool:
+    """Whether a broadcast with these is a refutation: what it is for comes first."""
+    return bool(rumours) and rumours[0].state is State.ALIVE
+
+
 def _most_told(count: int) -> int:
     """How often a rumour is told: so often that it reaches all, as SWIM has it."""
     return 4 * math.ceil(math.log10(count + 1))
@@ -311,7 +316,7 @@
         self._pages_due: set[Kind] = set()  # pages and roll calls under way
         self._views: dict[int, tuple[float, int]] = {}  # what each peer's view was, and when it said so
         self._repairs: dict[int, list[int]] = {}  # for whom: members whose rumours he lacks
-        self._budget, self._budget_at = config.broadcasts, now
+        self._budget, self._budget_at = [config.broadcasts] * 2, now  # for refutations the second one
         self._changed = now  # when this node's view last did
         self._since: float | None = None  # since when peers disagree
         self._said = False  # and whether that was said
@@ -621,7 +626,7 @@
             self.leaving = True
             gone = Rumour(self.me, self.life, LAST_WORD, State.LEFT)
             self._take(gone)
-            self._budget = max(self._budget, 2.0)
+            self._budget[0] = max(self._budget[0], 2.0)
             for wait in (0.0, self.config.direct):  # twice: the first may be lost
                 self._at(wait, partial(self._broadcast, gone))
 
@@ -758,7 +763,7 @@
             case Kind.DIGEST:
                 self._compare(message)
             case Kind.GOSSIP if message.subject == NOBODY:
-                self._spend(1.0)  # a broadcast that another one made counts here, too
+                self._spend(_refutes(message.rumours))  # a broadcast of another one's counts here, too
             case Kind.PAGE:
                 self._heard_page(message)
 
@@ -866,17 +871,19 @@
             return tuple(self._rumours.take(self.view, room, None))
         return (first, *self._rumours.take(self.view, room - first.size, first.member))
 
-    def _spend(self, amount: float) -> bool:
-        earned = (self.now - self._budget_at) / 1000 * self.config.broadcasts
-        self._budget = min(self.config.broadcasts, self._budget + earned)
+    def _spend(self, refutation: bool) -> bool:
+        """Refutations have a budget of their own: where suspicions are many they must not wait for gossip."""
+        most = self.config.broadcasts
+        earned = (self.now - self._budget_at) / 1000 * most
+        self._budget = [min(most, b + earned) for b in self._budget]
         self._budget_at = self.now
-        if self._budget < amount:
+        if self._budget[refutation] < 1.0:
             return False
-        self._budget -= amount
+        self._budget[refutation] -= 1.0
         return True
 
     def _broadcast(self, rumour: Rumour) -> None:
-        if self._spend(1.0):
+        if self._spend(_refutes((rumour,))):
             rumours = self._gossip(rumour, ROOM)
             self._acts.append(Tell(None, self._packed(Kind.GOSSIP, 0, NOBODY, b"", rumours)))
             self.counts["broadcasts"] += 1
