--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -69,7 +69,10 @@
     loop = asyncio.get_running_loop()
     node = Node(config)
     node.fleet = fleet = fleet_of(config)
-    node.discovery = discovery = Discovery(node, config.discovery, config.known.revision)
+    known, recovered = config.known, None
+    if fleet is not None:
+        known, recovered = fleet.known(known), fleet.recovered()
+    node.discovery = discovery = Discovery(node, config.discovery, known.revision)
     front, console = Front(node, config.shares(1)[0]), Console(node)
     pair = Pair(node.meeting, partial(beside_changed, node, front, fleet))
     stop = asyncio.Event()
@@ -81,8 +84,13 @@
         await console.listen(config.console)
         logging.info("console on %s:%d", *console.address)
         beside = pair.start()
-        node.bans.start(beside)
-    node.list(config.known, ListKind.SAVED)
+    if fleet is not None:
+        fleet.take_over()
+    if config.console is not None:
+        node.bans.start(beside, *(fleet.bans() if fleet is not None else ()))
+    node.list(known, ListKind.SAVED)
+    if recovered is not None:
+        node.event(recovered)
     if not config.settings.must_ask:
         discovery.watch(True)
     if beside:
@@ -117,6 +125,7 @@
     """The other process of this node has begun or ended; a successor then takes its place as a member."""
     share(node, front, beside)
     if fleet is not None and not beside and node.listening and not node.stopping:
+        fleet.take_over()  # where a successor had done so, and is gone
         fleet.start()
 
 
--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -18,7 +18,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from dillport.cli import fleet
+from dillport.cli import fleet, state
 from dillport.cli.output import Exit, stop
 from dillport.lab import records
 from dillport.lab.figures import FEWEST, JUDGED, summary
@@ -36,6 +36,7 @@
 )
 app.add_typer(lab, name="lab")
 app.add_typer(fleet.app, name="fleet")
+app.add_typer(state.app, name="state")
 console = Console(stderr=True)
 
 
--- /dev/null
+++ b/dillport/durable/records.py
@@ -0,0 +1,187 @@
+"""What a node keeps over a crash, as records and as what they add up to.
+
+Each record is msgpack with a tag, and a later version may add fields and tags. A record whose tag is unknown
+is passed on in snapshots, so that a program that is older for an hour loses nothing of the newer one's.
+Times are wall-clock ms. What is learned has a `Stamp` besides, by which its age is bounded from below.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from dillport.interface import Learned
+
+BOOT = Path("/proc/sys/kernel/random/boot_id")
+MOST_UNKNOWN = 256  # records of unknown kinds that are passed on
+
+
+class RecordError(ValueError):
+    """A snapshot that cannot be read; of a sound file only a newer program's."""
+
+
+class Stamp(msgspec.Struct, frozen=True, array_like=True):
+    """A moment by both clocks. `up` counts only while `boot` is the same: it means nothing after a reboot."""
+
+    wall: float  # ms, Unix time
+    boot: str  # the system's name for the time between two reboots; empty where it has none
+    up: float  # ms since the reboot, sleep included
+
+    def age(self, now: Stamp) -> float:
+        """Ms that have passed at least; infinity where no clock can tell.
+
+        A wall clock that was set back or ahead makes it older, never younger.
+        """
+        by_wall = now.wall - self.wall
+        if self.boot and self.boot == now.boot and now.up >= self.up:
+            return max(by_wall, now.up - self.up)
+        return by_wall if by_wall >= 0 else math.inf
+
+
+def stamp() -> Stamp:
+    """This moment."""
+    try:
+        boot = BOOT.read_text("ascii").strip()
+    except (OSError, ValueError):
+        boot = ""
+    return Stamp(time.time() * 1000, boot, time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the list of backends."""
+
+    backend: str
+    host: str
+    port: int
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+    phase: str
+    started_at: float
+
+
+class Out(msgspec.Struct, frozen=True, tag="out"):
+    """The operators took a backend out."""
+
+    backend: str
+    at: float
+
+
+class Back(msgspec.Struct, frozen=True, tag="back"):
+    """And put it back."""
+
+    backend: str
+    at: float
+
+
+class Listed(msgspec.Struct, frozen=True, tag="list"):
+    """Discovery told the list, or changes of it."""
+
+    revision: int
+    whole: bool
+    heard: float
+    rows: list[Row]
+
+
+class Started(msgspec.Struct, frozen=True, tag="start"):
+    """A process began a life of that number among the members."""
+
+    life: int
+    at: float
+
+
+class Sampled(msgspec.Struct, frozen=True, tag="learned"):
+    """What the module has learned, now and then."""
+
+    at: Stamp
+    learned: Learned
+
+
+Record = Out | Back | Listed | Started | Sampled
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+class Summed(msgspec.Struct, array_like=True):
+    """A snapshot's form."""
+
+    out: dict[str, float] = {}
+    back: dict[str, float] = {}
+    revision: int = 0
+    heard: float = 0.0
+    rows: list[Row] = []
+    life: int = 0
+    sampled: Sampled | None = None
+    unknown: list[bytes] = []
+
+
+@dataclass
+class Kept:
+    """What all records so far add up to."""
+
+    out: dict[str, float] = field(default_factory=dict)  # backends that are out, since when
+    back: dict[str, float] = field(default_factory=dict)  # and that were put back, when
+    revision: int = 0
+    heard: float = 0.0  # when the list was told
+    rows: dict[str, Row] = field(default_factory=dict)
+    life: int = 0
+    sampled: Sampled | None = None
+    unknown: list[bytes] = field(default_factory=list)
+
+    def apply(self, data: bytes) -> None:
+        """One more record."""
+        try:
+            record = _decoder.decode(data)
+        except msgspec.MsgspecError:
+            self.unknown = [*self.unknown, data][-MOST_UNKNOWN:]
+            return
+        match record:
+            case Out():
+                self.out[record.backend] = record.at
+                self.back.pop(record.backend, None)
+            case Back():
+                self.out.pop(record.backend, None)
+                self.back[record.backend] = record.at
+            case Listed():
+                rows = {row.backend: row for row in record.rows}
+                self.rows = rows if record.whole else self.rows | rows
+                self.revision, self.heard = record.revision, record.heard
+            case Started():
+                self.life = max(self.life, record.life)
+            case Sampled():
+                self.sampled = record
+
+    def encode(self) -> bytes:
+        """A snapshot."""
+        return msgspec.msgpack.encode(
+            Summed(self.out, self.back, self.revision, self.heard, list(self.rows.values()), self.life,
+                   self.sampled, self.unknown)
+        )  # fmt: skip
+
+    def forget(self, before: float) -> None:
+        """Drop returns that no ramp needs any more."""
+        self.back = {name: at for name, at in self.back.items() if at >= before}
+
+
+def total(snapshot: bytes | None, records: list[bytes]) -> Kept:
+    """What a snapshot and the records after it add up to; raises RecordError."""
+    kept = Kept()
+    if snapshot:
+        try:
+            s = msgspec.msgpack.decode(snapshot, type=Summed)
+        except msgspec.MsgspecError as err:
+            raise RecordError(f"a snapshot is of a form this program does not know: {err}") from None
+        rows = {row.backend: row for row in s.rows}
+        kept = Kept(s.out, s.back, s.revision, s.heard, rows, s.life, s.sampled, s.unknown)
+    for data in records:
+        kept.apply(data)
+    return kept
+
+
+def encode(record: Record) -> bytes:
+    """A record's bytes."""
+    return msgspec.msgpack.encode(record)
--- /dev/null
+++ b/dillport/durable/shell.py
@@ -0,0 +1,233 @@
+"""The store of one process of a node: a thread writes, the event loop never waits for a disk.
+
+Whoever needs a record to last awaits `keep`; all that wait at one time share one sync (group commit). What
+may be lost goes by `note`. A disk that fails costs the records, not the node: `keep` says no, one line and a
+counter tell it, and the directory is tried again later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import queue
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from dillport.durable.files import Files, RealFiles
+from dillport.durable.records import Kept, Record, RecordError, encode, total
+from dillport.durable.store import Fenced, Loaded, Store, StoreError, load
+
+log = logging.getLogger(__name__)
+
+MOST_WAITING = 1024  # records
+CLOSE = 0.1  # s that the end of the process waits for the disk
+TRY_AGAIN = 5.0  # s from a failure until the directory is tried again
+KEEP_RETURNS = 3_600_000.0  # ms for which the time of a backend's return is kept: longer than any ramp
+
+
+class DurableError(Exception):
+    """The record is not on disk; the text says why."""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A record on its way to the disk."""
+
+    record: bytes
+    done: asyncio.Future[None] | None
+
+
+class Durable:
+    """Reads what is there at once, and writes from `take_over` on."""
+
+    def __init__(self, files: Files, where: str, node: str) -> None:
+        self.files, self.where, self.node = files, where, node
+        self.kept = Kept()  # of the writing thread, once it runs
+        self.store: Store | None = None
+        self.off = ""  # why nothing is written, and will not be; empty where it may be
+        self.fenced = False
+        self.failures = self.dropped = self.written = self.synced = 0
+        self.slowest = 0.0  # s, of all syncs
+        self._tried = -TRY_AGAIN
+        self._said = False
+        self._queue: queue.SimpleQueue[Waiting | None] = queue.SimpleQueue()
+        self._thread: threading.Thread | None = None
+        self._user = contextlib.ExitStack()  # the sign that a process of the node lives
+        self._loop = asyncio.get_running_loop()
+
+    @classmethod
+    def at(cls, directory: Path, node: str) -> Durable:
+        """Over a directory of the system."""
+        out = cls(files := RealFiles(directory), str(directory), node)
+        try:
+            files.make()
+            out._user.enter_context(files.used())
+        except OSError as err:
+            out._refused(f"cannot be used: {err.strerror}")
+        return out
+
+    def _refused(self, why: str) -> None:
+        self.off = why
+        log.warning("state: %s: %s; the node goes on without", self.where, why)
+
+    def read(self) -> Kept:
+        """What an earlier process has kept; nothing, with one line, where it cannot be had."""
+        if self.off:
+            return self.kept
+        try:
+            loaded = load(self.files, self.node)
+            self.kept = total(loaded.snapshot, loaded.records)
+        except (StoreError, RecordError) as err:
+            self._refused(str(err))
+        except OSError as err:
+            self._failed(err)
+        else:
+            if loaded.notes:
+                more = f" and {len(loaded.notes) - 1} more" if len(loaded.notes) > 1 else ""
+                what = "some of it is lost" if loaded.lost else "nothing that was promised is lost"
+                log.warning("state: %s: %s%s; %s", self.where, loaded.notes[0], more, what)
+            log.info("state: %s: %d records, %d out, list of revision %d", self.where, loaded.number,
+                     len(self.kept.out), self.kept.revision)  # fmt: skip
+        return self.kept
+
+    def take_over(self) -> None:
+        """Write from here on, in place of whoever did: a process before, or a successor that has ended."""
+        self.fenced = False
+        if self._thread is None and not self.off:
+            self._thread = threading.Thread(target=self._run, name="state", daemon=True)
+            self._thread.start()
+
+    async def keep(self, record: Record) -> None:
+        """Returns once the record would outlast a power cut; raises DurableError where it may not."""
+        if self.off or self._thread is None:
+            raise DurableError(self.off or "not yet open")
+        if self._queue.qsize() >= MOST_WAITING:
+            raise DurableError("too many wait for the disk")
+        done: asyncio.Future[None] = self._loop.create_future()
+        self._queue.put(Waiting(encode(record), done))
+        await done
+
+    def note(self, record: Record) -> None:
+        """A record that may be lost with the power."""
+        if self.off or self._thread is None or self.fenced:
+            return
+        if self._queue.qsize() >= MOST_WAITING:
+            self.dropped += 1
+            return
+        self._queue.put(Waiting(encode(record), None))
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits for the disk."""
+        return self._queue.empty()
+
+    def close(self) -> None:
+        """Write what waits, and end; a disk that hangs is not waited for."""
+        if self._thread is not None:
+            self._queue.put(None)
+            self._thread.join(CLOSE)
+            self._thread = None
+        self._user.close()
+
+    def stats(self) -> dict[str, object]:
+        """What operators are shown."""
+        store = self.store
+        return {
+            "directory": self.where, "writes": store is not None and not store.broken, "off": self.off,
+            "fenced": self.fenced, "fence": store.fence if store is not None else 0,
+            "records": self.written, "syncs": self.synced, "slowest_sync_ms": round(self.slowest * 1000, 1),
+            "failures": self.failures, "dropped": self.dropped,
+        }  # fmt: skip
+
+    # --- in the thread
+
+    def _run(self) -> None:
+        while True:
+            first = self._queue.get()
+            batch = [] if first is None else [first]
+            ending = first is None
+            while not ending and not self._queue.empty():
+                more = self._queue.get()
+                ending = more is None
+                batch += [] if more is None else [more]
+            if batch:
+                why = self._write(batch)
+                for item in batch:
+                    if item.done is not None:
+                        self._loop.call_soon_threadsafe(_settle, item.done, why)
+            if ending:
+                if self.store is not None:
+                    self.store.close()
+                return
+
+    def _write(self, batch: list[Waiting]) -> str:
+        """Write a batch; why it is not on disk, empty where it is."""
+        if self.fenced:
+            return "another process of this node writes now"
+        try:
+            store = self._opened()
+            if store is None:
+                return "the disk has failed a moment ago"
+            sync = any(item.done is not None for item in batch)
+            begun = time.monotonic()
+            store.append([item.record for item in batch], sync)
+            if sync:
+                self.synced += 1
+                self.slowest = max(self.slowest, time.monotonic() - begun)
+            self.written += len(batch)
+            for item in batch:
+                self.kept.apply(item.record)
+            if store.full:
+                self.kept.forget(time.time() * 1000 - KEEP_RETURNS)
+                store.rotate(self.kept.encode())
+        except Fenced:
+            self.fenced = True
+            log.info("state: another process of this node writes now")
+            return "another process of this node writes now"
+        except OSError as err:
+            self._failed(err)
+            return str(err.strerror or err)
+        except (StoreError, RecordError) as err:
+            self._refused(str(err))
+            return self.off
+        return ""
+
+    def _opened(self) -> Store | None:
+        """The store, opened anew a while after a failure or once another process has given it up."""
+        if self.store is not None and not self.store.broken:
+            return self.store
+        if time.monotonic() - self._tried < TRY_AGAIN:
+            return None
+        self._tried = time.monotonic()
+        if self.store is not None:
+            self.store.close()
+        self.store = Store(self.files, self.node, os.urandom(8).hex(), self._snapshot)
+        self._tried = -TRY_AGAIN
+        if self._said:
+            self._said = False
+            log.info("state: %s: written again", self.where)
+        return self.store
+
+    def _snapshot(self, loaded: Loaded) -> bytes:
+        self.kept = total(loaded.snapshot, loaded.records)
+        return self.kept.encode()
+
+    def _failed(self, err: OSError) -> None:
+        self.failures += 1
+        if not self._said:
+            self._said = True
+            log.warning("state: %s: %s; the node serves on, calls that need it get a no", self.where,
+                        err.strerror or err)  # fmt: skip
+
+
+def _settle(done: asyncio.Future[None], why: str) -> None:
+    if done.cancelled():
+        return
+    if why:
+        done.set_exception(DurableError(why))
+    else:
+        done.set_result(None)
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -319,8 +319,31 @@
     """This process takes the place of another one of the same node, and may not be late with the list."""
 
 
-Event = (Reconfigured | Maintenance | TakingOver | ListUpdate | Arrival | Arrived | StreamStarted | Outcome
-         | ClientGone | Timer | Probed | PeerMessage)
+@dataclass(slots=True, frozen=True)
+class Learned:
+    """What a node has learned that an heir can use. Times in ms, none of them on a clock.
+
+    Own counts of sends are not among it: what they count is gone with the process.
+    """
+
+    limit: float  # of concurrent attempts
+    trust: float
+    lost: float
+    classes: dict[str, tuple[float, float, float]]  # usual time, its mean deviation, strain
+    # Start as listed, slowness, least trip, failures in a row, what is left of its ejection.
+    backends: dict[str, tuple[float, float, float, int, float]]
+
+
+@dataclass(slots=True)
+class Recovered:
+    """An earlier process of this node had learned this, `age` ms ago. Comes after the list."""
+
+    learned: Learned
+    age: float
+
+
+Event = (Reconfigured | Maintenance | TakingOver | Recovered | ListUpdate | Arrival | Arrived | StreamStarted
+         | Outcome | ClientGone | Timer | Probed | PeerMessage)
 
 # --- actions ----------------------------------------------------------------------------------------
 
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -200,8 +200,11 @@
             "PROXY_DISCOVERY": text(fleet.places.discovery(self.number)),
             "PROXY_CONSOLE": text(fleet.places.console(self.number, process)),
         }  # fmt: skip
-        if fleet.spec.fleet.membership:
-            (self.folder / "fleet.toml").write_text("[membership]\n", "utf-8")
+        tables = ["[membership]\n"] if fleet.spec.fleet.membership else []
+        if fleet.spec.fleet.durable:
+            tables.append(f"[durable]\ndirectory = {json.dumps(str(self.folder / 'state'))}\n")
+        if tables:
+            (self.folder / "fleet.toml").write_text("".join(tables), "utf-8")
             env["PROXY_FLEET"] = str(self.folder / "fleet.toml")
         child = await asyncio.create_subprocess_exec(
             "/bin/sh",
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -34,6 +34,7 @@
     memory_mb: int = 192
     sockets: int = 1024
     membership: bool = False  # nodes get a fleet file with `[membership]`
+    durable: bool = False  # and with `[durable]` and a directory that outlasts a node's processes
     ready_within: float = 30.0  # s
 
 
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -42,13 +42,27 @@
     return max(1, int((time.time() - EPOCH) / LIFE_UNIT)) & 0xFFFFFFFF
 
 
+def scaled(period: float) -> Config:
+    """All times as multiples of the defaults, for another period (ms)."""
+    base = Config()
+    scale = period / base.period
+    return Config(
+        period=period,
+        direct=base.direct * scale,
+        indirect=base.indirect * scale,
+        suspicion_least=base.suspicion_least * scale,
+        suspicion_most=base.suspicion_most * scale,
+    )
+
+
 class MembershipShell(asyncio.DatagramProtocol):
     """The socket of one node's membership."""
 
     def __init__(self, config: Config, me: int, listen: Address, peers: list[Address], everybody: Address,
-                 seed: int) -> None:  # fmt: skip
+                 seed: int, life: int = 0) -> None:  # fmt: skip
         self.config, self.me, self.listen, self.peers, self.everybody = config, me, listen, peers, everybody
         self.seed = seed
+        self.life = max(life, life_now())  # `life` is the least that it may be
         self.number = {address: node for node, address in enumerate(peers)}
         self.loop = asyncio.get_running_loop()
         self.core: Membership | None = None
@@ -73,7 +87,8 @@
             raise
         transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
         self.transport = transport
-        self.core = Membership(self.config, self.me, len(self.peers), life_now(), self.seed, self._now())
+        self.core = Membership(self.config, self.me, len(self.peers), self.life, self.seed,
+                               self._now())  # fmt: skip
         self._viewed_at = self._now()
         self._changed_at = [self._viewed_at] * len(self.peers)
         log.info("membership: node %d of %d on %s:%d", self.me, len(self.peers), *self.listen)
--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -66,13 +66,26 @@
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
 
-    def start(self, beside: bool) -> None:
-        """Take what stands in the file and keep looking; `beside` a running process it ought to be there."""
-        if not beside and not self.path.exists():
+    def start(self, beside: bool, out: Mapping[str, float] | None = None,
+              back: Mapping[str, float] | None = None) -> None:  # fmt: skip
+        """Take what stands in the file and keep looking; `beside` a running process it ought to be there.
+
+        `out` and `back` are what was kept elsewhere, and when (ms, Unix time): a ban of theirs holds unless
+        the file has a later return.
+        """
+        out, back = out or {}, back or {}
+        if not beside and (out or back or not self.path.exists()):
+            if self.path.exists():
+                self._refresh()
+            held = self.record
+            more = {name for name, at in out.items() if held.back.get(name, -math.inf) <= at}
+            returns = {k: t for k, t in {**back, **held.back}.items() if k not in held.out | more}
+            fresh = Record(held.out | more, returns)
             try:
-                self._write(self.record)
+                self._write(fresh)
             except OSError as err:
                 self._fault(f"cannot be written: {err}")
+            self._take(fresh)
         self._look()
 
     def stop(self) -> None:
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -11,15 +11,18 @@
 from collections.abc import Callable, Mapping
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from dillport.membership.core import Config as MembershipConfig
-from dillport.membership.shell import MembershipShell
+from dillport import interface as api
 from dillport.net import config
 from dillport.net.config import Address, ConfigError, address, address_at
 
+if TYPE_CHECKING:
+    from dillport.membership.shell import MembershipShell
+    from dillport.net.keeping import Keeping
+
 log = logging.getLogger(__name__)
 
 VARIABLE = "PROXY_FLEET"
@@ -31,10 +34,17 @@
     period_ms: float = 700.0  # between two probes; the other times follow from it
 
 
+class DurableTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """`[durable]`: state that outlasts a crash, in a directory that lasts and that no other node has."""
+
+    directory: str = ""
+
+
 class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
     """The fleet file."""
 
     membership: MembershipTable | None = None
+    durable: DurableTable | None = None
 
 
 def read(path: Path) -> FleetFile:
@@ -85,14 +95,56 @@
 
     def __init__(self, env: Mapping[str, str], held: config.Config) -> None:
         table = read(Path(env[VARIABLE]))
+        self.keeping: Keeping | None = None
+        if table.durable is not None and not table.durable.directory:
+            log.warning("state: durable.directory is not given: nothing outlasts a crash")
+        elif table.durable is not None:
+            from dillport.net.keeping import Keeping
+
+            self.keeping = Keeping(Path(table.durable.directory), held.name)
         self.membership: MembershipShell | None = None
         self._opening: asyncio.Task[None] | None = None
         if table.membership is not None:
             listen, peers, everybody = _peers(config.read(env))
             me = held.settings.me
             _numbered(me, peers)
-            scale = table.membership.period_ms / MembershipConfig().period
-            self.membership = MembershipShell(_scaled(scale), me, listen, peers, everybody, held.seed)
+            from dillport.membership.shell import MembershipShell, scaled
+
+            times = scaled(table.membership.period_ms)
+            least = self.keeping.kept.life + 1 if self.keeping is not None else 1
+            self.membership = MembershipShell(times, me, listen, peers, everybody, held.seed, least)
+
+    def take_over(self) -> None:
+        """Keep the node's state from here on: before a successor is ready, or when it has ended by itself."""
+        if self.keeping is not None:
+            self.keeping.take_over(self.membership.life if self.membership is not None else 0)
+
+    def known(self, told: config.News) -> config.News:
+        """The list to begin with: the one told at the start, or a newer one that was kept."""
+        return told if self.keeping is None else self.keeping.known(told)
+
+    def recovered(self) -> api.Recovered | None:
+        """What an earlier process had learned, where that was kept."""
+        return None if self.keeping is None else self.keeping.recovered()
+
+    def bans(self) -> tuple[dict[str, float], dict[str, float]]:
+        """What the operators had taken out and put back, as it was kept: id to time."""
+        return ({}, {}) if self.keeping is None else (self.keeping.kept.out, self.keeping.kept.back)
+
+    def listed(self, news: config.News, kind: api.ListKind) -> None:
+        """Discovery has told the list, or a change of it."""
+        if self.keeping is not None:
+            self.keeping.listed(news, kind)
+
+    def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
+        """What the module has learned may be had."""
+        if self.keeping is not None:
+            self.keeping.learned(what, now)
+
+    async def banned(self, backend: str, out: bool, at: float) -> None:
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+        if self.keeping is not None:
+            await self.keeping.banned(backend, out, at)
 
     def start(self) -> None:
         """Be present, unless it is so already. A successor calls this when its predecessor has ended."""
@@ -129,19 +181,14 @@
             self._opening.cancel()
         if self.membership is not None:
             self.membership.close()
+        if self.keeping is not None:
+            self.keeping.durable.close()
 
     def stats(self) -> dict[str, object]:
         """The `fleet` object of `/stats`."""
-        return {"membership": self.membership.stats()} if self.membership is not None else {}
-
-
-def _scaled(scale: float) -> MembershipConfig:
-    """All times of the membership, a multiple of the defaults."""
-    base = MembershipConfig()
-    return MembershipConfig(
-        period=base.period * scale,
-        direct=base.direct * scale,
-        indirect=base.indirect * scale,
-        suspicion_least=base.suspicion_least * scale,
-        suspicion_most=base.suspicion_most * scale,
-    )
+        out: dict[str, object] = {}
+        if self.membership is not None:
+            out["membership"] = self.membership.stats()
+        if self.keeping is not None:
+            out["durable"] = self.keeping.durable.stats()
+        return out
--- /dev/null
+++ b/dillport/net/keeping.py
@@ -0,0 +1,72 @@
+"""What a node keeps over a crash and takes up again: between its own types and those of the durable room.
+
+Imported only where the fleet file has `[durable]` with a directory.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from pathlib import Path
+
+from dillport import interface as api
+from dillport.durable.records import Back, Listed, Out, Row, Sampled, Started, stamp
+from dillport.durable.shell import Durable, DurableError
+from dillport.net.bans import BansError
+from dillport.net.config import Member, News
+
+
+class Keeping:
+    """The durable state of one process of a node."""
+
+    def __init__(self, directory: Path, node: str) -> None:
+        self.durable = Durable.at(directory, node)
+        self.kept = self.durable.read()
+
+    def take_over(self, life: int) -> None:
+        """Write from here on; `life` is this process's number among the members."""
+        self.durable.take_over()
+        self.durable.note(Started(life, stamp().wall))
+
+    def known(self, told: News) -> News:
+        """The list to begin with: the one kept or the one told at the start, whichever is newer."""
+        if not self.kept.rows or self.kept.revision <= told.revision:
+            return told
+        return News(self.kept.revision, True, tuple(map(_member, self.kept.rows.values())))
+
+    def recovered(self) -> api.Recovered | None:
+        """What an earlier process had learned, and how long ago at least."""
+        sampled = self.kept.sampled
+        if sampled is None or not math.isfinite(age := sampled.at.age(stamp())):
+            return None
+        return api.Recovered(sampled.learned, age)
+
+    def listed(self, news: News, kind: api.ListKind) -> None:
+        """Discovery has told the list, or a change of it."""
+        whole = kind is api.ListKind.FULL
+        self.durable.note(Listed(news.revision, whole, stamp().wall, list(map(_row, news.members))))
+
+    def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
+        """Keep a sample, unless the disk is behind: the next one will do."""
+        if self.durable.idle:
+            self.durable.note(Sampled(stamp(), what(now)))
+
+    async def banned(self, backend: str, out: bool, at: float) -> None:
+        """Returns once the ban or the return is on disk, where there is one. Raises BansError."""
+        if self.durable.off:
+            return
+        try:
+            await self.durable.keep(Out(backend, at) if out else Back(backend, at))
+        except DurableError as err:
+            raise BansError(str(err)) from None
+
+
+def _row(member: Member) -> Row:
+    e = member.entry
+    return Row(e.backend, *member.address, e.zone, e.kind, e.cell, e.weight, e.phase.value, e.started_at)
+
+
+def _member(row: Row) -> Member:
+    r, phase = row, api.Phase(row.phase)
+    entry = api.Entry(r.backend, r.zone, r.cell, r.weight, phase, r.started_at, r.kind)
+    return Member(entry, (r.host, r.port))
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -13,7 +13,7 @@
 from typing import Protocol
 
 from dillport import interface as api
-from dillport.net.bans import Bans, stem
+from dillport.net.bans import Bans, BansError, stem
 from dillport.net.config import Config, News
 from dillport.net.figures import End, Figures
 from dillport.net.stream import Budget, Upload
@@ -50,11 +50,20 @@
 
 
 class Rooms(Protocol):
-    """What the fleet's rooms tell the node."""
+    """What the fleet's rooms tell the node, and what it tells them."""
 
     def stats(self) -> dict[str, object]:
         """Their part of the figures."""
 
+    def listed(self, news: News, kind: api.ListKind) -> None:
+        """Discovery has told the list, or a change of it."""
+
+    def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
+        """What the module has learned may be had; asked for now and then."""
+
+    async def banned(self, backend: str, out: bool, at: float) -> None:
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+
 
 class Watcher(Protocol):
     """What brings the list."""
@@ -146,6 +155,8 @@
         """Watch the event loop's lag; now and then log what was done, while there was something to do."""
         now = self.loop.time()
         self._lag, self._pulses = max(self._lag, now - due), self._pulses + 1
+        if self.fleet is not None:
+            self.fleet.learned(self.balancer.learned, self.now())
         if self._pulses >= REPORT_EVERY and self.counts:
             text = " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
             log.info("counts: %s open=%d upstream=%d lag_ms=%.0f %s", text, len(self.open), self.pool.count,
@@ -255,7 +266,17 @@
         """Take a backend out or put it back; False where it was never listed. Raises BansError."""
         if not self.balancer.listed(backend) and not self.bans.known(backend):
             return False
-        await self.bans.change(backend, out, self.now(), self.settings.ramp_time)
+        now = self.now()
+        changes = out != (backend in self.bans.record.out)
+        if self.fleet is not None and changes:
+            await self.fleet.banned(backend, out, now)
+        try:
+            await self.bans.change(backend, out, now, self.settings.ramp_time)
+        except BansError:
+            if self.fleet is not None and changes:  # the answer is no: no later process may think otherwise
+                with contextlib.suppress(BansError):
+                    await self.fleet.banned(backend, not out, now)
+            raise
         return True
 
     def stats(self) -> dict[str, object]:
@@ -289,6 +310,8 @@
         self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
         if kind is not api.ListKind.SAVED:
             self.fresh.set()
+            if self.fleet is not None:
+                self.fleet.listed(news, kind)
         self.ready = self.ready or any(host.listed for host in self.pool.hosts.values())
 
     def maintain(self, backend: str, out: bool, since: float) -> None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -75,7 +75,7 @@
             api.Timer: self._timer, api.ListUpdate: self._list, api.ClientGone: self._gone,
             api.StreamStarted: self._stream, api.Reconfigured: self._reconfigured,
             api.Maintenance: self._maintenance, api.TakingOver: self._ask, api.Arrived: self._arrived,
-            api.PeerMessage: lambda event: None}
+            api.Recovered: self._recovered, api.PeerMessage: lambda event: None}
 
     def _configure(self, settings: api.Settings) -> None:
         """Take settings. A class that stays hands on what was learned; requests keep their own record."""
@@ -108,6 +108,33 @@
                 b.estimate, b.fails, b.until, b.busy, b.slow, b.trip = b.out, 0, 0.0, 0.0, 1.0, math.inf
         self._refresh()
 
+    def learned(self, now: float) -> api.Learned:
+        """What an heir of this node can use, at the clock time `now`."""
+        classes = {name: (c.usual, c.dev, c.strain) for name, c in self.classes.items()}
+        backends = {name: (b.entry.started_at, b.slow, b.trip, b.fails, max(0.0, b.until - now))
+                    for name, b in self.backends.items()
+                    if b.entry.phase is not api.Phase.GONE and (b.fails or b.trip < math.inf)}
+        return api.Learned(self.limit, self.trust, self.lost, classes, backends)
+
+    def _recovered(self, ev: api.Recovered) -> None:
+        """Believed the less the older it is: in the time of a ramp a fleet becomes another one.
+
+        A backend started or put back since is a new one; its estimate stays at what this process sent.
+        """
+        keep, was = 0.5 ** (ev.age / self.cfg.ramp_time), ev.learned
+        self.limit = max(self.limit, self.least + keep * (was.limit - self.least))
+        self.trust, self.lost = 1.0 - keep * (1.0 - was.trust), keep * was.lost
+        for name, (usual, dev, strain) in was.classes.items():
+            if (c := self.classes.get(name)) is not None:
+                c.usual, c.dev, c.strain = c.usual + keep * (usual - c.usual), keep * dev, keep * strain
+        for name, (started, slow, trip, fails, left) in was.backends.items():
+            b = self.backends.get(name)
+            if b is None or b.entry.started_at > started or name in self.returned or keep == 0.0:
+                continue
+            b.slow, b.trip = 1.0 + keep * (slow - 1.0), trip / keep
+            if left > ev.age:
+                b.fails, b.until, b.away = fails, self.now + left - ev.age, self.now
+
     def _takes(self, b: Backend) -> bool:
         """Whether the list and the operators let it have new work."""
         return b.entry.phase is api.Phase.UP and b.entry.backend not in self.banned
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -262,10 +262,10 @@
     } | top  # fmt: skip
 
 
-async def spawn(path: Path) -> asyncio.subprocess.Process:
-    """Start the program on a configuration file."""
+async def spawn(path: Path, **more: str) -> asyncio.subprocess.Process:
+    """Start the program on a configuration file, with `more` in its environment."""
     env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
-    env |= {"PROXY_CONFIG": str(path), "TMPDIR": str(path.parent)}
+    env |= {"PROXY_CONFIG": str(path), "TMPDIR": str(path.parent)} | more
     return await asyncio.create_subprocess_exec(
         sys.executable, "-B", "-m", "dillport", cwd=ROOT, env=env,
         stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
@@ -273,9 +273,9 @@
 
 
 @contextlib.asynccontextmanager
-async def started(path: Path, discovery: FakeDiscovery) -> AsyncIterator[Rig]:
+async def started(path: Path, discovery: FakeDiscovery, **more: str) -> AsyncIterator[Rig]:
     """A process on this configuration, from when it serves."""
-    process = await spawn(path)
+    process = await spawn(path, **more)
     rig = Rig(process, 0, discovery, [], path)
     try:
         await rig.logged("serves on")
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,209 @@
+"""Nodes of their own that are killed, stopped and started again on one directory of durable state."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import pytest
+
+from dillport import interface as api
+from dillport.durable.files import RealFiles
+from dillport.durable.records import Kept, total
+from dillport.durable.store import load
+from dillport.lab.programs import ROOT
+from tests.helpers import BASE, SAFE, entry, node
+from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, started
+from tests.test_console import CONSOLE
+from tests.test_node import run
+
+BACKENDS = ["b0", "b1", "b2", "b3"]
+
+
+@dataclass
+class Home:
+    """A node's place: its file, its durable directory, and a `$TMPDIR` for each process."""
+
+    folder: Path
+    discovery: FakeDiscovery
+    starts: int = 0
+
+    @property
+    def state(self) -> Path:
+        """The durable directory."""
+        return self.folder / "state"
+
+    def kept(self) -> Kept:
+        """What is in it now."""
+        loaded = load(RealFiles(self.state))
+        return total(loaded.snapshot, loaded.records)
+
+    def kept_number(self) -> int:
+        """How many records are in it."""
+        with contextlib.suppress(OSError):  # a generation may go while it is read
+            return load(RealFiles(self.state)).number
+        return 0
+
+    @contextlib.asynccontextmanager
+    async def up(self, fresh_tmp: bool = True) -> AsyncIterator[Rig]:
+        """A process of the node; what `$TMPDIR` held before is gone, unless told otherwise."""
+        self.starts += fresh_tmp
+        tmp = self.folder / f"tmp-{self.starts}"
+        tmp.mkdir(exist_ok=True)
+        env = {"TMPDIR": str(tmp), "PROXY_FLEET": str(self.folder / "fleet.toml")}
+        async with started(self.folder / "config.json", self.discovery, **env) as rig:
+            yield rig
+
+
+@contextlib.asynccontextmanager
+async def home(folder: Path) -> AsyncIterator[Home]:
+    """Backends, discovery and the files of one node."""
+    discovery, backends = FakeDiscovery(), [Backend(name) for name in BACKENDS]
+    await discovery.start()
+    for backend in backends:
+        await backend.start()
+    members = [b.member() for b in backends]
+    (folder / "config.json").write_text(json.dumps(configuration(members, discovery.port, console=CONSOLE)))
+    (folder / "fleet.toml").write_text(f"[durable]\ndirectory = {json.dumps(str(folder / 'state'))}\n")
+    try:
+        yield Home(folder, discovery)
+    finally:
+        assert discovery.server is not None
+        discovery.server.close()
+        for backend in backends:
+            backend.stop()
+
+
+def test_a_ban_outlasts_kill_nine_and_a_lost_tmpdir(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with home(tmp_path) as place:
+            async with place.up() as rig:
+                assert (await rig.call("/backends/b1/maint", "POST")).code == 200
+                assert (await rig.call("/backends/b2/maint", "POST")).code == 200
+                assert (await rig.call("/backends/b2/ready", "POST")).code == 200
+                rig.process.kill()
+            async with place.up() as rig:
+                assert (await rig.stats())["members_unavailable"] == 1
+                client = await rig.client()
+                served = {(await client.ask("/read")).body.split()[0] for _ in range(40)}
+                assert b"b1" not in served and len(served) >= 2
+                assert (await rig.call("/backends/b1/ready", "POST")).code == 200
+                rig.process.kill()
+            async with place.up() as rig:
+                assert (await rig.stats())["members_unavailable"] == 0
+
+    run(test)
+
+
+async def operate(rig: Rig, dice: random.Random, said: dict[str, bool]) -> None:
+    """Operators call without a pause until the node is dead; what was said yes to is in `said`."""
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        while True:
+            name, out = dice.choice(BACKENDS), dice.random() < 0.5
+            before = said.pop(name, None)  # until the answer nobody knows
+            if (await rig.call(f"/backends/{name}/{'maint' if out else 'ready'}", "POST")).code == 200:
+                said[name] = out
+            elif before is not None:
+                said[name] = before
+
+
+def test_kill_nine_at_any_moment_loses_no_ban_that_was_said_yes_to(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with home(tmp_path) as place:
+            dice, said = random.Random(7), dict[str, bool]()
+            for _ in range(6):
+                async with place.up() as rig:
+                    calls = asyncio.create_task(operate(rig, dice, said))
+                    target = dice.randint(1, 60)  # so many records, then the power of the process is cut
+                    async with asyncio.timeout(WAIT):
+                        begun = place.kept_number()
+                        while place.kept_number() < begun + target:
+                            await asyncio.sleep(0.001)
+                    rig.process.kill()
+                    await calls
+                kept = place.kept()
+                for name, out in said.items():
+                    assert (name in kept.out) == out, (name, out)
+
+    run(test)
+
+
+def test_a_process_that_sleeps_through_the_hand_over_cannot_undo_it(tmp_path: Path) -> None:
+    async def news(discovery: FakeDiscovery) -> None:
+        await discovery.asked.get()
+        discovery.news(42)
+
+    async def test() -> None:
+        async with home(tmp_path) as place, place.up() as old:
+            await place.discovery.asked.get()
+            assert (await old.call("/backends/b0/maint", "POST")).code == 200
+            old.process.send_signal(signal.SIGSTOP)
+            told = asyncio.create_task(news(place.discovery))
+            async with place.up(fresh_tmp=False) as new:
+                await told
+                assert (await new.stats())["members_unavailable"] == 1
+                assert (await new.call("/backends/b1/maint", "POST")).code == 200
+                old.process.send_signal(signal.SIGCONT)
+                assert (await old.call("/backends/b2/maint", "POST")).code == 503
+                assert set(place.kept().out) == {"b0", "b1"}
+                new.process.kill()
+            await old.logged("is out")
+            async with asyncio.timeout(WAIT):  # the successor is gone: the old one keeps the state again
+                while (await old.call("/backends/b3/maint", "POST")).code != 200:
+                    await asyncio.sleep(0.05)
+            assert {"b0", "b1", "b3"} <= set(place.kept().out)
+
+    run(test)
+
+
+def test_nothing_of_a_room_is_imported_that_the_fleet_file_does_not_name() -> None:
+    rooms = ("durable", "membership", "lab", "sim", "cli")
+    code = f"import sys, dillport.net.fleet; print([m for m in sys.modules if m.split('.')[1:2] and " \
+           f"m.split('.')[1] in {rooms}], 'google_crc32c' in sys.modules)"  # fmt: skip
+    done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
+                          check=True)  # fmt: skip
+    assert done.stdout.strip() == "[] False"
+
+
+# --- what the module believes
+
+
+def taught() -> tuple[api.Learned, float]:
+    """What a node has learned that served with a wide limit and has ejected a backend; and the time then."""
+    one = node(replace(BASE, reports=api.Reports.NONE), ["x", "y"])
+    one.limit = 20.0
+    one.classes["read"].usual = 37.0
+    one.backends["x"].slow, one.backends["x"].trip = 2.0, 5.0
+    one._eject(one.backends["y"])
+    return one.learned(1000.0), 1000.0
+
+
+@pytest.mark.parametrize(("age", "limit"), [(0.0, 20.0), (10_000.0, 12.0), (1e6, 4.0)])
+def test_what_was_learned_fades_to_the_cold_defaults(age: float, limit: float) -> None:
+    learned, _ = taught()
+    heir = node(BASE, ["x", "y"])
+    heir.handle(1000.0, api.Recovered(learned, age))
+    assert heir.limit == pytest.approx(limit)
+    cold = SAFE.aim / 4
+    assert heir.classes["read"].usual == pytest.approx(cold + (37.0 - cold) * 0.5 ** (age / 10_000.0))
+    assert 1.0 <= heir.backends["x"].slow <= 2.0 and heir.backends["x"].trip >= 5.0
+    assert (heir.backends["y"].until > 1000.0) == (age == 0)
+    assert [b.estimate for b in heir.backends.values()] == [0, 0]  # the sends are gone with the process
+
+
+def test_a_backend_started_since_is_a_new_one_and_a_ban_holds() -> None:
+    learned, _ = taught()
+    heir = node(BASE, ["y"])
+    heir.handle(1000.0, api.ListUpdate(api.ListKind.CHANGES, [entry("x", started_at=900.0)]))
+    heir.handle(1000.0, api.Maintenance("y", True))
+    heir.handle(1000.0, api.Recovered(learned, 0.0))
+    assert heir.backends["x"].slow == 1.0 and heir._warmth(heir.backends["x"].entry) < 1.0
+    assert heir.banned == {"y"} and heir.up == ["x"]
