--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -254,6 +254,7 @@
     seeds: Annotated[int, typer.Option(min=2, max=100, help="Each is played by both.")] = FEWEST,
     first_seed: Annotated[int, typer.Option(min=0)] = 1,
     sets: Sets = None,
+    more: Annotated[list[str] | None, typer.Option("--figure", help="Judge this, too. Repeatable.")] = None,
     as_json: AsJson = False,
 ) -> None:
     """Play two programs on the same seeds. Exit code 0: no difference; 1: some figure differs; 2: not run."""
@@ -275,7 +276,11 @@
                         raise stop(f"seed {seed}, {programs[side].label}: the rig was late; see {folder}")
                     values[side].append(done["figures"])
                     progress.advance(bar)
-        found = compare(*values)
+        judged = tuple(dict.fromkeys([*JUDGED, *(more or ())]))
+        for name in judged:
+            if not all(name in figures for side in values for figures in side):
+                raise stop(f"--figure {name}: not all runs have that figure; see {out}")
+        found = compare(*values, judged)
         names = (programs[0].label, programs[1].label)
         result = {"experiment": spec.name, "a": names[0], "b": names[1], "seeds": seeds,
                   "differences": rows_of(found)}  # fmt: skip
@@ -286,7 +291,7 @@
     else:
         _show_differences(result)
         if seeds < FEWEST:
-            print(f"fewer than {FEWEST} seeds: {len(JUDGED)} figures cannot differ at this level")
+            print(f"fewer than {FEWEST} seeds: {len(judged)} figures cannot differ at this level")
         print(out / "compare.html")
     raise typer.Exit(Exit.SHORT if any(d.differs for d in found) else Exit.HELD)
 
--- a/dillport/lab/compare.py
+++ b/dillport/lab/compare.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from itertools import product
 from typing import Any
@@ -58,9 +59,10 @@
     return float(np.mean(np.abs(signs @ values) >= abs(values.sum()) * (1 - 1e-12)))
 
 
-def compare(a: list[dict[str, float]], b: list[dict[str, float]]) -> list[Difference]:
-    """The judged figures of runs paired by seed."""
-    pairs = {name: (np.array([f[name] for f in a]), np.array([f[name] for f in b])) for name in JUDGED}
+def compare(a: list[dict[str, float]], b: list[dict[str, float]],
+            names: Sequence[str] = JUDGED) -> list[Difference]:  # fmt: skip
+    """The judged figures of runs paired by seed; raises KeyError for one that a run does not have."""
+    pairs = {name: (np.array([f[name] for f in a]), np.array([f[name] for f in b])) for name in names}
     raw = {name: sign_flip(y - x) if np.any(y != x) else 1.0 for name, (x, y) in pairs.items()}
     corrected, least = {}, 0.0
     for rank, name in enumerate(sorted(raw, key=lambda n: raw[n])):
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -24,6 +24,7 @@
 KNOWN_BY = 10_000.0  # ms within which a death has to be known
 WINDOW = 0.5  # s of the series
 JUDGED = ("goodput", "refused", "latency_p50_ms", "latency_p99_ms", "node_cpu_us_per_try")  # of a comparison
+HEIR, HEIR_STEP = 5.0, 0.1  # s for which an heir is watched; between two looks
 FEWEST = 8  # seeds from which on so many figures can be told apart
 
 Series = dict[str, list[float]]
@@ -168,7 +169,7 @@
         "rig_late_p50_ms": lateness[0],
         "rig_late_p99_ms": lateness[1],
         "rig_loop_lag_p99_ms": percentiles(seen.loop_lag, (99.0,))[0],
-    } | _costs(seen)
+    } | _costs(seen) | heirs(seen)
     out |= {f"broken_{rule}": float(judged.broken[rule]) for rule in RULES}
     if spec.fleet.membership:
         out |= membership(spec, seen)
@@ -180,6 +181,41 @@
     return {name: round(value, 6) for name, value in out.items()}
 
 
+def heirs(seen: records.Seen) -> dict[str, float]:
+    """How processes fared that took the place of another one of their node: killed, ended or upgraded.
+
+    `heir_refused`: share of the tries at the node refused in the `HEIR` s from when it was ready, the mean
+    over the heirs. `heir_recovery_s`: from then until, for a second, its tries are served as often as
+    RECOVERED of what its predecessor served in the 3 s before; the slowest heir.
+    """
+    refused, recovery = [], []
+    by_node: dict[int, list[records.TryRecord]] = defaultdict(list)
+    for one in sorted(seen.tries, key=lambda t: t.sent):
+        by_node[one.node].append(one)
+    for life in seen.lives:
+        older = [x for x in seen.lives if x.node == life.node and x.process == life.process - 1]
+        end = max((x.killed or x.term or x.ended for x in older), default=0.0)
+        if not end or not life.ready:
+            continue
+        tries = by_node[life.node]
+        before = [t.end == End.SERVED.value for t in tries if end - 3000 <= t.sent < min(end, life.ready)]
+        after = [t for t in tries if life.ready <= t.sent < life.ready + HEIR * 1000]
+        if not before or not after:
+            continue
+        refused.append(sum(t.end == End.REFUSED.value for t in after) / len(after))
+        wanted, back = RECOVERED * sum(before) / len(before), HEIR
+        for step in range(int((HEIR - 1) / HEIR_STEP)):
+            begin = life.ready + step * HEIR_STEP * 1000
+            some = [t.end == End.SERVED.value for t in after if begin <= t.sent < begin + 1000]
+            if some and sum(some) / len(some) >= wanted:
+                back = step * HEIR_STEP
+                break
+        recovery.append(back)
+    if not refused:
+        return {}
+    return {"heir_refused": float(np.mean(refused)), "heir_recovery_s": float(max(recovery))}
+
+
 def _costs(seen: records.Seen) -> dict[str, float]:
     """What the nodes' processes used, from the system's own accounts."""
     cpu: dict[int, list[tuple[float, float]]] = defaultdict(list)
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -310,9 +310,11 @@
             running.signal(signal.SIGHUP)
 
     def disk(self, mode: str, on: bool) -> None:
-        """`$TMPDIR` takes no more bytes, or no new files; or is sound again."""
+        """`$TMPDIR` and the durable directory take no more bytes, or no new files; or are sound again."""
         if mode == "readonly":
-            self.tmp.chmod(0o500 if on else 0o700)
+            for folder in (self.tmp, self.folder / "state"):
+                if folder.exists():
+                    folder.chmod(0o500 if on else 0o700)
             return
         for running in self.alive():
             hard = resource.RLIM_INFINITY
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -202,7 +202,7 @@
 
 
 class Disk(Fault, frozen=True, tag="disk"):
-    """The nodes' `$TMPDIR` takes no more bytes (`full`) or no new files (`readonly`)."""
+    """The nodes' `$TMPDIR` and durable directory take no more bytes (`full`), no new files (`readonly`)."""
 
     what: str
     for_: float = field(name="for")
