--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -272,7 +272,8 @@
     slowest, missed = [], 0
     for node, at in kills:
         others = {
-            x.node for x in seen.lives if x.node != node and x.ready and not 0 < x.ended < at + KNOWN_BY
+            x.node for x in seen.lives
+            if x.node != node and 0 < x.ready <= at and not 0 < x.ended < at + KNOWN_BY
         }
         known: dict[int, float] = {}
         for view in dead:
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -28,7 +28,7 @@
 EPOCH = 1_577_836_800.0  # s, Unix time: the year 2020, from which lives are counted
 LIFE_UNIT = 0.256  # s: a life's number fits four bytes until 2054, and a process takes longer to start
 COLUMNS = ("state", "life", "incarnation", "changed_ms", "view")  # of a member in `stats`
-LINES, SPAN = 30, 10.0  # log lines of one kind at most in so many seconds
+LINES, SPAN = 100, 10.0  # log lines of one kind at most in so many seconds
 WORDS = {
     State.ALIVE: "is present",
     State.SUSPECT: "is suspected",
