--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -273,7 +273,7 @@
     for node, at in kills:
         others = {
             x.node for x in seen.lives
-            if x.node != node and 0 < x.ready <= at and not 0 < x.ended < at + KNOWN_BY
+            if x.node != node and x.ready and x.ready <= at and not 0 < x.ended < at + KNOWN_BY
         }
         known: dict[int, float] = {}
         for view in dead:
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -84,8 +84,10 @@
                 where="post", color=QUIET, lw=0.8, alpha=0.7)  # fmt: skip
     edges = sorted({0.0, spec.seconds} | {x / 1000 for life in seen.lives for x in (life.ready, life.ended)
                                           if 0 < x < spec.seconds * 1000})  # fmt: skip
-    alive = [len({x.node for x in seen.lives if x.ready <= t * 1000 and not 0 < x.ended <= t * 1000})
-             for t in edges]  # fmt: skip
+    alive = [
+        len({x.node for x in seen.lives if x.ready and x.ready <= t * 1000 and not 0 < x.ended <= t * 1000})
+        for t in edges
+    ]
     ax.step(edges, alive, where="post", color=INK, lw=1.6, label="live")
     ax.set(ylabel="held for present", xlabel="seconds", ylim=(0, spec.fleet.nodes * 1.08))
     ax.legend(loc="lower right", fontsize=8, frameon=False)
--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -53,6 +53,7 @@
 MOST_TIMERS = 4096
 PER_DATAGRAM = ROOM // 9  # rumours
 MANY = 1  # rumours that were hardly told so far: enough for a page
+HELPS = 2  # periods within which one was heard who is asked to help
 CROWD = 4  # members suspected at once from which one helper is enough: no lost datagram explains them
 LAST_ROUNDS = 4  # how often a rumour heard on a page is told on: some have missed the page
 MOST_REPAIRS = 8  # peers that are repaired at once
@@ -454,15 +455,17 @@
 
     def _next(self) -> int | None:
         """The next to probe: everybody once in each round, in an order that changes."""
-        while True:
-            if not self._order:
-                self._order = self._others()
-                self.random.shuffle(self._order)
-                if not self._order:
-                    return None
-            member = self._order.pop()
-            if self.view.known[member].state in PRESENT:
-                return member
+        for _ in range(2):
+            while self._order:
+                member = self._order.pop()
+                suspicion = self._suspicions.get(member)
+                if suspicion is not None and self.me in suspicion.accusers and self.config.local_health:
+                    continue  # it has been looked at, and its time runs
+                if self.view.known[member].state in PRESENT:
+                    return member
+            self._order = self._others()
+            self.random.shuffle(self._order)
+        return None
 
     def _ping(self, member: int, first: Rumour | None = None) -> int:
         self._sequence += 1
@@ -489,6 +492,10 @@
         if (probe := self._probes.get(sequence)) is None:
             return
         others = self._others(probe.target)
+        if self.config.local_health:
+            # Where many have died at once the silent ones are no help, and no sign that this node is late.
+            since = self.now - HELPS * self.config.period
+            others = [m for m in others if self._views.get(m, (-math.inf, 0))[0] >= since] or others
         helpers = probe.helpers if len(self._suspicions) < CROWD else 1
         for helper in self.random.sample(others, min(helpers, len(others))):
             probe.nacks_due += 1
