Upgrade: the old process hands over what it has learned, by a file in $TMPDIR

Need: a successor's concurrency limit is 9 to 14 for some seconds where its predecessor had 21 to 23 (Still open in docs/postmortems.md). The old process writes `learned()` when it first sees the other one, the new one takes it 0.25 s after its start as `Recovered`. A file that makes no sense or is older than 10 s is left out.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -20,6 +20,7 @@
 from dillport.net.console import Console
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
+from dillport.net.handover import SOON, give, take
 from dillport.net.node import Node
 from dillport.net.pair import Pair, steer, unsteer
 
@@ -29,6 +30,7 @@
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
+LEARNED = ".learned"  # of the file that hands learned state over
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
@@ -99,6 +101,8 @@
         node.event(TakingOver())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(node.fresh.wait(), FRESH)
+        if recovered is None:
+            loop.call_later(SOON, inherit, node)
     gc.freeze()
     await front.listen(config.listen, shared=config.console is not None)
     node.listening = True
@@ -124,11 +128,20 @@
 def beside_changed(node: Node, front: Front, fleet: Fleet | None, beside: bool) -> None:
     """The other process of this node has begun or ended; a successor then takes its place as a member."""
     share(node, front, beside)
+    if beside and node.listening and not node.stopping:  # a successor has come
+        give(node.meeting.with_suffix(LEARNED), node.balancer.learned(node.now()))
     if fleet is not None and not beside and node.listening and not node.stopping:
         fleet.take_over()  # where a successor had done so, and is gone
         fleet.start()
 
 
+def inherit(node: Node) -> None:
+    """Go on from what the process before has learned, where it has left that."""
+    if (left := take(node.meeting.with_suffix(LEARNED))) is not None:
+        node.event(left)
+        logging.info("handover: learned state taken over, limit %.1f", left.learned.limit)
+
+
 def share(node: Node, front: Front, beside: bool) -> None:
     """Keep to this process's part of the descriptors; what is open already may stay."""
     clients, upstream = node.config.shares(2 if beside else 1)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import json
+import math
 import socket
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -16,6 +18,7 @@
 from dillport.__main__ import until_killed
 from dillport.net import pair as pair_file
 from dillport.net.config import load
+from dillport.net.handover import give, take
 from dillport.net.pair import Pair, SlotError, steer, unsteer
 from dillport.policy import Balancer
 from tests.helpers import BASE, SAFE, entry
@@ -155,6 +158,7 @@
                     await task
                     assert (await new.call("/healthcheck")).code == 200
                     assert (await new.stats())["members_unavailable"] == 1
+                    await new.logged("handover: learned state taken over")
                     old.terminate()
                     while (await old.call("/healthcheck")).code == 200:
                         pass
@@ -207,6 +211,32 @@
     run(test)
 
 
+LEARNED = api.Learned(21.5, 0.9, 0.0, {"read": (30.0, 4.0, 0.1)}, {"b0": (0.0, 1.0, math.inf, 1, 90.0)})
+
+
+def test_what_was_learned_is_handed_over_once(tmp_path: Path) -> None:
+    path = tmp_path / "x.learned"
+    give(path, LEARNED)
+    left = take(path)
+    assert left is not None and left.learned == LEARNED and 0 <= left.age < 10_000
+    assert take(path) is None
+    give(tmp_path / "no" / "x.learned", LEARNED)  # nowhere to write: no exception
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"at": 0.0}, {"at": 1e15}, {"learned": 1}, {"learned": {"limit": "x"}}, {"learned": {"lost": math.nan}}],
+)
+def test_what_makes_no_sense_is_not_taken_over(tmp_path: Path, change: dict[str, Any]) -> None:
+    path = tmp_path / "x.learned"
+    give(path, LEARNED)
+    table = json.loads(path.read_text())
+    inner = change.get("learned")
+    change = change | ({"learned": table["learned"] | inner} if isinstance(inner, dict) else {})
+    path.write_text(json.dumps(table | change))
+    assert take(path) is None
+
+
 async def _news(discovery: FakeDiscovery) -> None:
     """Tell the second watch that nothing has changed."""
     await discovery.asked.get()
