--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -162,7 +162,14 @@
     share: float  # of the present peers heard lately, those that agree
 
 
-Action = Tell | Changed | ViewChanged | Disagreement
+@dataclass(slots=True, frozen=True)
+class Refuted:
+    """Others held this node for `said`; it has told them that it lives."""
+
+    said: State
+
+
+Action = Tell | Changed | ViewChanged | Disagreement | Refuted
 
 
 @dataclass(slots=True)
@@ -623,6 +630,7 @@
         self.counts["refutations"] += 1
         if rumour.state is State.SUSPECT:  # after a partition all are held for dead: no sign of their health
             self._worse(1)
+        self._acts.append(Refuted(rumour.state))
         fresh = Rumour(self.me, self.life, self.incarnation, State.ALIVE)
         self._take(fresh)
         if aloud:
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -16,6 +16,7 @@
     Membership,
     Peers,
     Received,
+    Refuted,
     Tell,
     Tick,
     ViewChanged,
@@ -72,6 +73,7 @@
         self.foreign = 0  # datagrams from no address of `peers`
         self._lines: dict[State, list[float]] = {}
         self._unsaid = 0
+        self._refuted_at = -SPAN
         self._viewed: ViewChanged | None = None
         self._viewed_at = 0.0  # ms, as `_now`
         self._changed_at = [0.0] * len(peers)  # ms, when the state of each member last changed
@@ -123,6 +125,8 @@
                     self._view(action)
                 case Disagreement():
                     self._disagreed(action)
+                case Refuted():
+                    self._refuted(action)
         if self.core.due < self.due:
             if self.timer is not None:
                 self.timer.cancel()
@@ -160,6 +164,14 @@
             log.info("membership: %s with %d of %d present (%s)", "more than half again" if change.quorum else
                      "a minority now", change.present, len(self.peers), change.reason)  # fmt: skip
 
+    def _refuted(self, refuted: Refuted) -> None:
+        """One line in `SPAN` at most: a node that is often doubted has a bad link, or stands still."""
+        now = self.loop.time()
+        if now >= self._refuted_at + SPAN:
+            self._refuted_at = now
+            held = "dead" if refuted.said in (State.DEAD, State.LEFT) else "suspected"
+            log.info("membership: others held this node for %s; it has said that it lives", held)
+
     def _disagreed(self, change: Disagreement) -> None:
         """The core says it once, and once when it is over."""
         if change.lasts:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -136,7 +136,7 @@
     core = lone()
     core.handle(1.0, said(1, Kind.GOSSIP, Rumour(0, 100, 0, State.SUSPECT, 1)))
     assert core.incarnation == 1
-    core.handle(2.0, said(1, Kind.GOSSIP, Rumour(0, 99, 5, State.DEAD)))
+    assert core.handle(2.0, said(1, Kind.GOSSIP, Rumour(0, 99, 5, State.DEAD))) == []
     assert (core.life, core.incarnation) == (100, 1)
     core.handle(
         3.0, said(1, Kind.GOSSIP, Rumour(0, 200, 5, State.LEFT))
