Durable state: two writers in every order of their calls; three defects it showed, mended

Need: the hand-over of the writer was proven for a few orders only. sim/writers.py plays the store itself with two writers, a turn for each call to the disk, every schedule with up to two changes of turn (CHESS): what was said yes to is there. Found: an old writer that tidies took away the draft of its successor, whose start then failed (only drafts of earlier writers go now); after an error of the disk the old process opened the directory anew and so took it back from its successor (it looks at the fence first now, unless told to take over); the disk in memory raised the wrong exception for a missing file.

--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -53,6 +53,7 @@
         self.failures = self.dropped = self.written = self.synced = 0
         self.slowest = 0.0  # s, of all syncs
         self._tried = -TRY_AGAIN
+        self._asked = False  # to take over from whoever writes
         self._said = False
         self._queue: queue.SimpleQueue[Waiting | None] = queue.SimpleQueue()
         self._thread: threading.Thread | None = None
@@ -96,7 +97,7 @@
 
     def take_over(self) -> None:
         """Write from here on, in place of whoever did: a process before, or a successor that has ended."""
-        self.fenced = False
+        self.fenced, self._asked = False, True
         if self._thread is None and not self.off:
             self._thread = threading.Thread(target=self._run, name="state", daemon=True)
             self._thread.start()
@@ -204,8 +205,11 @@
             return None
         self._tried = time.monotonic()
         if self.store is not None:
+            if not self._asked and self.store.superseded():
+                raise Fenced  # a disk that failed is no reason to take it back from a successor
             self.store.close()
         self.store = Store(self.files, self.node, os.urandom(8).hex(), self._snapshot)
+        self._asked = False
         self._tried = -TRY_AGAIN
         if self._said:
             self._said = False
--- a/dillport/durable/store.py
+++ b/dillport/durable/store.py
@@ -313,11 +313,15 @@
 
     def check(self) -> None:
         """Raises Fenced where another writer has taken over."""
-        found = _fence(self.files, [FENCE], [])
-        if found is not None and found.fence > self.fence:
+        if self.superseded():
             self.broken = True
             raise Fenced
 
+    def superseded(self) -> bool:
+        """Whether another writer has taken over, as far as the directory can be read."""
+        found = _fence(self.files, [FENCE], [])
+        return found is not None and found.fence > self.fence
+
     @property
     def full(self) -> bool:
         """Whether a new generation is due."""
@@ -353,7 +357,8 @@
         for name in names:
             found = NAME.fullmatch(name)
             old = found is not None and (int(found[3]), int(found[2])) not in kept
-            if old or (name.startswith(DRAFT) and not name.endswith(f"-{self.fence}")):
+            writer = name.rpartition("-")[2] if name.startswith(DRAFT) else ""
+            if old or (writer.isdecimal() and int(writer) < self.fence):  # a later writer's is in the making
                 with contextlib.suppress(OSError):
                     self.files.remove(name)
 
--- a/dillport/sim/disk.py
+++ b/dillport/sim/disk.py
@@ -175,6 +175,8 @@
     def rename(self, old: str, new: str) -> None:
         """Whole or not done."""
         self.disk.call("rename", new)
+        if old not in self.disk.now:
+            raise FileNotFoundError(errno.ENOENT, "no such file", old)
         inode = self.disk.now.pop(old)
         self.disk.now[new] = inode
         self.disk.pending.append((new, old, inode))
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -22,6 +22,7 @@
 from dillport.durable.shell import Durable, DurableError
 from dillport.durable.store import Fenced, Store, StoreError, load
 from dillport.interface import Learned
+from dillport.sim import writers
 from dillport.sim.crash import NAME, NODE, History, explore, fold, snapshot, workload
 from dillport.sim.disk import Disk, DiskFiles, Image
 
@@ -222,6 +223,45 @@
     assert fold(load(files, NODE)) == [b"one", b"two", b"three"]
 
 
+def test_in_every_order_of_their_calls_two_writers_keep_what_they_promised() -> None:
+    found = writers.explore([writers.old_writer, writers.heir], changes=2, most=5000)
+    assert found.whole and found.schedules > 500 and found.failures == []
+
+
+@pytest.mark.parametrize("mutant", ["no look at the fence", "the fence raised too late"])
+def test_the_search_finds_writers_that_do_not_heed_the_fence(
+    mutant: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if mutant == "no look at the fence":
+        monkeypatch.setattr(Store, "check", lambda self: None)
+    else:  # it reads what is there, and says only then that it writes
+        late: dict[int, store.Loaded] = {}
+
+        def loaded(files: DiskFiles, node: str | None = None) -> store.Loaded:
+            return late.setdefault(id(files), load(files, node))
+
+        monkeypatch.setattr(store, "load", loaded)
+    found = writers.explore([writers.old_writer, writers.heir], changes=2, most=5000)
+    assert any("said yes to" in f for f in found.failures)
+
+
+def test_a_failing_disk_takes_nothing_back_from_a_successor(tmp_path: Path) -> None:
+    async def body(one: Durable) -> None:
+        await one.keep(Out("a", 1.0))
+        two = Durable.at(tmp_path / "state", NODE)
+        two.read()
+        two.take_over()
+        await two.keep(Out("b", 2.0))
+        assert one.store is not None
+        one.store.broken, one._tried = True, -1e9  # as after an error, a while ago
+        with pytest.raises(DurableError, match="another process"):
+            await one.keep(Out("c", 3.0))
+        await two.keep(Out("d", 4.0))
+        two.close()
+
+    live(tmp_path, body)
+
+
 def test_two_that_open_at_once_do_not_mix() -> None:
     files = DiskFiles(Disk())
     with files.locked(), pytest.raises(BlockingIOError):
