Membership: a node that hears little leaves it to others to say that one is dead

Now a node whose local health is at half of the worst waits with the end of its own suspicions, up to three times the longest (9 s), so one cut off from all is still a minority after some 12 s.

--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -53,6 +53,8 @@
 MOST_TIMERS = 4096
 PER_DATAGRAM = ROOM // 9  # rumours
 MANY = 1  # rumours that were hardly told so far: enough for a page
+DEAF = MOST_HEALTH // 2  # local health from which a node does not trust its own suspicions' end
+PATIENCE = 3  # longest suspicions for which it waits all the same
 HELPS = 2  # periods within which one was heard who is asked to help
 CROWD = 4  # members suspected at once from which one helper is enough: no lost datagram explains them
 LAST_ROUNDS = 4  # how often a rumour heard on a page is told on: some have missed the page
@@ -544,6 +546,10 @@
         if suspicion.until > self.now + 1e-6:
             self._at(suspicion.until - self.now, partial(self._expire, member, suspicion))
             return
+        if self.health >= DEAF and self.now < suspicion.since + PATIENCE * self.config.suspicion_most:
+            # Who hears little may have missed the refutation: others are to say so, for a while.
+            self._at(self.config.period, partial(self._expire, member, suspicion))
+            return
         self.counts["declared_dead"] += 1
         dead = Rumour(member, known.life, known.incarnation, State.DEAD)
         self._learn(dead)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -370,6 +372,16 @@
     assert tier.deaths(begun) == [] and tier.agreed()
 
 
+@pytest.mark.parametrize("seed", [1, 5])
+def test_a_node_that_hears_little_buries_no_healthy_one(seed: int) -> None:
+    tier = world(24, seed, loss=0.05)
+    tier.run(tier.now + 5000)
+    begun, dice = tier.now, random.Random(seed)
+    tier.net.cut = lambda a, b: (5 in (a, b) and dice.random() < 0.9) or (a, b) == (3, 8)
+    tier.run(begun + 60_000)
+    assert [s for s in tier.deaths(begun) if s.change.member != 5 and s.node != 5] == []
+
+
 def test_nodes_that_stall_do_not_bury_the_healthy() -> None:
     tier = world(20, loss=0.05)
     begun = tier.now
