--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -80,7 +80,7 @@
         if self.off:
             return self.kept
         try:
-            loaded = load(self.files, self.node)
+            loaded = load(self.files, self.node, whole=False)
             self.kept = total(loaded.snapshot, loaded.records)
         except (StoreError, RecordError) as err:
             self._refused(str(err))
--- a/dillport/durable/store.py
+++ b/dillport/durable/store.py
@@ -162,6 +162,10 @@
         assert head is not None
         return head
 
+    def of(self, owner: Header) -> bool:
+        """Whether all there is of it is of the owner's directory."""
+        return all(h is None or (h.store, h.node) == (owner.store, owner.node) for h in (self.snap, self.log))
+
     def upto(self, most: int | None) -> tuple[list[bytes], int, int]:
         """Its log's records to number `most`, the last one's number and chain."""
         assert self.log is not None
@@ -170,18 +174,24 @@
         return [f.data for f in taken], *last
 
 
-def load(files: Files, node: str | None = None) -> Loaded:
+def load(files: Files, node: str | None = None, whole: bool = True) -> Loaded:
     """What the directory holds, by the newest snapshot that is sound. Nothing is changed.
 
-    Raises StoreError where the directory is a newer program's or another node's, OSError where it cannot be
-    listed.
+    Where it is not to be `whole`, generations that nothing depends on are not read. Raises StoreError where
+    the directory is a newer program's or another node's, OSError where it cannot be listed.
     """
     names = files.names()
     out = Loaded()
     fence = _fence(files, names, out.notes)
     found = places(names)
     out.generation = max((generation for _, generation in found), default=0)
-    read = [g for p in found if (g := _Generation(files, p, names, out)).snap or g.log]
+    read: list[_Generation] = []
+    for place in found:
+        one = _Generation(files, place, names, out)
+        if one.snap is not None or one.log is not None:
+            read.append(one)
+        if not whole and one.snap is not None and fence is not None and one.of(fence):
+            break
     owner = fence or _owner(read)
     if owner is None:
         if found:
@@ -197,7 +207,7 @@
         out.notes.append(f"generation {found[0][1]}: nothing of it can be read, its records are lost")
     mine = []
     for one in read:
-        if all(h is None or (h.store, h.node) == (owner.store, owner.node) for h in (one.snap, one.log)):
+        if one.of(owner):
             mine.append(one)
         else:
             out.notes.append(f"generation {one.place[1]}: files of another directory are left out")
@@ -263,13 +273,15 @@
         self.log: File | None = None
         self.broken, self.written = False, 0
         with files.locked():
-            before = load(files, node)  # before anything is changed: is it ours, and can it be read?
+            # Before anything is changed: is it ours, and can it be read?
+            before = load(files, node, whole=False)
             self.store, self.fence = before.store or fresh, before.fence + 1
+            del before  # it may be long
             self._write_new(FENCE, _start(FENCE, Header(VERSION, self.store, node, self.fence)))
-            self.loaded = load(files, node)
-            self.generation, self.number = self.loaded.generation, self.loaded.number
-            self.chain, self.batch = self.loaded.chain, 0
-            self.rotate(snapshot(self.loaded))
+            loaded = load(files, node, whole=False)
+            self.generation, self.number = loaded.generation, loaded.number
+            self.chain, self.batch = loaded.chain, 0
+            self.rotate(snapshot(loaded))
 
     def _write_new(self, name: str, data: bytes) -> None:
         """A whole file under its name, or none: beside, synced, renamed, directory synced."""
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -237,7 +237,7 @@
     else:  # it reads what is there, and says only then that it writes
         late: list[tuple[DiskFiles, store.Loaded]] = []  # holds the files: their ids must not come again
 
-        def loaded(files: DiskFiles, node: str | None = None) -> store.Loaded:
+        def loaded(files: DiskFiles, node: str | None = None, whole: bool = True) -> store.Loaded:
             late.extend([(files, load(files, node))] if all(f is not files for f, _ in late) else [])
             return next(found for f, found in late if f is files)
 
