--- a/dillport/durable/records.py
+++ b/dillport/durable/records.py
@@ -9,7 +9,6 @@
 
 import math
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
@@ -106,31 +105,17 @@
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
-class Summed(msgspec.Struct, array_like=True):
-    """A snapshot's form."""
+class Kept(msgspec.Struct, array_like=True):
+    """What all records so far add up to; as msgpack it is a snapshot."""
 
-    out: dict[str, float] = {}
-    back: dict[str, float] = {}
-    revision: int = 0
-    heard: float = 0.0
-    rows: list[Row] = []
-    life: int = 0
-    sampled: Sampled | None = None
-    unknown: list[bytes] = []
-
-
-@dataclass
-class Kept:
-    """What all records so far add up to."""
-
-    out: dict[str, float] = field(default_factory=dict)  # backends that are out, since when
-    back: dict[str, float] = field(default_factory=dict)  # and that were put back, when
+    out: dict[str, float] = {}  # backends that are out, since when
+    back: dict[str, float] = {}  # and that were put back, when
     revision: int = 0
     heard: float = 0.0  # when the list was told
-    rows: dict[str, Row] = field(default_factory=dict)
+    rows: dict[str, Row] = {}
     life: int = 0
     sampled: Sampled | None = None
-    unknown: list[bytes] = field(default_factory=list)
+    unknown: list[bytes] = []
 
     def apply(self, data: bytes) -> None:
         """One more record."""
@@ -157,10 +142,7 @@
 
     def encode(self) -> bytes:
         """A snapshot."""
-        return msgspec.msgpack.encode(
-            Summed(self.out, self.back, self.revision, self.heard, list(self.rows.values()), self.life,
-                   self.sampled, self.unknown)
-        )  # fmt: skip
+        return msgspec.msgpack.encode(self)
 
     def forget(self, before: float) -> None:
         """Drop returns that no ramp needs any more."""
@@ -169,14 +151,10 @@
 
 def total(snapshot: bytes | None, records: list[bytes]) -> Kept:
     """What a snapshot and the records after it add up to; raises RecordError."""
-    kept = Kept()
-    if snapshot:
-        try:
-            s = msgspec.msgpack.decode(snapshot, type=Summed)
-        except msgspec.MsgspecError as err:
-            raise RecordError(f"a snapshot is of a form this program does not know: {err}") from None
-        rows = {row.backend: row for row in s.rows}
-        kept = Kept(s.out, s.back, s.revision, s.heard, rows, s.life, s.sampled, s.unknown)
+    try:
+        kept = msgspec.msgpack.decode(snapshot, type=Kept) if snapshot else Kept()
+    except msgspec.MsgspecError as err:
+        raise RecordError(f"a snapshot is of a form this program does not know: {err}") from None
     for data in records:
         kept.apply(data)
     return kept
--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -148,19 +148,19 @@
 
     def _run(self) -> None:
         while True:
-            first = self._queue.get()
-            batch = [] if first is None else [first]
-            ending = first is None
-            while not ending and not self._queue.empty():
-                more = self._queue.get()
-                ending = more is None
-                batch += [] if more is None else [more]
+            batch: list[Waiting] = []
+            item = self._queue.get()
+            while item is not None:
+                batch.append(item)
+                if self._queue.empty():
+                    break
+                item = self._queue.get()
             if batch:
                 why = self._write(batch)
-                for item in batch:
-                    if item.done is not None:
-                        self._loop.call_soon_threadsafe(_settle, item.done, why)
-            if ending:
+                for one in batch:
+                    if one.done is not None:
+                        self._loop.call_soon_threadsafe(_settle, one.done, why)
+            if item is None:
                 if self.store is not None:
                     self.store.close()
                 return
