Membership: one place for a refuted death, no threshold of one, a counter nobody read is gone

Found on a second reading, behaviour as it was: 'same life, alive again' was asked twice in a row (_lived now serves damping and roll calls); MANY was 1 after tuning, so `>= MANY` meant 'any', and a fresh rumour always is one; Queue.drop had one caller; World.kinds was counted in the hot path of the simulation and read by nothing.

--- a/dillport/membership/core.py
+++ b/dillport/membership/core.py
@@ -52,7 +52,6 @@
 MOST_FLAPS = 3  # more do not lengthen a suspicion further
 MOST_TIMERS = 4096
 PER_DATAGRAM = ROOM // 9  # rumours
-MANY = 1  # rumours that were hardly told so far: enough for a page
 DEAF = MOST_HEALTH // 2  # local health from which a node does not trust its own suspicions' end
 PATIENCE = 3  # longest suspicions for which it waits all the same
 HELPS = 2  # periods within which one was heard who is asked to help
@@ -214,16 +213,12 @@
 
     def put(self, member: int, told: int = 0) -> None:
         """Gossip about a member as if it had been told `told` times so far."""
-        self.drop(member)
+        if (before := self.told.pop(member, None)) is not None:
+            del self.levels[before][member]
         if told < len(self.levels):
             self.told[member] = told
             self.levels[told][member] = None
 
-    def drop(self, member: int) -> None:
-        """No more gossip about a member."""
-        if (told := self.told.pop(member, None)) is not None:
-            del self.levels[told][member]
-
     def hardly_told(self) -> int:
         """How many were told once at the most."""
         return sum(map(len, self.levels[:2]))
@@ -563,13 +558,15 @@
             times = 0
         return min(self.config.suspicion_least * (1 << times), self.config.suspicion_most)
 
-    def _flapped(self, old: Rumour) -> None:
+    def _lived(self, old: Rumour) -> None:
         """It was suspected or held for dead, and has refuted it: a node that stalls goes on stalling."""
-        times, _ = self._flaps.get(old.member, (0, -math.inf))
-        if old.state is State.DEAD:
-            self._flaps[old.member] = (min(times + 1, MOST_FLAPS), self.now)
-        elif times:
-            self._flaps[old.member] = (times, self.now)
+        wrong_death = old.state is State.DEAD
+        times = self._flaps.get(old.member, (0, 0.0))[0] + wrong_death
+        if times and self.config.damping:
+            self._flaps[old.member] = (min(times, MOST_FLAPS), self.now)
+        if wrong_death:  # others may be none either
+            self._roll_until = self.now + ROLL_AGAIN * self.config.period
+            self._later(Kind.ROLL)
 
     def _begin_suspicion(self, rumour: Rumour) -> None:
         config = self.config
@@ -608,16 +605,11 @@
             self._begin_suspicion(rumour)
         else:
             self._suspicions.pop(rumour.member, None)
-        if rumour.state is State.ALIVE and old.life == rumour.life and self.config.damping:
-            self._flapped(old)
         if old.life != rumour.life:
             self._flaps.pop(rumour.member, None)
-        if old.state is State.DEAD and rumour.state is State.ALIVE and old.life == rumour.life:
-            # A death that was none: others may be none either.
-            self._roll_until = self.now + ROLL_AGAIN * self.config.period
-            self._later(Kind.ROLL)
-        if self._rumours.hardly_told() >= MANY:
-            self._later(Kind.PAGE)
+        elif rumour.state is State.ALIVE:
+            self._lived(old)
+        self._later(Kind.PAGE)  # this rumour is one that nobody was told so far
         if old.state is not rumour.state or old.life != rumour.life:
             self._acts.append(Changed(rumour.member, old.state, rumour.state, rumour.life))
 
@@ -666,9 +658,9 @@
             return
         if kind is Kind.ROLL:
             self._roll()
-        elif self._rumours.hardly_told() >= MANY:
+        elif self._rumours.hardly_told():
             self._page()
-            if self._rumours.hardly_told() >= MANY:
+            if self._rumours.hardly_told():
                 self._later(Kind.PAGE)
 
     def _page(self) -> None:
--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -17,7 +17,6 @@
 from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
 
-KIND_AT = 5  # byte of a datagram that tells its kind
 LIFE_UNIT = 256.0  # ms of the start's time that one life number stands for
 
 
@@ -66,7 +65,6 @@
         self.planned = 0
         self.seen: list[Seen] = []
         self.sent: Counter[int] = Counter()  # datagrams by node; one to all counts once
-        self.kinds: Counter[int] = Counter()  # datagrams by `Kind`
         self.delivered = 0
         self.per_second: Counter[int] = Counter()
 
@@ -157,7 +155,6 @@
             if not isinstance(action, Tell):
                 continue
             self.sent[node] += 1
-            self.kinds[action.data[KIND_AT]] += 1
             self.per_second[int(self.now / 1000)] += 1
             targets = range(self.count) if action.node is None else (action.node,)
             for target in targets:
