Upgrade: one way to write a file whole for bans and hand-over; the console's start is one block

Found on a second reading, behaviour as it was: handover.give wrote, replaced and cleaned up a draft as Bans._write does; write_whole in net/bans.py serves both. The file's suffix stood in __main__, away from its format. serve asked twice whether there is a console, as the durable state was taken over in between, which the bans do not need. Measured: 134 tests of upgrade, maintenance, recovery, fleet, durable state and membership pass.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -20,7 +20,7 @@
 from dillport.net.console import Console
 from dillport.net.discovery import Discovery
 from dillport.net.front import Front
-from dillport.net.handover import SOON, give, take
+from dillport.net.handover import SOON, SUFFIX, give, take
 from dillport.net.node import Node
 from dillport.net.pair import Pair, steer, unsteer
 
@@ -30,7 +30,6 @@
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
 END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
-LEARNED = ".learned"  # of the file that hands learned state over
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
@@ -86,10 +85,9 @@
         await console.listen(config.console)
         logging.info("console on %s:%d", *console.address)
         beside = pair.start()
+        node.bans.start(beside, *(fleet.bans() if fleet is not None else ()))
     if fleet is not None:
         fleet.take_over()
-    if config.console is not None:
-        node.bans.start(beside, *(fleet.bans() if fleet is not None else ()))
     node.list(known, ListKind.SAVED)
     if recovered is not None:
         node.event(recovered)
@@ -129,7 +127,7 @@
     """The other process of this node has begun or ended; a successor then takes its place as a member."""
     share(node, front, beside)
     if beside and node.listening and not node.stopping:  # a successor has come
-        give(node.meeting.with_suffix(LEARNED), node.balancer.learned(node.now()))
+        give(node.meeting.with_suffix(SUFFIX), node.balancer.learned(node.now()))
     if fleet is not None and not beside and node.listening and not node.stopping:
         fleet.take_over()  # where a successor had done so, and is gone
         fleet.start()
@@ -137,7 +135,7 @@
 
 def inherit(node: Node) -> None:
     """Go on from what the process before has learned, where it has left that."""
-    if (left := take(node.meeting.with_suffix(LEARNED))) is not None:
+    if (left := take(node.meeting.with_suffix(SUFFIX))) is not None:
         node.event(left)
         logging.info("handover: learned state taken over, limit %.1f", left.learned.limit)
 
--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -40,6 +40,17 @@
     return Path(folder) / f"dillport-{hashlib.sha256(name.encode()).hexdigest()[:12]}"
 
 
+def write_whole(path: Path, text: str) -> None:
+    """Whole or not at all: another process may read at any moment, this one may be killed. Raises OSError."""
+    draft = path.with_suffix(f".{os.getpid()}")
+    try:
+        draft.write_text(text, "utf-8")
+        os.replace(draft, path)
+    except OSError:
+        draft.unlink(missing_ok=True)
+        raise
+
+
 def parse(text: str) -> Record:
     """The file's form; raises ValueError."""
     raw: Any = json.loads(text)
@@ -131,14 +142,7 @@
             os.close(fd)
 
     def _write(self, record: Record) -> None:
-        """Whole or not at all: another process may read at any moment, and this one may be killed."""
-        draft = self.path.with_suffix(f".{os.getpid()}")
-        try:
-            draft.write_text(json.dumps({"out": sorted(record.out), "back": dict(record.back)}), "utf-8")
-            os.replace(draft, self.path)
-        except OSError:
-            draft.unlink(missing_ok=True)
-            raise
+        write_whole(self.path, json.dumps({"out": sorted(record.out), "back": dict(record.back)}))
         self.seen, self.faulty = self._stamp(), False
 
     def _stamp(self) -> tuple[int, int, int] | None:
--- a/dillport/net/handover.py
+++ b/dillport/net/handover.py
@@ -10,29 +10,27 @@
 import json
 import logging
 import math
-import os
 import time
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from dillport.interface import Learned, Recovered
+from dillport.net.bans import write_whole
 
 log = logging.getLogger(__name__)
 
+SUFFIX = ".learned"  # of the file, beside the others by which a node's processes meet
 SOON = 0.25  # s after its start at which a new process looks: the old one has seen it by then
 OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
 
 
 def give(path: Path, learned: Learned) -> None:
     """Leave it for the other process; a file that cannot be written is left out."""
-    draft = path.with_suffix(f".{os.getpid()}")
     try:
-        draft.write_text(json.dumps({"at": time.time() * 1000, "learned": asdict(learned)}), "utf-8")
-        os.replace(draft, path)
+        write_whole(path, json.dumps({"at": time.time() * 1000, "learned": asdict(learned)}))
     except OSError as err:
         log.info("handover: %s", err)
-        draft.unlink(missing_ok=True)
 
 
 def take(path: Path) -> Recovered | None:
