--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -494,16 +494,19 @@
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
         The way there and back is left out: no limit shortens it, and with far backends it alone would hold
-        the limit at its lowest.
+        the limit at its lowest. It is that of the backend's zone: quiet nodes have few answers of each backend,
+        and of a new one none, so that its own least would hold the time in its queue.
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
         """
         if ev.status is api.Status.OK:
             b.trip = min(b.trip * TRIP_DRIFT, ev.duration)
-            took = ev.duration - b.trip
+            zone = [self.backends[x] for x in self.up if self.backends[x].entry.zone == b.entry.zone]
+            took = ev.duration - min((other.trip for other in zone), default=b.trip)
         else:
             took = cls.cfg.aim
-        cls.strain += EWMA / 2 * (math.log(max(took, 1e-3) / (NEAR * cls.cfg.aim)) - cls.strain)
+        goal = NEAR * cls.cfg.aim  # an answer at once weighs as much as one at the aim: a log has no floor
+        cls.strain += EWMA / 2 * (math.log(max(took, NEAR * goal) / goal) - cls.strain)
         excess = max(c.strain for c in self.classes.values())
         if excess > 0 or self.out >= self.limit - 1.0:
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -178,6 +178,26 @@
     assert _limit_after(380.0, 60, b) < grown / 1.5
 
 
+def test_the_first_answers_of_crowded_new_backends_do_not_lift_the_limit() -> None:
+    """Guards against quiet nodes in a release: nearly each answer is the least of its backend so far."""
+    b = node(replace(BASE, classes=(SAFE,), group_size=100), NAMES)
+    _limit_after(20.0, 60, b)
+    b.handle(b.now, api.ListUpdate(api.ListKind.CHANGES, [entry(f"new{i}") for i in range(60)]))
+    b.classes["read"].strain, b.limit, b.order = 0.0, 30.0, b.up
+    _limit_after(380.0, 1, b)
+    assert b.classes["read"].strain > 0.5
+
+
+def test_an_answer_at_once_weighs_no_more_than_one_at_the_aim() -> None:
+    """Guards against a few lucky answers that hide a crowded fleet from the limit."""
+    b = node(replace(BASE, classes=(SAFE,)), NAMES)
+    _limit_after(10.0, 5, b)
+    strain = b.classes["read"].strain
+    for took in (410.0, 410.0, 10.0) * 20:
+        _limit_after(took, 1, b)
+    assert b.classes["read"].strain > max(0.0, strain)
+
+
 def test_breaks_and_backends_without_room_do_not_lower_the_limit_but_time_outs_do() -> None:
     """Guards against a network that breaks one attempt in ten and is taken for a crowded fleet."""
     for status in (api.Status.RESET, api.Status.ERROR, api.Status.CONNECT_FAILED, api.Status.FULL):
