A backend that restarted is free at once: refused connections of its old process are void too

The test drives five refused connections and a listed restart. Also within the limit's reading: a backend that is no longer listed counts with its own least time beside its zone's.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -99,13 +99,13 @@
             self.owed.discard(name)
             if name in before:
                 self.places[name] = self.order.index(name)
-        else:  # it was restarted meanwhile: what was known is void
+        else:  # it was restarted meanwhile
             self.banned.discard(name)
             self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
             if self.now - ev.since < self.cfg.ramp_time:
                 self.owed.add(name)
             if (b := self.backends.get(name)) is not None:
-                b.estimate, b.fails, b.until, b.busy, b.slow, b.trip = b.out, 0, 0.0, 0.0, 1.0, math.inf
+                b.restarted()
         self._refresh()
 
     def learned(self, now: float) -> api.Learned:
@@ -494,7 +494,7 @@
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
         The way there and back is left out: no limit shortens it, and with far backends it alone would hold
-        the limit at its lowest. It is that of the backend's zone: quiet nodes have few answers of each backend,
+        the limit at its lowest. It is that of the backend's zone: quiet nodes have few answers of each backend
         and of a new one none, so that its own least would hold the time in its queue.
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
@@ -502,7 +502,7 @@
         if ev.status is api.Status.OK:
             b.trip = min(b.trip * TRIP_DRIFT, ev.duration)
             zone = [self.backends[x] for x in self.up if self.backends[x].entry.zone == b.entry.zone]
-            took = ev.duration - min((other.trip for other in zone), default=b.trip)
+            took = ev.duration - min([b.trip, *(other.trip for other in zone)])
         else:
             took = cls.cfg.aim
         goal = NEAR * cls.cfg.aim  # an answer at once weighs as much as one at the aim: a log has no floor
@@ -602,8 +602,8 @@
                 self.backends[name].entry.phase = api.Phase.GONE
         for entry in ev.entries:
             b = self.backends.setdefault(entry.backend, Backend(entry))
-            if entry.started_at > b.entry.started_at:  # restarted: what was known is void
-                b.estimate, b.fails, b.until, b.slow = b.out, 0, 0.0, 1.0
+            if entry.started_at > b.entry.started_at:
+                b.restarted()
             b.entry = entry
         self._refresh()
 
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -23,6 +23,11 @@
     away: float = 0.0  # since when it has been ejected or busy without a break
     waiting: list[Request] | None = None  # requests waiting for a probe of it; None: no probe is out
 
+    def restarted(self) -> None:
+        """It is a new process: what was known of the old one is void, but for what is still out there."""
+        self.estimate, self.fails, self.until, self.busy = self.out, 0, 0.0, 0.0
+        self.slow, self.trip = 1.0, math.inf
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -441,6 +441,18 @@
     assert run("read", "a", "t") == run("zzz", "north", "q")
 
 
+def test_a_backend_that_restarted_is_not_left_alone_for_what_its_old_process_refused() -> None:
+    """Guards against a zone that is back and stands idle: ejections after lost connections had doubled."""
+    b = node(replace(BASE, max_attempts=1), ["x"])
+    for i in range(5):
+        (sent,) = sends(_arrive(b, f"r{i}", now := 1000.0 + 20_000.0 * i))
+        b.handle(now + 1.0, _done(sent.request, "x", api.Status.CONNECT_FAILED))
+    x = b.backends["x"]
+    assert x.busy > b.now + 1000.0
+    b.handle(b.now, api.ListUpdate(api.ListKind.CHANGES, [entry("x", started_at=b.now)]))
+    assert max(x.busy, x.until) <= b.now and x.fails == 0
+
+
 def test_idle_signs_are_doubted_once_sends_on_them_fail() -> None:
     """Guards against reports that freeze at nothing in flight and draw every node to the same backends."""
 
