--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -494,8 +494,8 @@
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
         The way there and back is left out: no limit shortens it, and with far backends it alone would hold
-        the limit at its lowest. It is that of the backend's zone: a quiet node has few answers of each backend,
-        of a new one none, and the least of those would hold the time in its queue.
+        the limit at its lowest. It is that of the backend's zone: a quiet node has few answers of a backend,
+        none of a new one, and the least of those would hold the time in its queue.
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
         """
