Errors: a base type with a stable code and what an operator can do

Until now each part had an exception of its own, some a ValueError, and none said what to do about it. This is the base that all of them are to join, part by part.

--- /dev/null
+++ b/dillport/errors.py
@@ -0,0 +1,35 @@
+"""What an operator is told when something does not work: a stable code, what happened, what can be done.
+
+All errors whose text reaches an operator (on standard error, in the log, in an answer of the console, in what
+the `dillport` command prints) derive from `DillportError` and stand where their subject is. Exceptions that
+never leave the program stay outside: signals between two of its parts (`Fenced`), what is counted and
+dropped (`MessageError`), and what a client of the balanced service is answered (`BadRequest`).
+
+A code is three letters for the subject and two digits, `CFG01`: it is like nothing else in a log, and `grep`
+finds it. It is given once and never to another error. `docs/on-call.md` lists all of them.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class DillportError(Exception):
+    """The base: a class has a code and a remedy of its own, `str` of an instance is what happened."""
+
+    code: ClassVar[str]
+    remedy: ClassVar[str]  # what an operator can do, one line
+
+    def __str__(self) -> str:
+        """What happened, in one line."""
+        return " ".join(super().__str__().split())
+
+    @property
+    def line(self) -> str:
+        """The code and what happened: for the log."""
+        return f"{self.code}: {self}"
+
+    @property
+    def report(self) -> tuple[str, str]:
+        """Two lines for a person: the code and what happened, and what to do."""
+        return self.line, f"what to do: {self.remedy}"
