Errors: the node's start and reload say a code, the field and what to do

An operator who met "listen: ..." or "settings: ... makes no sense" was told what, not what to do, and the types were ValueErrors and OSErrors that anything may raise.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -14,6 +14,7 @@
 
 import uvloop
 
+from dillport.errors import DillportError
 from dillport.interface import ListKind, Settings, TakingOver
 from dillport.net import config as config_file
 from dillport.net.config import Config, ConfigError, load
@@ -33,6 +34,20 @@
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
 
+class ListenError(DillportError):
+    """An address that the node is to serve on, or its console, cannot be had."""
+
+    code = "NOD01"
+    remedy = "see who listens there (ss -ltnp): give that one, or this, another listen or PROXY_CONSOLE"
+
+
+class PartsError(DillportError):
+    """The fleet file asks for parts whose libraries are not installed."""
+
+    code = "NOD03"
+    remedy = "install requirements-fleet.txt where run has its libraries, or unset PROXY_FLEET"
+
+
 def reload(node: Node, discovery: Discovery, fleet: Fleet | None) -> None:
     """SIGHUP: the configuration file has been replaced; a bad one changes nothing."""
     try:
@@ -40,7 +55,7 @@
         rooms = fleet.checked(os.environ, config) if fleet is not None else None
     except ConfigError as err:
         node.figures.reload_errors += 1
-        logging.warning("reload: %s; nothing is taken", " ".join(str(err).split()))
+        logging.warning("reload: %s; nothing is taken", err.line)
         return
     node.reconfigure(config)
     if rooms is not None:
@@ -66,7 +81,7 @@
 
 
 async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT, then answer what was taken and return. Raises ConfigError."""
+    """Run until SIGTERM or SIGINT, then answer what was taken and return. Raises ConfigError, SlotError."""
     loop = asyncio.get_running_loop()
     node = Node(config)
     node.fleet = fleet = fleet_of(config)
@@ -170,22 +185,16 @@
     """Entry point; a bad configuration ends with one plain line on standard error."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
-        config = load(os.environ)
-    except ConfigError as err:
-        print(f"dillport: {' '.join(str(err).split())}", file=sys.stderr)
-        return 2
-    try:
-        uvloop.run(serve(config))
-    except ConfigError as err:
-        print(f"dillport: {' '.join(str(err).split())}", file=sys.stderr)
-        return 2
+        uvloop.run(serve(load(os.environ)))
+        return 0
+    except DillportError as err:
+        why = err
     except ModuleNotFoundError as err:
-        print(f"dillport: PROXY_FLEET needs requirements-fleet.txt: {err}", file=sys.stderr)
-        return 2
+        why = PartsError(f"PROXY_FLEET needs requirements-fleet.txt: {err}")
     except OSError as err:
-        print(f"dillport: listen: {err}", file=sys.stderr)
-        return 2
-    return 0
+        why = ListenError(f"listen: {err}")
+    print(f"dillport: {why.sentence}", file=sys.stderr)
+    return 2
 
 
 if __name__ == "__main__":
--- a/dillport/errors.py
+++ b/dillport/errors.py
@@ -33,3 +33,8 @@
     def report(self) -> tuple[str, str]:
         """Two lines for a person: the code and what happened, and what to do."""
         return self.line, f"what to do: {self.remedy}"
+
+    @property
+    def sentence(self) -> str:
+        """The report in one line, for a process that does not run."""
+        return "; ".join(self.report)
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -8,14 +8,22 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from dillport.errors import DillportError
 
-class SettingsError(ValueError):
+
+class SettingsError(DillportError):
     """A setting is missing or makes no sense; the text names the field and the value."""
 
+    code = "SET01"
+    remedy = "correct the setting that is named"
+
 
-class CallError(ValueError):
+class CallError(DillportError):
     """The library was called in a way its contract rules out."""
 
+    code = "SET02"
+    remedy = "a defect of the calling program: send its makers this line"
+
 
 class Effect(Enum):
     """How often a request of a class may take effect."""
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -12,6 +12,7 @@
 
 from dillport import interface as api
 from dillport import wire
+from dillport.errors import DillportError
 
 PREFIX = "PROXY_"
 PHASES = {
@@ -23,13 +24,26 @@
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 
 
-class ConfigError(ValueError):
-    """The configuration is missing or makes no sense; the text names the field."""
+class ConfigError(DillportError):
+    """A field of the configuration is missing or makes no sense; the text names it."""
 
+    code = "CFG01"
+    remedy = "correct the field that is named, then start the node again, or send SIGHUP once more"
 
-class ListError(ValueError):
+
+class ConfigFileError(ConfigError):
+    """The platform's file cannot be had whole."""
+
+    code = "CFG02"
+    remedy = "let PROXY_CONFIG name a file that the node may read and that holds one whole JSON object"
+
+
+class ListError(DillportError):
     """An entry or a line of the list makes no sense."""
 
+    code = "LST01"
+    remedy = "correct the entry where discovery has it from; until then the node keeps the list it has"
+
 
 Address = tuple[str, int]
 
@@ -140,15 +154,15 @@
     """The platform's file as it stands; raises ConfigError."""
     path = env.get(PREFIX + "CONFIG")
     if not path:
-        raise ConfigError(f"{PREFIX}CONFIG is missing")
+        raise ConfigFileError(f"{PREFIX}CONFIG is missing")
     try:
         raw = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as err:
-        raise ConfigError(f"{PREFIX}CONFIG cannot be read: {err}") from None
+        raise ConfigFileError(f"{PREFIX}CONFIG cannot be read: {err}") from None
     except (ValueError, RecursionError) as err:
-        raise ConfigError(f"{PREFIX}CONFIG is not JSON: {err}") from None
+        raise ConfigFileError(f"{PREFIX}CONFIG is not JSON: {err}") from None
     if not isinstance(raw, dict):
-        raise ConfigError(f"{PREFIX}CONFIG is not an object")
+        raise ConfigFileError(f"{PREFIX}CONFIG is not an object")
     return raw
 
 
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -28,6 +28,20 @@
 VARIABLE = "PROXY_FLEET"
 
 
+class FleetFileError(ConfigError):
+    """The fleet file cannot be read, or a field of it makes no sense; the text names it."""
+
+    code = "CFG03"
+    remedy = "correct the field that is named in PROXY_FLEET's file, or unset PROXY_FLEET to run without it"
+
+
+class FixedError(ConfigError):
+    """A replaced file changes what stays for the life of a process; the text names the field."""
+
+    code = "CFG04"
+    remedy = "put the old value back and send SIGHUP again, or start the node anew with the new one"
+
+
 class MembershipTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
     """`[membership]`: its presence switches the part on."""
 
@@ -52,14 +66,16 @@
     try:
         out = msgspec.convert(tomllib.loads(path.read_text("utf-8")), FleetFile)
     except (OSError, UnicodeDecodeError) as err:
-        raise ConfigError(f"{VARIABLE} cannot be read: {err}") from None
+        raise FleetFileError(f"{VARIABLE} cannot be read: {err}") from None
     except tomllib.TOMLDecodeError as err:
-        raise ConfigError(f"{VARIABLE} is not TOML: {err}") from None
+        raise FleetFileError(f"{VARIABLE} is not TOML: {err}") from None
     except msgspec.ValidationError as err:
         text, _, where = str(err).partition(" - at `$.")
-        raise ConfigError(f"{VARIABLE}: {where.rstrip('`') or 'the file'}: {text}") from None
+        raise FleetFileError(f"{VARIABLE}: {where.rstrip('`') or 'the file'}: {text}") from None
     if out.membership is not None and not 50 <= out.membership.period_ms <= 60_000:
-        raise ConfigError(f"{VARIABLE}: membership.period-ms makes no sense: {out.membership.period_ms!r}")
+        raise FleetFileError(
+            f"{VARIABLE}: membership.period-ms makes no sense: {out.membership.period_ms!r}"
+        )
     return out
 
 
@@ -158,10 +174,10 @@
             return lambda: None
         listen, peers, everybody = _peers(config.read(env))
         if new.settings.me != shell.me:
-            raise ConfigError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
+            raise FixedError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
         _numbered(shell.me, peers)
         if listen != shell.listen:
-            raise ConfigError("peer_listen cannot change in one life")
+            raise FixedError("peer_listen cannot change in one life")
         return partial(shell.move, peers, everybody)
 
     async def _open(self, shell: MembershipShell) -> None:
--- a/dillport/net/pair.py
+++ b/dillport/net/pair.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from dillport.errors import DillportError
+
 log = logging.getLogger(__name__)
 
 LOOK = 0.1  # s between two looks whether another process runs
@@ -21,9 +23,12 @@
 BPF_RET_CONSTANT = 0x06
 
 
-class SlotError(OSError):
+class SlotError(DillportError):
     """As many processes of this node run as may."""
 
+    code = "NOD02"
+    remedy = "wait until one of them has ended, or send SIGTERM to the oldest"
+
 
 class Pair:
     """This process's slot, and whether another is taken. A lock ends with its process, whatever ends it."""
@@ -40,8 +45,6 @@
         """Take a slot; True where another process of this node runs. Raises SlotError."""
         try:
             self._take()
-        except SlotError:
-            raise
         except OSError as err:  # nobody can be seen from here, nor see this process
             log.warning("no slot among the node's processes: %s", err)
             return False
--- a/dillport/simhost.py
+++ b/dillport/simhost.py
@@ -7,7 +7,8 @@
 from typing import TextIO
 
 from dillport import wire
-from dillport.interface import CallError, Event, Settings, SettingsError
+from dillport.errors import DillportError
+from dillport.interface import CallError, Event, Settings
 from dillport.policy import Balancer
 
 
@@ -99,10 +100,13 @@
     """Entry point; input faults end with one plain line on standard error."""
     try:
         serve(sys.stdin, sys.stdout)
-    except (wire.WireError, SettingsError, CallError, UnicodeDecodeError) as err:
-        print(f"dillport: {' '.join(str(err).split())}", file=sys.stderr)
-        return 2
-    return 0
+        return 0
+    except DillportError as err:
+        why = err
+    except UnicodeDecodeError as err:
+        why = wire.WireError(f"a line is not UTF-8: {err}")
+    print(f"dillport: {why.sentence}", file=sys.stderr)
+    return 2
 
 
 if __name__ == "__main__":
--- a/dillport/wire.py
+++ b/dillport/wire.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from dillport import interface as api
+from dillport.errors import DillportError
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 _GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
@@ -35,9 +36,12 @@
 }
 
 
-class WireError(ValueError):
+class WireError(DillportError):
     """A line that the wire does not allow."""
 
+    code = "WIR01"
+    remedy = "play a simulator whose wire page is the one this module was written for"
+
 
 Table = dict[str, Any]
 
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,77 @@
+"""What operators are told: codes that stay, a remedy for each, and a page that has all of them."""
+
+from __future__ import annotations
+
+import importlib
+import os
+import pkgutil
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+import dillport
+from dillport.errors import DillportError
+
+ROOT = Path(__file__).parents[1]
+CODE = re.compile(r"[A-Z]{3}[0-9]{2}")
+ROW = re.compile(rf"^\| `({CODE.pattern})` \| (.+) \| (.+) \|$", re.M)
+
+
+def every() -> dict[str, type[DillportError]]:
+    """All error types of the program, by code."""
+    for module in pkgutil.walk_packages(dillport.__path__, "dillport."):
+        if module.name not in ("dillport.cli.__main__",):  # runs as it is imported
+            importlib.import_module(module.name)
+    found: list[type[DillportError]] = [DillportError]
+    for kind in found:
+        found.extend(kind.__subclasses__())
+    kinds = [kind for kind in found[1:] if kind.__module__.startswith("dillport.")]
+    codes = {kind.__dict__.get("code", ""): kind for kind in kinds}
+    assert len(codes) == len(set(kinds)), "a code is there twice, or missing"
+    return codes
+
+
+def test_each_error_has_a_code_of_its_own_and_one_line_of_what_to_do() -> None:
+    for code, kind in every().items():
+        assert CODE.fullmatch(code), (code, kind)
+        remedy = kind.__dict__.get("remedy", "")
+        assert remedy and remedy == " ".join(remedy.split()) and not remedy.endswith("."), (code, remedy)
+
+
+def test_the_page_has_each_code_and_what_to_do_and_no_others() -> None:
+    rows = ROW.findall((ROOT / "docs" / "on-call.md").read_text("utf-8"))
+    told = {code: remedy.replace("`", "") for code, _, remedy in rows}
+    assert len(told) == len(rows) and list(told) == sorted(told)
+    assert told == {code: kind.remedy for code, kind in every().items()}
+
+
+def test_what_is_said_is_one_line_each() -> None:
+    class Odd(DillportError):
+        code = "ODD01"
+        remedy = "nothing"
+
+    assert Odd("two\n  lines").report == ("ODD01: two lines", "what to do: nothing")
+    assert Odd("x").sentence == "ODD01: x; what to do: nothing"
+
+
+@pytest.mark.parametrize(
+    ("env", "start"),
+    [
+        ({}, "dillport: CFG02: PROXY_CONFIG is missing; what to do: "),
+        ({"PROXY_CONFIG": "/nowhere"}, "dillport: CFG02: PROXY_CONFIG cannot be read: "),
+        ({"PROXY_CONFIG": "{}"}, "dillport: CFG01: settings is missing; what to do: "),
+    ],
+)
+def test_a_node_that_does_not_run_says_why_in_one_line(
+    tmp_path: Path, env: dict[str, str], start: str
+) -> None:
+    if "{" in env.get("PROXY_CONFIG", ""):
+        (tmp_path / "config.json").write_text(env["PROXY_CONFIG"])
+        env = {"PROXY_CONFIG": str(tmp_path / "config.json")}
+    kept = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    got = subprocess.run([sys.executable, "-m", "dillport"], cwd=ROOT, env=kept | env, capture_output=True)
+    text = got.stderr.decode()
+    assert got.returncode == 2 and text.startswith(start) and text.count("\n") == 1
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -253,7 +253,7 @@
             second = await spawn(path)
             _, err = await second.communicate()
             assert second.returncode == 2
-            assert err.decode().splitlines()[-1].startswith("dillport: listen: ")
+            assert err.decode().splitlines()[-1].startswith("dillport: NOD01: listen: ")
             assert (await (await rig.client()).ask("/read")).code == 200
 
     run(test)
