--- /dev/null
+++ b/dillport/recovery/messages.py
@@ -0,0 +1,206 @@
+"""Datagrams of the return: at most 256 bytes, checked, versioned. What is unknown is skipped.
+
+    crc32:u32 version:u8 kind:u8 sender:u16  hash:u64  then by kind
+
+`hash` is of the sender's register. All numbers are big-endian. What a later version adds to a kind comes
+after what is known of it and is skipped; a form that changes gets a kind of its own.
+
+    ROLL, ANSWER  life:u32 running:u32 phase:u8 path:u8 flags:u8 revision:u32 rate:u32 present:u16 young:u16
+    DIGEST        16 bucket hashes, u32
+    ROWS          of:u32 mask:u16 part:u16 parts:u16 flags:u8 count:u8, then for each row
+                  node:u16 life:u32 seq:u32 live:u8 age:u32 length:u8 id
+    FILTER        revision:u32 hashes:u8 length:u8, then a Bloom filter of that many bytes
+"""
+
+from __future__ import annotations
+
+import math
+import struct
+import zlib
+from dataclasses import dataclass
+from enum import IntEnum, IntFlag
+
+from dillport.recovery.register import BUCKETS, MOST_ID, Row
+
+VERSION = 1
+MOST = 256  # bytes of a datagram
+FIRST_KIND, LAST_KIND = 16, 31  # of this room
+HEAD = struct.Struct(">IBBHQ")
+STATE = struct.Struct(">IIBBBIIHH")
+DIGEST = struct.Struct(f">{BUCKETS}I")
+ROWS = struct.Struct(">IHHHBB")
+ROW = struct.Struct(">HIIBIB")
+FILTER = struct.Struct(">IBB")
+LONG_AGO = 0xFFFFFFFF  # an age in ms that nobody knows, or that is as long
+ROWS_ROOM = MOST - HEAD.size - ROWS.size  # bytes for rows
+MOST_FILTER = 200  # bytes
+
+
+class MessageError(ValueError):
+    """A datagram that cannot be read."""
+
+
+class UnknownKind(MessageError):
+    """A datagram of a kind that only a later version knows: it is skipped."""
+
+
+class Kind(IntEnum):
+    """What a datagram is for."""
+
+    ROLL = 16  # I return: who is there?
+    ANSWER = 17  # I am
+    DIGEST = 18  # tell me the rows that you have and I lack
+    ROWS = 19
+    FILTER = 20  # the backends in service of a list that discovery has told, as a Bloom filter
+
+
+class Flag(IntFlag):
+    """Of ROLL and ANSWER."""
+
+    SOUND = 1  # the sender's disk was
+    FRESH = 2  # nothing was kept on it
+    LISTED = 4  # discovery has told the sender its list in this life
+    ASKS = 8  # an answer is wanted in any case: one single node is asked
+    REPLY = 16  # in answer to an answer: none is wanted
+
+
+@dataclass(slots=True, frozen=True)
+class State:
+    """What a node says of itself."""
+
+    life: int
+    running: float  # ms since its process started, by its own clock
+    phase: int  # a `Phase`, or one of a later version
+    path: int  # index in `PATHS`, or one of a later version
+    flags: Flag
+    revision: int  # of the list that it has
+    rate: float  # requests a second that it carried when warm; 0: it does not know
+    present: int  # members that it sees, itself included
+    young: int  # of these, those that are returning
+
+
+@dataclass(slots=True, frozen=True)
+class Rows:
+    """Rows of the sender's register.
+
+    All parts 0 to `parts` - 1 with the same hash and mask are all rows of the buckets in the mask. `of` is
+    the lower half of the hash with which the receiver asked: the buckets outside the mask were the same then.
+    """
+
+    rows: tuple[Row, ...]  # `at` is on the receiver's clock, as of `decode`'s `now`
+    of: int = 0
+    mask: int = 0  # 0: single rows that say nothing of others
+    part: int = 0
+    parts: int = 1
+    to_all: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Filter:
+    """Which backends are in service; some that are not may seem to be."""
+
+    revision: int
+    hashes: int  # bits set for each id
+    bits: bytes
+
+
+Body = State | tuple[int, ...] | Rows | Filter  # the tuple: a digest's bucket hashes
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    """One datagram."""
+
+    kind: Kind
+    sender: int
+    hash: int
+    body: Body
+
+
+def row_size(row: Row) -> int:
+    """Bytes in a datagram."""
+    return ROW.size + len(row.backend.encode())
+
+
+def encode(message: Message, now: float) -> bytes:
+    """The bytes of a message, ages of rows as of `now` (ms); raises MessageError if it is too long."""
+    match message.body:
+        case State() as s:
+            running, rate = min(int(s.running), LONG_AGO), min(round(s.rate * 10), LONG_AGO)
+            body = STATE.pack(s.life, running, s.phase, s.path, s.flags, s.revision & 0xFFFFFFFF, rate,
+                              s.present, s.young)  # fmt: skip
+        case Rows() as r:
+            parts = [ROWS.pack(r.of, r.mask, r.part, r.parts, r.to_all, len(r.rows))]
+            parts += [_packed(row, now) for row in r.rows]
+            body = b"".join(parts)
+        case Filter() as f:
+            body = FILTER.pack(f.revision & 0xFFFFFFFF, f.hashes, len(f.bits)) + f.bits
+        case hashes:
+            body = DIGEST.pack(*hashes)
+    head = HEAD.pack(0, VERSION, message.kind, message.sender, message.hash)
+    if len(head) + len(body) > MOST:
+        raise MessageError(f"{len(head) + len(body)} bytes")
+    rest = head[4:] + body
+    return zlib.crc32(rest).to_bytes(4, "big") + rest
+
+
+def _packed(row: Row, now: float) -> bytes:
+    name = row.backend.encode()
+    if not 0 < len(name) <= MOST_ID:
+        raise MessageError(f"an id of {len(name)} bytes")
+    age = LONG_AGO if row.at == -math.inf else min(max(0, int(now - row.at)), LONG_AGO)
+    return ROW.pack(row.node, row.life, row.seq, row.live, age, len(name)) + name
+
+
+def decode(data: bytes, now: float) -> Message:
+    """The message in a datagram that came at `now` (ms); raises MessageError on anything else."""
+    if not HEAD.size <= len(data) <= MOST:
+        raise MessageError(f"{len(data)} bytes")
+    check, version, kind, sender, hash_ = HEAD.unpack_from(data)
+    if zlib.crc32(data[4:]) != check:
+        raise MessageError("corrupt")
+    if not version:
+        raise MessageError("no version")
+    body = data[HEAD.size :]
+    try:
+        match kind:
+            case Kind.ROLL | Kind.ANSWER:
+                return Message(Kind(kind), sender, hash_, _state(body))
+            case Kind.DIGEST:
+                return Message(Kind.DIGEST, sender, hash_, DIGEST.unpack_from(body))
+            case Kind.ROWS:
+                return Message(Kind.ROWS, sender, hash_, _rows(body, now))
+            case Kind.FILTER:
+                revision, hashes, length = FILTER.unpack_from(body)
+                bits = body[FILTER.size : FILTER.size + length]
+                if not hashes or not length or len(bits) < length:
+                    raise MessageError("no filter")
+                return Message(Kind.FILTER, sender, hash_, Filter(revision, hashes, bits))
+    except struct.error:
+        raise MessageError("cut short") from None
+    raise UnknownKind(f"kind {kind}")
+
+
+def _state(body: bytes) -> State:
+    life, running, phase, path, flags, revision, rate, present, young = STATE.unpack_from(body)
+    known = Flag(flags & sum(Flag))
+    return State(life, float(running), phase, path, known, revision, rate / 10, present, young)
+
+
+def _rows(body: bytes, now: float) -> Rows:
+    of, mask, part, parts, flags, count = ROWS.unpack_from(body)
+    at, rows = ROWS.size, []
+    for _ in range(count):
+        node, life, seq, live, age, length = ROW.unpack_from(body, at)
+        name = body[at + ROW.size : at + ROW.size + length]
+        at += ROW.size + length
+        if len(name) < length or not 0 < length <= MOST_ID:
+            raise MessageError("cut short")
+        try:
+            backend = name.decode()
+        except UnicodeDecodeError:
+            raise MessageError("an id that is none") from None
+        rows.append(Row(backend, node, life, seq, bool(live), -math.inf if age == LONG_AGO else now - age))
+    if part >= parts:
+        raise MessageError(f"part {part} of {parts}")
+    return Rows(tuple(rows), of, mask, part, parts, bool(flags & 1))
--- /dev/null
+++ b/dillport/recovery/register.py
@@ -0,0 +1,204 @@
+"""Bans and returns as a replicated register: joined in any order, on any node, to the same.
+
+An enable-wins flag for each backend (Shapiro et al. 2011, A comprehensive study of convergent and
+commutative replicated data types), kept as rows by (backend, node): a node raises its own row's counter with
+each ban that it is told; a return clears the live rows that its node knows of. The greater counter wins, and
+at the same counter a cleared row, for it has seen the ban. A backend is banned while any of its rows is live.
+So a ban and a return at the same time end in the ban, and whatever is joined a second time, late, or from a
+disk of last month changes nothing. No clock orders anything; `at` only says how long ago a backend returned.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+MOST_ID = 96  # bytes of a backend's id in a datagram
+MOST_ROWS = 4096  # that other nodes may have this one keep
+BUCKETS = 16
+LAST = 0xFFFFFFFF  # neither a life nor a sequence comes so high: there is always a counter above a row's
+
+
+class Row(NamedTuple):
+    """What one node's last ban of a backend has come to."""
+
+    backend: str
+    node: int
+    life: int
+    seq: int
+    live: bool  # a ban that no return has seen
+    at: float  # node clock, ms: when it was called, or cleared; -inf where nobody knows
+
+    @property
+    def counter(self) -> tuple[int, int]:
+        """Orders all bans of one node."""
+        return self.life, self.seq
+
+    @property
+    def key(self) -> tuple[int, int, bool]:
+        """The greater one wins."""
+        return self.life, self.seq, not self.live
+
+
+def shared(backend: str) -> bool:
+    """Whether an id can be told to others. A ban of any other one holds at its own node alone."""
+    try:
+        return 0 < len(backend.encode()) <= MOST_ID
+    except UnicodeEncodeError:
+        return False
+
+
+def bucket(backend: str) -> int:
+    """Of the digests: all rows of a backend are in the same one."""
+    return hashlib.blake2b(backend.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _hash(row: Row) -> int:
+    """Eight bytes that mix well: they are joined by exclusive or, so their order does not count."""
+    text = f"{row.node} {row.life} {row.seq} {row.live:d} {row.backend}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+class Register:
+    """The rows that one node knows. `seq` should differ between two processes of the same life."""
+
+    def __init__(self, me: int, life: int, seq: int = 0) -> None:
+        self.me, self.life, self.seq = me, life, seq
+        self.hash = 0  # of all rows that are shared; equal where the rows are
+        self.buckets = [0] * BUCKETS
+        self.counts: Counter[str] = Counter()
+        self._rows: dict[str, dict[int, Row]] = {}
+        self._size = 0
+        self._own: set[str] = set()  # backends whose own row this process has issued
+
+    def __len__(self) -> int:
+        return self._size
+
+    # --- what it says
+
+    def rows(self) -> list[Row]:
+        """All of them, in an order that is the same on every node."""
+        return [by[node] for _, by in sorted(self._rows.items()) for node in sorted(by)]
+
+    def rows_in(self, buckets: int) -> list[Row]:
+        """Those that are told to others, of the buckets whose bits are set, in that order."""
+        return [r for r in self.rows() if shared(r.backend) and buckets >> bucket(r.backend) & 1]
+
+    def get(self, backend: str, node: int) -> Row | None:
+        """One row."""
+        return self._rows.get(backend, {}).get(node)
+
+    def banned(self, backend: str) -> bool:
+        """Whether a backend is out."""
+        return any(row.live for row in self._rows.get(backend, {}).values())
+
+    def bans(self) -> dict[str, float]:
+        """Backends that are out, in order, and since when."""
+        return {name: self.since(name) for name in sorted(self._rows) if self.banned(name)}
+
+    def since(self, backend: str) -> float:
+        """Since when it is out, or has been back; -inf where nobody knows."""
+        by = self._rows.get(backend, {}).values()
+        out = [row.at for row in by if row.live]
+        return min(out) if out else max((row.at for row in by), default=-math.inf)
+
+    # --- what an operator calls
+
+    def ban(self, backend: str, at: float) -> Row:
+        """The row of a ban called here, above all of this node so far. It is not joined yet."""
+        known = self.get(backend, self.me)
+        if known is not None:
+            self._above(known)
+        self._step()
+        return Row(backend, self.me, self.life, self.seq, True, at)
+
+    def back(self, backend: str, at: float) -> list[Row]:
+        """The rows of a return called here: every ban that is known is cleared. Not joined yet."""
+        by = self._rows.get(backend, {})
+        return [by[node]._replace(live=False, at=at) for node in sorted(by) if by[node].live]
+
+    def commit(self, rows: Iterable[Row]) -> list[Row]:
+        """Join rows of calls here that are synced; returns those that have to be issued anew for it.
+
+        Meanwhile a row of a former life of this node may have come, that no disk here knew: a ban above it.
+        """
+        again = []
+        for row in rows:
+            known = self.get(row.backend, row.node)
+            if row.live and known is not None and known.key > row.key:
+                again.append(self.ban(row.backend, row.at))
+                continue
+            if row.live:
+                self._own.add(row.backend)
+            self._put(row)
+        return again
+
+    # --- what others say, and the disk
+
+    def join(self, rows: Iterable[Row]) -> list[Row]:
+        """Take what is news; returns the rows that are now another than before, own ones issued anew too."""
+        changed: dict[tuple[str, int], Row] = {}
+        for row in rows:
+            known = self.get(row.backend, row.node)
+            if not self._possible(row) or (known is None and self._full(row)):
+                continue
+            if known is not None and row.key <= known.key:
+                continue
+            if row.node == self.me and (row.counter > (self.life, self.seq) or row.backend in self._own):
+                for again in self._outbid(row):
+                    changed[again.backend, self.me] = again
+                known = self.get(row.backend, row.node)
+                if known is not None and known.key > row.key:
+                    continue
+            self._put(row)
+            changed[row.backend, row.node] = row
+        return list(changed.values())
+
+    def _outbid(self, row: Row) -> list[Row]:
+        """A former life of this node counted further than this one: its bans must not cover ours."""
+        self._above(row)
+        self.counts["outbid"] += 1
+        out = []
+        for name in sorted(self._own):
+            known = self.get(name, self.me)
+            if known is not None and known.live and known.counter < row.counter:
+                out.append(self.ban(name, known.at))
+                self._put(out[-1])
+        return out
+
+    def _above(self, row: Row) -> None:
+        if row.counter > (self.life, self.seq):
+            self.life, self.seq = row.counter
+
+    def _step(self) -> None:
+        self.seq += 1
+        if self.seq >= LAST:
+            self.life, self.seq = self.life + 1, 0
+
+    def _possible(self, row: Row) -> bool:
+        """Whether there is a counter above: else whoever says so could keep this node from its bans."""
+        sound = 0 <= row.life < LAST - 1 and 0 <= row.seq < LAST and 0 <= row.node <= 0xFFFF
+        if not sound:
+            self.counts["impossible"] += 1
+        return sound
+
+    def _full(self, row: Row) -> bool:
+        full = self._size >= MOST_ROWS and row.node != self.me
+        self.counts["rows_dropped"] += full
+        return full
+
+    def _put(self, row: Row) -> None:
+        by = self._rows.setdefault(row.backend, {})
+        old = by.get(row.node)
+        by[row.node] = row
+        self._size += old is None
+        if shared(row.backend):
+            at = bucket(row.backend)
+            for one in (old, row):
+                if one is not None:
+                    value = _hash(one)
+                    self.hash ^= value
+                    self.buckets[at] ^= value & 0xFFFFFFFF
