--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -122,8 +122,8 @@
            "TMPDIR": str(tmp_path)}  # fmt: skip
     done = subprocess.run([sys.executable, "-B", "-m", "dillport"], cwd=ROOT, env=env, capture_output=True,
                           text=True, timeout=60, check=False)  # fmt: skip
-    assert done.returncode == 2 and done.stderr.startswith("dillport: ")
-    return done.stderr.strip().removeprefix("dillport: ")
+    assert done.returncode == 2 and done.stderr.startswith("dillport: CFG") and done.stderr.count("\n") == 1
+    return done.stderr.partition(": ")[2].partition(": ")[2].partition("; what to do: ")[0]
 
 
 def load_text(tmp_path: Path) -> Any:
