Errors: durable state, bans, membership's socket and the console say code and remedy

The console's no was one line that left the operator to guess; a refused ban lost the reason's type on its way (DurableError to BansError to CallRefused), so that "call the other console" could not be told from "free the disk". The errors pass through whole now, the 503 has the code and the remedy of its cause, the state: and bans: lines have the code. Seen on the way: a record over 4 MiB (a list of very many backends) raised a ValueError in the writing thread, which ended it, and every later maint waited for ever; it is STA03 now, the node says so once and goes on without. What waits in the queue behind such a record is refused with the same reason, in place of a directory opened anew for each batch.

--- a/dillport/durable/frames.py
+++ b/dillport/durable/frames.py
@@ -16,12 +16,21 @@
 
 import google_crc32c
 
+from dillport.errors import DillportError
+
 HEAD = struct.Struct(">IIIQQ")
 REST = struct.Struct(">IQQ")
 WORD = struct.Struct(">I")
 LONGEST = 4 * 2**20  # bytes of one record
 
 
+class LengthError(DillportError):
+    """A record is too long to be written, a list of very many backends for one."""
+
+    code = "STA03"
+    remedy = "the node serves on without [durable]; start it again once discovery's list is shorter"
+
+
 @dataclass(slots=True, frozen=True)
 class Frame:
     """One record and its place."""
@@ -54,9 +63,9 @@
 
 
 def frame(number: int, batch: int, chain: int, data: bytes) -> Frame:
-    """A record that comes after `chain`; raises ValueError where it is too long."""
+    """A record that comes after `chain`; raises LengthError where it is too long."""
     if len(data) > LONGEST:
-        raise ValueError(f"a record of {len(data)} bytes")
+        raise LengthError(f"a record has {len(data)} bytes, {LONGEST} fit")
     return Frame(number, batch, link(chain, _check(number, batch, data)), data)
 
 
--- a/dillport/durable/records.py
+++ b/dillport/durable/records.py
@@ -13,14 +13,18 @@
 
 import msgspec
 
+from dillport.errors import DillportError
 from dillport.interface import Learned
 
 BOOT = Path("/proc/sys/kernel/random/boot_id")
 MOST_UNKNOWN = 256  # records of unknown kinds that are passed on
 
 
-class RecordError(ValueError):
-    """A snapshot that cannot be read; of a sound file only a newer program's."""
+class RecordError(DillportError):
+    """A snapshot cannot be read; of a sound file only a newer program's."""
+
+    code = "STA02"
+    remedy = "start the newer version again, or let durable.directory name an empty one"
 
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True):
--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -18,19 +18,38 @@
 from pathlib import Path
 
 from dillport.durable.files import Files, RealFiles
-from dillport.durable.records import Kept, Record, RecordError, encode, total
-from dillport.durable.store import Fenced, Loaded, Store, StoreError, load
+from dillport.durable.records import Kept, Record, encode, total
+from dillport.durable.store import Fenced, Loaded, Store, load
+from dillport.errors import DillportError
 
 log = logging.getLogger(__name__)
 
 MOST_WAITING = 1024  # records
 CLOSE = 0.1  # s that the end of the process waits for the disk
 TRY_AGAIN = 5.0  # s from a failure until the directory is tried again
+SUPERSEDED = "another process of this node writes now"
 KEEP_RETURNS = 3_600_000.0  # ms for which the time of a backend's return is kept: longer than any ramp
 
 
-class DurableError(Exception):
-    """The record is not on disk; the text says why."""
+class DurableError(DillportError):
+    """A record is not on disk; the text says why."""
+
+    code = "STA04"
+    remedy = "mend or free the disk of durable.directory and call again; the node tries it every 5 s"
+
+
+class SupersededError(DurableError):
+    """A later process of this node writes the directory now."""
+
+    code = "STA05"
+    remedy = "call the console of the process that was started last"
+
+
+class DirectoryError(DurableError):
+    """The directory cannot be made or opened."""
+
+    code = "STA06"
+    remedy = "let durable.directory name one that the node may write in, and start it again"
 
 
 @dataclass(slots=True)
@@ -48,7 +67,7 @@
         self.files, self.where, self.node = files, where, node
         self.kept = Kept()  # of the writing thread, once it runs
         self.store: Store | None = None
-        self.off = ""  # why nothing is written, and will not be; empty where it may be
+        self.off: DillportError | None = None  # why nothing is written, and will not be
         self.fenced = False
         self.failures = self.dropped = self.written = self.synced = 0
         self.slowest = 0.0  # s, of all syncs
@@ -68,12 +87,12 @@
             files.make()
             out._user.enter_context(files.used())
         except OSError as err:
-            out._refused(f"cannot be used: {err.strerror}")
+            out._refused(DirectoryError(f"cannot be used: {err.strerror}"))
         return out
 
-    def _refused(self, why: str) -> None:
+    def _refused(self, why: DillportError) -> None:
         self.off = why
-        log.warning("state: %s: %s; the node goes on without", self.where, why)
+        log.warning("state: %s: %s; the node goes on without", self.where, why.line)
 
     def read(self) -> Kept:
         """What an earlier process has kept; nothing, with one line, where it cannot be had."""
@@ -82,8 +101,8 @@
         try:
             loaded = load(self.files, self.node, whole=False)
             self.kept = total(loaded.snapshot, loaded.records)
-        except (StoreError, RecordError) as err:
-            self._refused(str(err))
+        except DillportError as err:
+            self._refused(err)
         except OSError as err:
             self._failed(err)
         else:
@@ -103,9 +122,11 @@
             self._thread.start()
 
     async def keep(self, record: Record) -> None:
-        """Returns once the record would outlast a power cut; raises DurableError where it may not."""
-        if self.off or self._thread is None:
-            raise DurableError(self.off or "not yet open")
+        """Returns once the record would outlast a power cut; raises DillportError where it may not."""
+        if self.off is not None:
+            raise self.off
+        if self._thread is None:
+            raise DurableError("not yet open")
         if self._queue.qsize() >= MOST_WAITING:
             raise DurableError("too many wait for the disk")
         done: asyncio.Future[None] = self._loop.create_future()
@@ -138,7 +159,8 @@
         """What operators are shown."""
         store = self.store
         return {
-            "directory": self.where, "writes": store is not None and not store.broken, "off": self.off,
+            "directory": self.where, "writes": store is not None and not store.broken,
+            "off": "" if self.off is None else self.off.line,
             "fenced": self.fenced, "fence": store.fence if store is not None else 0,
             "records": self.written, "syncs": self.synced, "slowest_sync_ms": round(self.slowest * 1000, 1),
             "failures": self.failures, "dropped": self.dropped,
@@ -165,14 +187,16 @@
                     self.store.close()
                 return
 
-    def _write(self, batch: list[Waiting]) -> str:
-        """Write a batch; why it is not on disk, empty where it is."""
+    def _write(self, batch: list[Waiting]) -> DillportError | None:
+        """Write a batch; why it is not on disk, None where it is."""
+        if self.off is not None:
+            return self.off
         if self.fenced:
-            return "another process of this node writes now"
+            return SupersededError(SUPERSEDED)
         try:
             store = self._opened()
             if store is None:
-                return "the disk has failed a moment ago"
+                return DurableError("the disk has failed a moment ago")
             sync = any(item.done is not None for item in batch)
             begun = time.monotonic()
             store.append([item.record for item in batch], sync)
@@ -187,15 +211,14 @@
                 store.rotate(self.kept.encode())
         except Fenced:
             self.fenced = True
-            log.info("state: another process of this node writes now")
-            return "another process of this node writes now"
+            log.info("state: %s", SUPERSEDED)
+            return SupersededError(SUPERSEDED)
         except OSError as err:
-            self._failed(err)
-            return str(err.strerror or err)
-        except (StoreError, RecordError) as err:
-            self._refused(str(err))
-            return self.off
-        return ""
+            return self._failed(err)
+        except DillportError as err:
+            self._refused(err)
+            return err
+        return None
 
     def _opened(self) -> Store | None:
         """The store, opened anew a while after a failure or once another process has given it up."""
@@ -220,18 +243,20 @@
         self.kept = total(loaded.snapshot, loaded.records)
         return self.kept.encode()
 
-    def _failed(self, err: OSError) -> None:
+    def _failed(self, err: OSError) -> DurableError:
+        why = DurableError(err.strerror or str(err))
         self.failures += 1
         if not self._said:
             self._said = True
             log.warning("state: %s: %s; the node serves on, calls that need it get a no", self.where,
-                        err.strerror or err)  # fmt: skip
+                        why.line)  # fmt: skip
+        return why
 
 
-def _settle(done: asyncio.Future[None], why: str) -> None:
+def _settle(done: asyncio.Future[None], why: DillportError | None) -> None:
     if done.cancelled():
         return
-    if why:
-        done.set_exception(DurableError(why))
+    if why is not None:
+        done.set_exception(why)
     else:
         done.set_result(None)
--- a/dillport/durable/store.py
+++ b/dillport/durable/store.py
@@ -29,6 +29,7 @@
 from dillport.durable import frames
 from dillport.durable.files import File, Files
 from dillport.durable.frames import Parsed
+from dillport.errors import DillportError
 
 VERSION = 1
 SNAP, LOG, DRAFT, FENCE = "snap", "log", "draft-", "fence"
@@ -40,12 +41,15 @@
 Place = tuple[int, int]  # a generation's fence and number: later writers come after all of earlier ones
 
 
-class StoreError(Exception):
-    """The directory cannot be used; the text says why. Nothing in it was changed."""
+class StoreError(DillportError):
+    """The directory is another node's or a newer program's. Nothing in it was changed."""
+
+    code = "STA01"
+    remedy = "let durable.directory name one that is this node's alone, or start the version that wrote it"
 
 
 class Fenced(Exception):
-    """Another process writes here now."""
+    """Another process writes here now: a sign to the caller, who knows which one."""
 
 
 class Header(msgspec.Struct, frozen=True, array_like=True):
@@ -267,7 +271,7 @@
         """Take the directory over from whoever writes there.
 
         `snapshot` makes one of what was loaded, `fresh` names the directory if it is new. Raises StoreError
-        as `load` does, BlockingIOError where another process is just doing the same.
+        as `load` does, LengthError, BlockingIOError where another process is just doing the same.
         """
         self.files, self.node = files, node
         self.log: File | None = None
@@ -300,7 +304,7 @@
     def append(self, records: Sequence[bytes], sync: bool) -> None:
         """Write records; with `sync` they outlast a power cut when this returns.
 
-        Raises Fenced where another writer has taken over: then none of them may be said yes to.
+        Raises Fenced where another writer has taken over: then none of them may be said yes to. LengthError.
         """
         if self.broken or self.log is None:
             raise OSError(errno.EIO, "an earlier write has failed")
--- a/dillport/membership/messages.py
+++ b/dillport/membership/messages.py
@@ -30,7 +30,7 @@
 
 
 class MessageError(ValueError):
-    """A datagram that cannot be read."""
+    """A datagram that cannot be read: it is counted, and no operator ever sees this."""
 
 
 class State(IntEnum):
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -7,6 +7,7 @@
 import socket
 import time
 
+from dillport.errors import DillportError
 from dillport.membership.core import (
     Changed,
     Config,
@@ -38,6 +39,13 @@
 }
 
 
+class SocketError(DillportError):
+    """The socket between nodes cannot be had."""
+
+    code = "MEM01"
+    remedy = "see who has the address of peer_listen (ss -lunp) and end that, then start the node again"
+
+
 def life_now() -> int:
     """A number for a life that begins now: above that of the life before, unless the clock went back."""
     return max(1, int((time.time() - EPOCH) / LIFE_UNIT)) & 0xFFFFFFFF
@@ -79,14 +87,14 @@
         self._changed_at = [0.0] * len(peers)  # ms, when the state of each member last changed
 
     async def open(self) -> None:
-        """Listen, and be present from now on. Raises OSError."""
+        """Listen, and be present from now on. Raises SocketError."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_CLOEXEC)
         try:
             sock.setblocking(False)
             sock.bind(self.listen)
-        except OSError:
+        except OSError as err:
             sock.close()
-            raise
+            raise SocketError(f"{self.listen[0]}:{self.listen[1]}: {err}") from None
         transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
         self.transport = transport
         self.core = Membership(self.config, self.me, len(self.peers), self.life, self.seed,
--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -16,14 +16,26 @@
 from pathlib import Path
 from typing import Any
 
+from dillport.errors import DillportError
+
 log = logging.getLogger(__name__)
 
 LOOK = 0.1  # s between two looks whether the other process has changed the file
 LOCK_WAIT, LOCK_TRY = 0.6, 0.005  # s to wait for the lock, of the 1 s that a caller waits; between tries
 
 
-class BansError(Exception):
-    """The file could not be changed, so nothing is."""
+class BansError(DillportError):
+    """The file of bans could not be changed, so nothing is."""
+
+    code = "BAN01"
+    remedy = "see that $TMPDIR can be written and has room, then call again"
+
+
+class BansFileError(DillportError):
+    """The file of bans is not what it should be; what was known of it stays in force."""
+
+    code = "BAN02"
+    remedy = "see that $TMPDIR can be written; the next maint or ready writes the file anew"
 
 
 @dataclass(slots=True, frozen=True)
@@ -172,7 +184,7 @@
     def _fault(self, what: str) -> None:
         """One warning; what was known stays in force, and the next call writes the file anew."""
         if not self.faulty:
-            log.warning("bans: %s %.200s", self.path.name, what)
+            log.warning("bans: %s", BansFileError(f"{self.path.name} {what:.200}").line)
         self.faulty = True
 
     def _take(self, fresh: Record) -> None:
--- a/dillport/net/console.py
+++ b/dillport/net/console.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from dillport.net.bans import BansError
+from dillport.errors import DillportError
 from dillport.net.config import Address
 
 log = logging.getLogger(__name__)
@@ -28,12 +28,29 @@
 }  # fmt: skip
 
 
-class CallRefused(Exception):
-    """The answer is no."""
+class CallRefused(DillportError):
+    """A call of the console makes no sense; the text says why."""
 
-    def __init__(self, code: int, why: str, allow: str = "") -> None:
+    code = "CON01"
+    remedy = "GET /healthcheck, GET /stats, POST /backends/ID/maint, POST /backends/ID/ready are the calls"
+
+    def __init__(self, status: int, why: str, allow: str = "") -> None:
         super().__init__(why)
-        self.code, self.allow = code, allow
+        self.status, self.allow = status, allow
+
+
+class UnknownBackend(CallRefused):
+    """The backend that is to be taken out or put back was never listed here."""
+
+    code = "CON02"
+    remedy = "compare the id with discovery's list (/ is %2F in the path); call again once it is listed"
+
+
+class CallFailed(CallRefused):
+    """A call failed by a defect of the node, which goes on; the log has its trace."""
+
+    code = "CON03"
+    remedy = "call again; if it fails again, take the trace from the log and report it"
 
 
 class Operated(Protocol):
@@ -46,7 +63,7 @@
         """The figures."""
 
     async def operate(self, backend: str, out: bool) -> bool:
-        """Take a backend out or put it back; False where it was never listed. Raises BansError."""
+        """Take a backend out or put it back; False where it was never listed. Raises DillportError."""
 
 
 class Caller(asyncio.Protocol):
@@ -82,18 +99,17 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._no(400, "no upgrade is to be had here")
+            self._no(CallRefused(400, "no upgrade is to be had here"))
         except httptools.HttpParserError as err:
             if isinstance(err, httptools.HttpParserCallbackError):
-                log.exception("console: call failed")
-                self._no(500, "internal error")
+                self._failed()
             else:
-                self._no(400, "malformed call")
+                self._no(CallRefused(400, "malformed call"))
         if not self.in_body and self.size > MAX_HEAD:
-            self._no(431, "headers too long")
+            self._no(CallRefused(431, "headers too long"))
 
     def _stalled(self) -> None:
-        self._no(408, "call took too long")
+        self._no(CallRefused(408, "call took too long"))
 
     def drop(self) -> None:
         """Let go without an answer."""
@@ -115,7 +131,7 @@
         """No call needs a body."""
         self.body += len(body)
         if self.body > MAX_BODY:
-            self._no(413, "body too large")
+            self._no(CallRefused(413, "body too large"))
 
     def on_message_complete(self) -> None:
         """The call is whole."""
@@ -125,29 +141,33 @@
 
     async def _carry_out(self, method: bytes, target: bytes) -> None:
         try:
-            text, kind = await self.console.call(method, target)
+            status, text, kind = await self.console.call(method, target)
         except CallRefused as err:
-            self._no(err.code, str(err), err.allow)
+            self._no(err)
         except Exception:  # guards against one bad call ending the node
-            log.exception("console: call failed")
-            self._no(500, "internal error")
+            self._failed()
         else:
-            self.answer(200, text, kind)
+            self.answer(status, text, kind)
 
     # --- answers
 
-    def _no(self, code: int, why: str, allow: str = "") -> None:
-        extra = f"Allow: {allow}\r\n" if allow else ""
-        self.answer(code, why + "\n", "text/plain", extra)
+    def _no(self, why: CallRefused) -> None:
+        extra = f"Allow: {why.allow}\r\n" if why.allow else ""
+        self.answer(why.status, _lines(*why.report), "text/plain", extra)
+
+    def _failed(self) -> None:
+        why = CallFailed(500, "internal error")
+        log.exception("console: %s", why.line)
+        self._no(why)
 
-    def answer(self, code: int, text: str, kind: str, extra: str = "") -> None:
+    def answer(self, status: int, text: str, kind: str, extra: str = "") -> None:
         """Answer once and end the connection."""
         if self.answered or self.transport is None:
             return
         self.answered = True
         body = text.encode()
-        head = (f"HTTP/1.1 {code} {REASONS[code]}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
-                f"{extra}Connection: close\r\n\r\n")  # fmt: skip
+        head = (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {kind}\r\n"
+                f"Content-Length: {len(body)}\r\n{extra}Connection: close\r\n\r\n")  # fmt: skip
         self.transport.write(head.encode() + body)
         # Guards against a reset that takes the answer with it: it is what closing does while bytes come in.
         self.transport.write_eof()
@@ -188,8 +208,8 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def call(self, method: bytes, target: bytes) -> tuple[str, str]:
-        """Carry out one call; returns its answer and that answer's type. Raises CallRefused."""
+    async def call(self, method: bytes, target: bytes) -> tuple[int, str, str]:
+        """Carry out one call; returns its answer's status, text and type. Raises CallRefused."""
         try:
             path = httptools.parse_url(target).path or b"/"
         except httptools.HttpParserInvalidURLError:
@@ -198,21 +218,22 @@
         match [unquote_to_bytes(part).decode("utf-8", "replace") for part in path.split(b"/")[1:]]:
             case ["healthcheck"]:
                 _expect(method, b"GET")
-                if why := self.node.health():
-                    raise CallRefused(503, why)
-                return "ready\n", "text/plain"
+                why = self.node.health()
+                return 503 if why else 200, f"{why or 'ready'}\n", "text/plain"
             case ["stats"]:
                 _expect(method, b"GET")
-                return json.dumps(self.node.stats(), separators=(",", ":")) + "\n", "application/json"
+                figures = json.dumps(self.node.stats(), separators=(",", ":"))
+                return 200, figures + "\n", "application/json"
             case ["backends", backend, ("maint" | "ready") as word]:
                 _expect(method, b"POST")
                 try:
                     known = await self.node.operate(backend, word == "maint")
-                except BansError as err:
-                    raise CallRefused(503, f"nothing is changed: {err}") from None
+                except DillportError as err:
+                    happened, remedy = err.report
+                    return 503, _lines(f"{happened}; nothing is changed", remedy), "text/plain"
                 if not known:
-                    raise CallRefused(404, "no such backend was ever listed")
-                return f"{backend} is {'out' if word == 'maint' else 'back'}\n", "text/plain"
+                    raise UnknownBackend(404, "no such backend was ever listed")
+                return 200, f"{backend} is {'out' if word == 'maint' else 'back'}\n", "text/plain"
         raise CallRefused(404, "no such call")
 
     def close(self) -> None:
@@ -223,6 +244,10 @@
             caller.drop()
 
 
+def _lines(*lines: str) -> str:
+    return "\n".join(lines) + "\n"
+
+
 def _expect(method: bytes, only: bytes) -> None:
     if method != only:
         raise CallRefused(405, f"this call is made with {only.decode()}", only.decode())
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from dillport import interface as api
+from dillport.errors import DillportError
 from dillport.net import config
 from dillport.net.config import Address, ConfigError, address, address_at
 
@@ -158,7 +159,7 @@
             self.keeping.learned(what, now)
 
     async def banned(self, backend: str, out: bool, at: float) -> None:
-        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises DillportError."""
         if self.keeping is not None:
             await self.keeping.banned(backend, out, at)
 
@@ -183,8 +184,8 @@
     async def _open(self, shell: MembershipShell) -> None:
         try:
             await shell.open()
-        except OSError as err:  # the node serves without: alone, as without the file
-            log.warning("membership: %s:%d: %s; the node goes on alone", *shell.listen, err)
+        except DillportError as err:  # the node serves without: alone, as without the file
+            log.warning("membership: %s; the node goes on alone", err.line)
 
     def leave(self) -> None:
         """The node ends, and nobody takes its place."""
--- a/dillport/net/keeping.py
+++ b/dillport/net/keeping.py
@@ -11,8 +11,7 @@
 
 from dillport import interface as api
 from dillport.durable.records import Back, Listed, Out, Row, Sampled, Started, stamp
-from dillport.durable.shell import Durable, DurableError
-from dillport.net.bans import BansError
+from dillport.durable.shell import Durable
 from dillport.net.config import Member, News
 
 
@@ -52,13 +51,9 @@
             self.durable.note(Sampled(stamp(), what(now)))
 
     async def banned(self, backend: str, out: bool, at: float) -> None:
-        """Returns once the ban or the return is on disk, where there is one. Raises BansError."""
-        if self.durable.off:
-            return
-        try:
+        """Returns once the ban or the return is on disk, where there is one. Raises DillportError."""
+        if self.durable.off is None:
             await self.durable.keep(Out(backend, at) if out else Back(backend, at))
-        except DurableError as err:
-            raise BansError(str(err)) from None
 
 
 def _row(member: Member) -> Row:
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -13,7 +13,8 @@
 from typing import Protocol
 
 from dillport import interface as api
-from dillport.net.bans import Bans, BansError, stem
+from dillport.errors import DillportError
+from dillport.net.bans import Bans, stem
 from dillport.net.config import Config, News
 from dillport.net.figures import End, Figures
 from dillport.net.stream import Budget, Upload
@@ -62,7 +63,7 @@
         """What the module has learned may be had; asked for now and then."""
 
     async def banned(self, backend: str, out: bool, at: float) -> None:
-        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises DillportError."""
 
 
 class Watcher(Protocol):
@@ -263,7 +264,7 @@
         return self.ready and self.listening and (self.succeeded or not self.stopping)
 
     async def operate(self, backend: str, out: bool) -> bool:
-        """Take a backend out or put it back; False where it was never listed. Raises BansError."""
+        """Take a backend out or put it back; False where it was never listed. Raises DillportError."""
         if not self.balancer.listed(backend) and not self.bans.known(backend):
             return False
         now = self.now()
@@ -272,9 +273,9 @@
             await self.fleet.banned(backend, out, now)
         try:
             await self.bans.change(backend, out, now, self.settings.ramp_time)
-        except BansError:
+        except DillportError:
             if self.fleet is not None and changes:  # the answer is no: no later process may think otherwise
-                with contextlib.suppress(BansError):
+                with contextlib.suppress(DillportError):
                     await self.fleet.banned(backend, not out, now)
             raise
         return True
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -92,6 +92,8 @@
             writer.write(text.encode())
             got = await asyncio.wait_for(read_message(reader), WAIT)
             assert got.code == code
+            happened, remedy = got.body.decode().splitlines()
+            assert happened.startswith("CON01: ") and remedy.startswith("what to do: ")
             assert (await rig.call("/stats")).code == 200
             writer.close()
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -424,7 +424,7 @@
         one = Durable.at(tmp_path, NODE)
         assert one.read() == Kept()
         one.take_over()
-        with pytest.raises(DurableError):
+        with pytest.raises(StoreError):
             await one.keep(Out("a", 1.0))
         one.close()
 
