Recovery: the core decides phases, path, turns and shares, and exchanges what only some disks knew

A node that returns calls the roll, learns bans by pages to all, digests and rows under a budget of its own, decides by what peers say of themselves whether this is a crash or a whole tier's return, and goes through its phases; discovery is asked in turns.

--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -1,16 +1,69 @@
-"""The return of one node: told the time and what came, it says what to do. No I/O, no clock of its own."""
+"""The return of one node: told the time and what came, it says what to do. No I/O, no clock of its own.
+
+What a hostile peer can do at most: ban backends and put them back, as an operator at any node can (who
+relays a row does not matter, so there is no smaller share for one peer); keep this node in ASK until
+`Config.ask_most`; have it avoid half of a saved list until discovery tells its own; two that lie can make its
+return seem a crash, and then it serves as a node without this room does. Nobody can keep it from FULL.
+"""
 
 from __future__ import annotations
 
 import math
 import random
+import statistics
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
-from dillport.recovery.events import Action, Event
-from dillport.recovery.phases import Path, Phase
-from dillport.recovery.register import Register
+from dillport.recovery.bans import Bans
+from dillport.recovery.events import (
+    Action,
+    Admit,
+    AskList,
+    Called,
+    Entered,
+    Event,
+    Inherited,
+    Keep,
+    Kept,
+    Leave,
+    Listed,
+    ListFailed,
+    Members,
+    Peers,
+    Received,
+    Restrict,
+    SavedIds,
+    Synced,
+    Tell,
+)
+from dillport.recovery.exchange import Exchange
+from dillport.recovery.filters import filter_of, outside
+from dillport.recovery.messages import (
+    Filter,
+    Flag,
+    Kind,
+    Message,
+    MessageError,
+    Rows,
+    State,
+    UnknownKind,
+    decode,
+    encode,
+)
+from dillport.recovery.phases import PATHS, Path, Phase, judge, settled_among
+from dillport.recovery.register import Register, Row
+from dillport.recovery.trust import TABLE, Disk, Trust, trusts
+from dillport.recovery.trust import Kind as What
+from dillport.recovery.turns import Turns
+
+COLD = frozenset({Path.POWER, Path.SPLIT, Path.ALONE})  # every backend may be cold
+ANSWERS = 8  # of those that hear a roll call, on average
+THROUGH = 4  # peers that have asked all others, from which no more are waited for
+ANSWER_SOON = 150.0  # ms in which a node that is returning itself gathers whom it owes an answer
+LATELY = 10_000.0  # ms for which a peer that was heard counts as present, and as returning
+NOTICEABLE = 0.05  # of a share or a rate
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,36 +79,458 @@
     datagrams: float = 3.0  # a second, of this room
     burst: float = 3.0
 
+    @property
+    def listed_most(self) -> float:
+        """For which a node waits for discovery before it goes by its own start alone."""
+        return 1.5 * self.ramp_time
+
     @property
     def warming_most(self) -> float:
         """From the first request that is served until `FULL`, whatever peers and discovery do."""
         return 3 * self.ramp_time
 
 
+@dataclass(slots=True)
+class Heard:
+    """What a peer last said of itself."""
+
+    state: State
+    at: float
+
+
 class Recovery:
     """The return of node `me` of a tier of `count` nodes, in its life of that number."""
 
-    def __init__(self, config: Config, me: int, count: int, life: int, seed: int, now: float) -> None:
-        self.config, self.me, self.count = config, me, count
+    def __init__(
+        self, config: Config, me: int, count: int, life: int, seed: int, now: float,
+        table: Mapping[What, Trust] = TABLE,
+    ) -> None:  # fmt: skip
+        self.config, self.me, self.count, self.table = config, me, count, table
         self.random = random.Random(seed)
         self.register = Register(me, life, self.random.randrange(1 << 24))
+        self.exchange = Exchange(
+            me, self.register, self.random, config.datagrams, config.burst, config.roll, now
+        )
+        self.turns = Turns(me, config.slot)
         self.phase, self.path = Phase.VERIFY, Path.UNDECIDED
         self.cold_since = self.started = self.now = now
-        self.share, self.rate = 1.0 / count, 0.0
+        self.disk = Disk()
         self.counts: Counter[str] = Counter()
         self._acts: list[Action] = []
+        self.bans = Bans(self.register, self.exchange, config.ramp_time, self._acts)
+        self._since = now  # this phase
+        self._asked_since = self._listed_since = now
+        self._roll_at, self._roll_wait = math.inf, config.roll
+        self._heard: dict[int, Heard] = {}
+        self._members: frozenset[int] = frozenset({me})
+        self._quorum_seen = False
+        self._held: list[Row] = []  # of the disk, until the peers are asked
+        self._revision = 0  # of the list that is served from
+        self._rate = 0.0  # as this node kept it
+        self._fresh: Listed | None = None  # what discovery told in this process
+        self._filter: Filter | None = None  # the newest one heard
+        self._saved: tuple[str, ...] = ()
+        self._restricted: frozenset[str] = frozenset()
+        self._admitted: Admit | None = None
+
+    # --- for the node
 
     @property
     def due(self) -> float:
         """When a `Tick` is wanted."""
-        return math.inf
+        ends = math.inf
+        if self.phase is Phase.ASK:
+            waits = (self.config.roll, self.config.alone_after, self.config.ask_most)
+            ends = min((at for w in waits if (at := self._asked_since + w) > self.now), default=self.now)
+        elif Phase.ASK < self.phase < Phase.FULL:
+            ends = self._until()
+        elif self.phase is Phase.VERIFY:
+            return math.inf
+        return min(ends, self._roll_at, self.turns.due, self.exchange.due)
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """What to do about an event, at a time that never goes back."""
         self.now = max(self.now, now)
-        out, self._acts = self._acts, []
+        match event:
+            case Kept():
+                self._kept(event)
+            case Inherited():
+                self._inherited(event)
+            case Received():
+                self._received(event)
+            case Members():
+                self._members = frozenset(m for m in event.lives if 0 <= m < self.count) | {self.me}
+                self._quorum_seen = event.quorum
+            case Listed():
+                self._told(event)
+            case ListFailed():
+                self.counts["list_failed"] += 1
+                self.turns.failed(self.now, self._turns_among())
+            case SavedIds():
+                self._saved = event.ids
+                self._restrict()
+            case Called():
+                self.bans.called(event, self.now)
+            case Synced():
+                self.bans.synced(event, self.now)
+            case Leave():
+                self.exchange.leaving = True
+                self._roll_at = math.inf
+                self.turns.done()
+            case Peers():
+                self._peers(event)
+        self._go_on()
+        out = list(self._acts)
+        self._acts.clear()
         return out
 
+    def trusts(self, kind: What) -> bool:
+        """Whether what the disk kept of a kind may be used now, by the table."""
+        asked = self.phase >= Phase.LISTED
+        better = (kind is What.LEARNED and self.path in COLD) or (
+            kind in (What.LIST, What.REVISION) and self._fresh is not None
+        )
+        return trusts(kind, self.disk, asked, better, self.table)
+
+    @property
+    def share(self) -> float:
+        """What this node may take of a budget that all share: all sides of any partition take 1.5 at most."""
+        present = len(self._present())
+        return 1.0 / (present if 2 * present > self.count else self.count)
+
+    @property
+    def rate(self) -> float:
+        """Requests a second of the whole tier when warm: by the median, that no few can move. 0: unknown."""
+        rates = [h.state.rate for h in self._heard.values() if h.state.rate > 0]
+        if own := self._own_rate():
+            rates.append(own)
+        return statistics.median(rates) * self.count if rates else 0.0
+
     def stats(self) -> dict[str, Any]:
         """For `/stats`."""
-        return {"phase": self.phase.name.lower(), "path": self.path.value}
+        until = {Phase.VERIFY: math.inf, Phase.ASK: self._asked_since + self.config.ask_most,
+                 Phase.FULL: math.inf}.get(self.phase, self._until())  # fmt: skip
+        parts = (self.exchange, self.bans, self.register)
+        return {
+            "phase": self.phase.name.lower(),
+            "path": self.path.value,
+            "since_ms": round(self.now - self._since),
+            "share": round(self.share, 4),
+            "trusted": {kind.value: self.table[kind].verdict.value if self.trusts(kind) else "no"
+                        for kind in What},
+            "asked": self.count - 1,
+            "heard": len(self._heard),
+            "waits_for": self._waits_for(),
+            "until_ms": None if until == math.inf else round(max(0.0, until - self.now)),
+            "bans": len(self.register.bans()),
+            "rows": len(self.register),
+            "register": f"{self.register.hash:016x}",
+            "list": {"fresh": self._fresh is not None, "revision": self._revision,
+                     "restricted": len(self._restricted), "calls": self.turns.asked},
+            "counts": dict(sorted(sum((part.counts for part in parts), self.counts).items())),
+        }  # fmt: skip
+
+    # --- who is there
+
+    def _present(self) -> set[int]:
+        """This node, who is a member, and who was heard lately."""
+        since = self.now - LATELY
+        return {*self._members, *(n for n, h in self._heard.items() if h.at >= since)}
+
+    def _young(self) -> int:
+        """Peers that are returning."""
+        since = self.now - LATELY
+        return sum(h.at >= since and h.state.phase < Phase.FULL for h in self._heard.values())
+
+    def _states(self) -> list[State]:
+        return [h.state for _, h in sorted(self._heard.items())]
+
+    def _waits_for(self) -> list[int]:
+        """In ASK: who has not been heard, or knows what this node does not know yet."""
+        if self.phase is not Phase.ASK:
+            return []
+        return sorted({*self._missing(), *self.exchange.lacking()})
+
+    def _missing(self) -> list[int]:
+        """Who should be there, by the membership or by what peers say, and has not been heard."""
+        seen = self._members.union(*(h.state.nodes for h in self._heard.values()))
+        return sorted(n for n in seen if n < self.count and n not in self._heard and n != self.me)
+
+    def _judged(self) -> tuple[Path, str]:
+        present = len(self._heard) + 1
+        if self._quorum_seen:
+            present = max(present, len(self._members))
+        return judge(self._states(), self.count, present, self.config.window)
+
+    # --- phases
+
+    def _go_on(self) -> None:
+        """Whatever is due by now."""
+        if self.phase is Phase.ASK:
+            self._ask()
+        if self.phase in (Phase.LISTED, Phase.WARMING):
+            self._refine()
+        if self.phase is Phase.LISTED:
+            self._wait_for_list()
+        if self.phase is Phase.WARMING and self.now >= self._until():
+            late = self.now >= self._listed_since + self.config.warming_most
+            self._enter(Phase.FULL, "the longest time is over" if late else "every listed backend is warm")
+        if self.phase in (Phase.LISTED, Phase.WARMING):
+            self._admit()
+        if self.turns.take(self.now, self._turns_among()):
+            self._acts.append(AskList())
+        peers = sorted(self._present() - {self.me})
+        if self.phase is Phase.VERIFY:
+            return  # nothing that this node says would hold
+        for one in self.exchange.take(self.now, self._state, peers):
+            message = Message(one.kind, self.me, self.register.hash, one.body)
+            self._acts.append(Tell(one.node, encode(message, self.now)))
+
+    def _enter(self, phase: Phase, reason: str) -> None:
+        self.phase, self._since = phase, self.now
+        self._acts.append(Entered(phase, self.path, reason))
+        if phase is Phase.FULL:
+            self.exchange.owe(None, self.now)
+
+    def _begin_asking(self, reason: str) -> None:
+        self._enter(Phase.ASK, reason)
+        self._asked_since = self._roll_at = self.now
+
+    def _ask(self) -> None:
+        if self.now >= self._roll_at:
+            self.exchange.roll()
+            self._roll_at = self.now + self._roll_wait
+            self._roll_wait *= 2
+        path, reason = self._judged()
+        if (why := self._asked_enough(path)) is None:
+            return
+        self._roll_at = math.inf
+        self.path = path
+        lacking = len(self.exchange.lacking())
+        if lacking:
+            why += f", {lacking} know more"
+        self._serve(f"{reason}; {why}")
+
+    def _asked_enough(self, path: Path) -> str | None:
+        """Why no more is waited for; None while it is."""
+        config, asked = self.config, self.now - self._asked_since
+        if self.count == 1:
+            return "the tier has no other node"
+        if asked >= config.ask_most:
+            return "the longest time is over"
+        if path is Path.CRASH:
+            agree = [h.state for node, h in self._heard.items() if self.exchange.agrees(node)]
+            return "they agree" if len(settled_among(agree, self.count)) >= min(2, self.count - 1) else None
+        if not self._heard:
+            return "nobody answers" if asked >= config.alone_after else None
+        if self.exchange.lacking():
+            return None
+        through = [h.state for h in self._heard.values() if h.state.phase >= Phase.LISTED]
+        if sum(2 * s.present > self.count for s in through) >= THROUGH:
+            return "those that have asked agree"
+        if self._waits_for():
+            return None
+        if 2 * (len(self._heard) + 1) > self.count:
+            return "they agree" if asked >= config.roll else None
+        return "they agree, the others are silent" if asked >= config.alone_after else None
+
+    def _serve(self, reason: str) -> None:
+        """The roll call is over: the node listens from here on."""
+        self._listed_since = self.now
+        self._enter(Phase.LISTED, reason)
+        held, self._held = self._held, []
+        self.bans.restore([r for r in held if self.trusts(_kind(r))], self.now)
+        if self.path in COLD:
+            self.cold_since = self.started
+            self.turns.plan(self.now, self._present() if self._quorum() else range(self.count))
+            self._restrict()
+        else:
+            self.turns.at_once(self.now)
+            self._restrict()
+            self._enter(Phase.WARMING, "the tier went on")
+            self._enter(Phase.FULL, "the tier went on")
+        if self._fresh is not None:
+            self.turns.done()
+
+    def _refine(self) -> None:
+        """Others that come later tell more of what this return is. Who serves already has had no crash."""
+        if self.path in (Path.ALONE, Path.SPLIT):
+            path, reason = self._judged()
+            if path in (Path.SPLIT, Path.POWER) and path is not self.path:
+                self.path = path
+                self._acts.append(Entered(self.phase, path, reason))
+
+    def _wait_for_list(self) -> None:
+        if self._fresh is not None:
+            starts = self._fresh.starts
+            last = f", the last started {self.now - max(starts):.0f} ms ago" if starts else ""
+            self._enter(Phase.WARMING, f"discovery has told {len(starts)} backends{last}")
+        elif self.now >= self._listed_since + self.config.listed_most:
+            self._enter(Phase.WARMING, "discovery is silent: by this node's own start alone")
+
+    def _until(self) -> float:
+        """When LISTED or WARMING ends at the latest, by what is known."""
+        latest = self._listed_since + self.config.warming_most
+        if self.phase is Phase.LISTED:
+            return self._listed_since + self.config.listed_most
+        if self._fresh is None:
+            return latest
+        return min(latest, max(self._fresh.starts, default=-math.inf) + self.config.ramp_time)
+
+    def _quorum(self) -> bool:
+        return 2 * len(self._present()) > self.count
+
+    def _turns_among(self) -> int:
+        return len(self._present()) if self._quorum() else self.count
+
+    def _admit(self) -> None:
+        new, old = Admit(self.share, self.cold_since, self.rate), self._admitted
+        same = old is not None and old.cold_since == new.cold_since
+        if old is None or not same or _differ(old.share, new.share) or _differ(old.rate, new.rate):
+            self._admitted = new
+            self._acts.append(new)
+
+    # --- what was there before
+
+    def _kept(self, event: Kept) -> None:
+        self.disk = Disk(event.sound, event.fresh_disk, event.age_ms)
+        if self.trusts(What.LIFE):
+            self.register.life = max(self.register.life, event.life)
+        rows = event.rows if event.sound else ()
+        late = [row._replace(at=min(row.at, self.now)) for row in rows]
+        self._held = [row for row in late if not self.trusts(_kind(row))]
+        self.bans.restore([row for row in late if self.trusts(_kind(row))], self.now)
+        self._revision, self._rate = event.revision, event.rate
+        if self.phase is Phase.VERIFY:
+            if not event.sound:
+                found = "the disk is not sound, nothing of it is used"
+            elif event.fresh_disk:
+                found = "nothing was kept"
+            else:
+                found = f"{len(rows)} rows kept, {len(self.register.bans())} bans"
+            self._begin_asking(found)
+
+    def _inherited(self, event: Inherited) -> None:
+        """A phase that this process has reached itself is not left for an earlier one."""
+        if news := self.bans.restore(event.rows, self.now):
+            self._acts.append(Keep(tuple(news)))
+        if event.phase < Phase.LISTED or event.phase <= self.phase:
+            if self.phase is Phase.VERIFY:
+                self._begin_asking(f"the predecessor was in {event.phase.name.lower()}")
+            return
+        self.path, self.cold_since, self._roll_at = Path.UPGRADE, event.cold_since, math.inf
+        self._listed_since = self.now if event.cold_since == -math.inf else event.cold_since
+        self._enter(event.phase, f"the predecessor's, by the way of {event.path.value}")
+        self.turns.at_once(self.now)
+
+    # --- datagrams
+
+    def _received(self, event: Received) -> None:
+        try:
+            message = decode(event.data, self.now)
+        except UnknownKind:
+            self.counts["unknown_kinds"] += 1
+            return
+        except MessageError:
+            self.counts["unreadable"] += 1
+            return
+        node = message.sender
+        if node != event.source or not 0 <= node < self.count or node == self.me:
+            self.counts["wrong_sender"] += 1
+            return
+        self.counts["received"] += 1
+        match message.body:
+            case State() as state:
+                self._heard[node] = Heard(state, self.now)
+                self.exchange.hears(node, message.hash, self.now, self._patience())
+                self._answer(message, state)
+            case Rows() as rows:
+                changed = self.exchange.rows_came(node, message.hash, rows)
+                self.bans.learned(changed, rows.rows, self.now)
+                self.exchange.hears(node, message.hash, self.now, self._patience())
+            case Filter() as filter_:
+                self.exchange.filter_came(filter_, self.now)
+                if self._filter is None or filter_.revision > self._filter.revision:
+                    self._filter = filter_
+                    self._restrict()
+            case hashes:
+                if self.phase >= Phase.ASK:
+                    self.exchange.hears(node, message.hash, self.now, self._patience())
+                    self.exchange.digest_came(node, message.hash, hashes, self.now)
+
+    def _patience(self) -> float:
+        """Ms to wait for what may come to all before a peer is asked for what it knows."""
+        if self.phase > Phase.ASK:
+            return 1000.0
+        return 10.0 if settled_among(self._states(), self.count) else 160.0
+
+    def _answer(self, message: Message, state: State) -> None:
+        if message.kind is Kind.ROLL:
+            unheard = len(self._present() - state.nodes)  # by him
+            if self.me not in state.nodes and self.random.random() * unheard < ANSWERS:
+                wait = 0.0 if self.phase is Phase.FULL else ANSWER_SOON * self.random.uniform(0.5, 1.0)
+                self.exchange.owe(message.sender, self.now, wait)
+        elif Flag.REPLY not in state.flags and self.exchange.is_behind(message.sender):
+            self.exchange.owe(message.sender, self.now)  # by that he learns of it
+        if Flag.LISTED not in state.flags and self._fresh is not None and self.phase >= Phase.LISTED:
+            listed = sum(Flag.LISTED in s.flags for s in self._states())
+            self.exchange.filter_wanted(self.now, listed)
+
+    def _state(self, flags: Flag) -> State:
+        """What this node says of itself."""
+        flags |= Flag.SOUND if self.disk.sound else Flag(0)
+        flags |= Flag.FRESH if self.disk.fresh else Flag(0)
+        flags |= Flag.LISTED if self._fresh is not None else Flag(0)
+        seen = self._present() if self.phase >= Phase.LISTED else {*self._heard, self.me}
+        known = self._revision if self._fresh is not None or self.trusts(What.REVISION) else 0
+        return State(
+            self.register.life, self.now - self.started, self.phase, PATHS.index(self.path), flags, known,
+            self._own_rate(), self._young(), frozenset(seen),
+        )  # fmt: skip
+
+    def _own_rate(self) -> float:
+        return self._rate if self.trusts(What.RATE) else 0.0
+
+    # --- the list
+
+    def _told(self, event: Listed) -> None:
+        first = self._fresh is None
+        self._fresh, self._revision = event, event.revision
+        self.turns.done()
+        self.exchange.filter = filter_of(event.ids, event.revision)
+        if first:
+            self._restrict()
+
+    def _restrict(self) -> None:
+        """Avoid what peers know to be gone, or a list that is not trusted, until discovery tells one."""
+        ids: frozenset[str] = frozenset()
+        if self._fresh is None and self.phase >= Phase.LISTED:
+            if not self.trusts(What.LIST):
+                ids = frozenset(self._saved)
+            elif self._filter is not None:
+                own = self._revision if self.trusts(What.REVISION) else 0
+                if self._filter.revision > own:
+                    ids = outside(self._filter, self._saved)
+                    self.counts["restrictions"] += 1
+        if ids != self._restricted:
+            self._restricted = ids
+            self._acts.append(Restrict(ids))
+
+    # --- another tier
+
+    def _peers(self, event: Peers) -> None:
+        """Rows of nodes that are gone stay: others, and disks, may still hold the like."""
+        gone = {n for n in range(self.count) if n >= event.count or n in event.replaced} - {self.me}
+        self.count = event.count
+        self._members -= gone
+        for node in gone:
+            self._heard.pop(node, None)
+            self.exchange.forget(node)
+
+
+def _kind(row: Row) -> What:
+    return What.BANS if row.live else What.RETURNS
+
+
+def _differ(one: float, two: float) -> bool:
+    return abs(one - two) > NOTICEABLE * max(one, two)
--- a/dillport/recovery/messages.py
+++ b/dillport/recovery/messages.py
@@ -5,7 +5,8 @@
 `hash` is of the sender's register. All numbers are big-endian. What a later version adds to a kind comes
 after what is known of it and is skipped; a form that changes gets a kind of its own.
 
-    ROLL, ANSWER  life:u32 running:u32 phase:u8 path:u8 flags:u8 revision:u32 rate:u32 present:u16 young:u16
+    ROLL, ANSWER  life:u32 running:u32 phase:u8 path:u8 flags:u8 revision:u32 rate:u32 young:u16 length:u8
+                  who is present: a bit for each node, of that many bytes
     DIGEST        16 bucket hashes, u32
     ROWS          of:u32 mask:u16 part:u16 parts:u16 flags:u8 count:u8, then for each row
                   node:u16 life:u32 seq:u32 live:u8 age:u32 length:u8 id
@@ -26,14 +27,16 @@
 MOST = 256  # bytes of a datagram
 FIRST_KIND, LAST_KIND = 16, 31  # of this room
 HEAD = struct.Struct(">IBBHQ")
-STATE = struct.Struct(">IIBBBIIHH")
+STATE = struct.Struct(">IIBBBIIHB")
 DIGEST = struct.Struct(f">{BUCKETS}I")
 ROWS = struct.Struct(">IHHHBB")
 ROW = struct.Struct(">HIIBIB")
 FILTER = struct.Struct(">IBB")
 LONG_AGO = 0xFFFFFFFF  # an age in ms that nobody knows, or that is as long
 ROWS_ROOM = MOST - HEAD.size - ROWS.size  # bytes for rows
+MOST_NODES = 8 * (MOST - HEAD.size - STATE.size)  # of whom a state can say that they are present
 MOST_FILTER = 200  # bytes
+MOST_HASHES = 16  # bits that a filter may set for each id
 
 
 class MessageError(ValueError):
@@ -60,8 +63,7 @@
     SOUND = 1  # the sender's disk was
     FRESH = 2  # nothing was kept on it
     LISTED = 4  # discovery has told the sender its list in this life
-    ASKS = 8  # an answer is wanted in any case: one single node is asked
-    REPLY = 16  # in answer to an answer: none is wanted
+    REPLY = 8  # in answer to an answer: none is wanted
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,8 +77,13 @@
     flags: Flag
     revision: int  # of the list that it has
     rate: float  # requests a second that it carried when warm; 0: it does not know
-    present: int  # members that it sees, itself included
-    young: int  # of these, those that are returning
+    young: int  # nodes that are returning, of those that it sees
+    nodes: frozenset[int]  # those that it has heard, itself, and once it serves all that it sees
+
+    @property
+    def present(self) -> int:
+        """How many it sees."""
+        return len(self.nodes)
 
 
 @dataclass(slots=True, frozen=True)
@@ -128,7 +135,10 @@
         case State() as s:
             running, rate = min(int(s.running), LONG_AGO), min(round(s.rate * 10), LONG_AGO)
             body = STATE.pack(s.life, running, s.phase, s.path, s.flags, s.revision & 0xFFFFFFFF, rate,
-                              s.present, s.young)  # fmt: skip
+                              s.young, 0)  # fmt: skip
+            bits = sum(1 << node for node in s.nodes if node < MOST_NODES)
+            seen = bits.to_bytes((bits.bit_length() + 7) // 8, "big")
+            body = body[:-1] + bytes([len(seen)]) + seen
         case Rows() as r:
             parts = [ROWS.pack(r.of, r.mask, r.part, r.parts, r.to_all, len(r.rows))]
             parts += [_packed(row, now) for row in r.rows]
@@ -173,7 +183,7 @@
             case Kind.FILTER:
                 revision, hashes, length = FILTER.unpack_from(body)
                 bits = body[FILTER.size : FILTER.size + length]
-                if not hashes or not length or len(bits) < length:
+                if not 0 < hashes <= MOST_HASHES or not length or len(bits) < length:
                     raise MessageError("no filter")
                 return Message(Kind.FILTER, sender, hash_, Filter(revision, hashes, bits))
     except struct.error:
@@ -182,9 +192,14 @@
 
 
 def _state(body: bytes) -> State:
-    life, running, phase, path, flags, revision, rate, present, young = STATE.unpack_from(body)
+    life, running, phase, path, flags, revision, rate, young, length = STATE.unpack_from(body)
+    seen = body[STATE.size : STATE.size + length]
+    if len(seen) < length:
+        raise MessageError("cut short")
+    bits = int.from_bytes(seen, "big")
+    nodes = frozenset(node for node in range(bits.bit_length()) if bits >> node & 1)
     known = Flag(flags & sum(Flag))
-    return State(life, float(running), phase, path, known, revision, rate / 10, present, young)
+    return State(life, float(running), phase, path, known, revision, rate / 10, young, nodes)
 
 
 def _rows(body: bytes, now: float) -> Rows:
--- a/dillport/recovery/phases.py
+++ b/dillport/recovery/phases.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import Enum, IntEnum
 
+from dillport.recovery.messages import State
+
 
 class Phase(IntEnum):
     """How far a node's return has come; it never goes back."""
@@ -27,3 +30,29 @@
 
 
 PATHS = tuple(Path)
+
+
+def judge(heard: Sequence[State], count: int, present: int, window: float) -> tuple[Path, str]:
+    """What this node returns from, and the evidence for it, by what peers say of themselves.
+
+    Peers that say FULL, or that have run for longer than `window` (ms), did not return with this node; their
+    age alone is no sign, as a restart of all nodes one by one leaves only young ones. A crash it is only if
+    they are half of those heard and see half of the tier of `count` running: a power cut that a few survive
+    is none. `present` is how many nodes there seem to be, this one included: more than half of the tier make
+    it a return of all, fewer may be one side of a partition, or the first ones.
+    """
+    old = [s for s in heard if s.phase >= Phase.FULL or s.running >= window]
+    reason = f"{len(heard)} of {count - 1} heard, {len(heard) - len(old)} returning, {len(old)} not"
+    if not heard:
+        return Path.ALONE, reason
+    settled = settled_among(heard, count)
+    if len(settled) >= min(2, count - 1) and 2 * len(old) >= len(heard):
+        return Path.CRASH, reason
+    if 2 * present > count and 2 * len(old) <= len(heard):
+        return Path.POWER, f"{reason}, {present} present"
+    return Path.SPLIT, f"{reason}, {present} present"
+
+
+def settled_among(heard: Sequence[State], count: int) -> list[State]:
+    """Those that say FULL and see at least half of the tier running, not returning."""
+    return [s for s in heard if s.phase >= Phase.FULL and 2 * (s.present - s.young) >= count]
--- a/dillport/recovery/trust.py
+++ b/dillport/recovery/trust.py
@@ -48,9 +48,9 @@
         Kind.RETURNS: Trust(Verdict.ALONE),  # proves that its ban was seen; a later ban has a greater counter
         Kind.LIST: Trust(Verdict.UNLESS),  # any age: peers restrict it, discovery replaces it
         Kind.REVISION: Trust(Verdict.UNLESS),
-        Kind.LIFE: Trust(Verdict.UNLESS),  # peers may know rows of this node from a later life
+        Kind.LIFE: Trust(Verdict.ALONE),  # a number too low is raised by rows of this node that peers know
         Kind.LEARNED: Trust(Verdict.UNLESS, HOUR),  # where peers returned as well everything is cold
-        Kind.RATE: Trust(Verdict.UNLESS, 24 * HOUR),
+        Kind.RATE: Trust(Verdict.ALONE, 24 * HOUR),  # the median of all that nodes kept is what counts
     }
 )
 
