Lab: a power cut of all at one moment, with what it may leave on each disk

A plain kill keeps the page cache, so it proves less than a power cut. The fault `power` kills nodes, backends and discovery at one moment, puts each durable directory into a state that the model of the disk allows, and brings all but some back in an order that the seed draws, with empty, damaged, old or swapped disks and stepped wall clocks where told.

--- a/dillport/cli/demo.py
+++ b/dillport/cli/demo.py
@@ -75,7 +75,7 @@
     line = "".join(BARS[round(value / top * (len(BARS) - 1))] for value in history[-60:])
     out = Text(f"{max(0.0, now / 1000):5.1f} of {run.spec.seconds:g} s   answers a second ")
     out.append(line, "green")
-    happened = [m for m in timeline(run.spec) if m.at * 1000 <= now]
+    happened = [m for m in timeline(run.spec, run.seed) if m.at * 1000 <= now]
     for moment in happened[-2:]:
         what = "is killed" if moment.step is Step.BEGIN else "comes back"
         out.append(f"\n  {moment.at:5.1f} s  {', '.join(moment.names)} {what}", "yellow")
--- a/dillport/lab/backends.py
+++ b/dillport/lab/backends.py
@@ -291,6 +291,11 @@
             records.ToppleRecord(host.number, topple.at, topple.started, topple.work_by_node)
         )
 
+    def bears(self) -> float:
+        """Work a ms that those with power could do now, by how warm they are; a toppled one would bear it."""
+        now = self.clock.now()
+        return sum(h.core.capacity(now) for h in self.hosts.values() if h.alive or h.core.toppled is not None)
+
     def live(self) -> dict[str, Any]:
         """Figures for the screen: by backend, what it has served and holds."""
         return {
--- a/dillport/lab/clients.py
+++ b/dillport/lab/clients.py
@@ -191,7 +191,7 @@
     def start(self) -> None:
         """The clock's zero is set: send from now on."""
         loop = asyncio.get_running_loop()
-        for moment in timeline(self.spec):
+        for moment in timeline(self.spec, 0):  # no seed draws a planned restart
             if isinstance(moment.fault, Terminate):
                 at = moment.at + LEAVES - self.clock.now() / 1000
                 for name in moment.names:
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -15,7 +15,8 @@
 from dillport.lab import records
 from dillport.lab.judge import RULES, Judgement
 from dillport.lab.model.client import End
-from dillport.lab.spec import Expect, Experiment, Link, Stall, choose
+from dillport.lab.returning import returning
+from dillport.lab.spec import Expect, Experiment, Link, Power, Stall, choose
 from dillport.lab.timeline import over
 
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
@@ -129,7 +130,7 @@
     return -1.0
 
 
-def figures(spec: Experiment, seen: records.Seen, judged: Judgement) -> dict[str, float]:
+def figures(spec: Experiment, seed: int, seen: records.Seen, judged: Judgement) -> dict[str, float]:
     """All figures of a run by name; shares are of 1, times in ms unless the name says otherwise."""
     done = wishes(spec, seen)
     counted = [w for w in done if w.intended >= spec.warmup * 1000]
@@ -175,6 +176,8 @@
         out |= membership(spec, seen)
         if (agreed_s := agreed(spec, seen)) is not None:
             out["member_agreed_s"] = agreed_s
+    if any(isinstance(f, Power) for f in spec.faults):
+        out |= returning(spec, seed, seen, [(w.intended, w.worth, w.got) for w in done])
     recovery = _recovery(spec, line)
     if recovery is not None:
         out["recovery_s"] = recovery
@@ -326,7 +329,7 @@
     spec: Experiment, seed: int, program: str, seen: records.Seen, judged: Judgement
 ) -> dict[str, Any]:
     """What `summary.json` holds."""
-    values = figures(spec, seen, judged)
+    values = figures(spec, seed, seen, judged)
     return {
         "version": 1,
         "experiment": spec.name,
--- a/dillport/lab/hub.py
+++ b/dillport/lab/hub.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import time
 from collections import Counter, deque
 from urllib.parse import parse_qs, urlsplit
@@ -75,6 +76,7 @@
     def call(self, wire: DiscoveryWire, since: int | None) -> None:
         """A call came: the whole list (`since` None), or a watch."""
         self.counts["calls"] += 1
+        self.seen.calls.append(records.CallRecord(wire.node, self.clock.now()))
         self.calls.append((self.clock.now(), wire, since))
         if not self.busy:
             self._next()
@@ -184,8 +186,14 @@
     def __init__(self, spec: Experiment, places: Places, weather: Weather) -> None:
         self.spec, self.places, self.weather = spec, places, weather
         self.ways: dict[tuple[int, int], asyncio.DatagramTransport] = {}
+        self.sends: list[tuple[float, int]] = []  # when (monotonic s) each was sent, and by whom
         self.counts: Counter[str] = Counter()
 
+    def sent(self, zero: float) -> list[records.DatagramsRecord]:
+        """How many each node sent in each second of the run, by its zero (monotonic s)."""
+        counts = Counter((near, math.floor(at - zero)) for at, near in self.sends)
+        return [records.DatagramsRecord(node, second, n) for (node, second), n in sorted(counts.items())]
+
     async def open(self) -> None:
         """Listen for every pair; address i of node i itself is its way to all. Raises OSError."""
         loop = asyncio.get_running_loop()
@@ -202,6 +210,7 @@
         if len(data) > MOST_DATAGRAM:
             self.counts["too_long"] += 1
             return
+        self.sends.append((time.monotonic(), near))
         targets = [n for n in range(self.spec.fleet.nodes) if n != near] if near == far else [far]
         for target in targets:
             self.counts["sent"] += 1
--- a/dillport/lab/judge.py
+++ b/dillport/lab/judge.py
@@ -19,8 +19,19 @@
 from dillport.lab.model.client import End
 from dillport.lab.model.directory import Phase
 from dillport.lab.model.weather import Weather
-from dillport.lab.spec import DiscoveryDown, DiscoveryLate, Experiment, Link, RequestClass, Stall, choose
+from dillport.lab.spec import (
+    DiscoveryDown,
+    DiscoveryLate,
+    Experiment,
+    Link,
+    Power,
+    RequestClass,
+    Stall,
+    choose,
+    parties,
+)
 from dillport.lab.streams import stream
+from dillport.lab.timeline import over
 
 SLACK = 50.0  # ms that sockets add to each limit
 TOLD_ANYWAY = 6000.0  # ms after which what discovery has to tell counts as told
@@ -268,10 +279,13 @@
 
     def _kept_from_list(self, node: int, begin: float, end: float) -> bool:
         for fault in self.spec.faults:
-            if fault.at * 1000 > end or fault.until * 1000 < begin:
+            until = over(self.spec, fault) if isinstance(fault, Power) else fault.until
+            if fault.at * 1000 > end or until * 1000 < begin:
                 continue
             if isinstance(fault, (DiscoveryDown, DiscoveryLate)):
                 return True
+            if isinstance(fault, Power) and "d" in parties(self.spec, fault):
+                return True
             if isinstance(fault, Link) and self.weather.touches(fault, f"n{node}", "d"):
                 return True
         return any(n == f"n{node}" and a <= end and begin <= b for n, a, b in self.stalls)
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -158,6 +158,7 @@
     folder: Path
     attempts: int
     starts: int = 0
+    clock: float = 0.0  # s by which its wall clock is off
     running: list[Running] = field(default_factory=list)
 
     @property
@@ -170,6 +171,11 @@
         """Its `$TMPDIR`."""
         return self.folder / "tmp"
 
+    @property
+    def state(self) -> Path:
+        """Its durable directory."""
+        return self.folder / "state"
+
     @property
     def config(self) -> Path:
         """Its file."""
@@ -202,14 +208,16 @@
         }  # fmt: skip
         tables = ["[membership]\n"] if fleet.spec.fleet.membership else []
         if fleet.spec.fleet.durable:
-            tables.append(f"[durable]\ndirectory = {json.dumps(str(self.folder / 'state'))}\n")
+            tables.append(f"[durable]\ndirectory = {json.dumps(str(self.state))}\n")
+        if fleet.spec.fleet.recovery:
+            tables.append("[recovery]\n")
         if tables:
             (self.folder / "fleet.toml").write_text("".join(tables), "utf-8")
             env["PROXY_FLEET"] = str(self.folder / "fleet.toml")
         child = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
-            fleet.program.run,
+            fleet.program.varied(f"clock-{self.clock:g}") if self.clock else fleet.program.run,
             cwd=fleet.program.root,
             env=env,
             start_new_session=True,
@@ -218,7 +226,7 @@
             stderr=asyncio.subprocess.STDOUT,
             preexec_fn=limits([fleet.cpus[self.number % len(fleet.cpus)]], fleet.spec.fleet.sockets),
         )
-        life = records.LifeRecord(self.number, process, fleet.now())
+        life = records.LifeRecord(self.number, process, fleet.now(), clock=self.clock)
         fleet.lives.append(life)
         out = Running(child, life)
         self.running.append(out)
@@ -312,7 +320,7 @@
     def disk(self, mode: str, on: bool) -> None:
         """`$TMPDIR` and the durable directory take no more bytes, or no new files; or are sound again."""
         if mode == "readonly":
-            for folder in (self.tmp, self.folder / "state"):
+            for folder in (self.tmp, self.state):
                 if folder.exists():
                     folder.chmod(0o500 if on else 0o700)
             return
--- a/dillport/lab/programs.py
+++ b/dillport/lab/programs.py
@@ -30,6 +30,12 @@
     root: Path
     run: str
 
+    def varied(self, variant: str) -> str:
+        """The command that starts it with one more variant."""
+        script = f"'{Path(__file__).with_name('variant.py')}'"
+        head = script if script in self.run else "-m dillport"
+        return self.run.replace(head, f"{script} {variant}")
+
 
 def _git(*args: str) -> bytes:
     done = subprocess.run(["git", "-C", str(ROOT), *args], capture_output=True, check=False)
@@ -81,6 +87,5 @@
     run = str(deploy["run"])
     if variant:
         label = f"{label}+{variant}"
-        script = Path(__file__).with_name("variant.py")
-        run = run.replace("-m dillport", f"'{script}' {variant}")
+        run = Program(label, root, run).varied(variant)
     return Program(label, root, run)
--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -92,6 +92,7 @@
     ended: float = 0.0
     code: int | None = None
     why: str = ""
+    clock: float = 0.0  # s by which its wall clock is off
 
 
 class ViewRecord(msgspec.Struct, array_like=True):
@@ -103,6 +104,38 @@
     state: str
 
 
+class PhaseRecord(msgspec.Struct, array_like=True):
+    """A node's log says that it has entered a phase of its recovery, on which path, and why."""
+
+    node: int
+    at: float
+    phase: str
+    path: str
+    reason: str
+
+
+class BearRecord(msgspec.Struct, array_like=True):
+    """What some backends that have power bear, in ms of work a ms, when `slot` of 100 ms begins."""
+
+    slot: int
+    work: float
+
+
+class CallRecord(msgspec.Struct, array_like=True):
+    """A node has called discovery."""
+
+    node: int
+    at: float
+
+
+class DatagramsRecord(msgspec.Struct, array_like=True):
+    """How many datagrams a node has sent in a second of the run; one to all counts once."""
+
+    node: int
+    second: int
+    count: int
+
+
 class Sample(msgspec.Struct, array_like=True):
     """A look at one node's processes."""
 
@@ -122,6 +155,10 @@
     topples: list[ToppleRecord] = msgspec.field(default_factory=list)
     bans: list[BanRecord] = msgspec.field(default_factory=list)
     lives: list[LifeRecord] = msgspec.field(default_factory=list)
+    phases: list[PhaseRecord] = msgspec.field(default_factory=list)
+    bears: list[BearRecord] = msgspec.field(default_factory=list)
+    calls: list[CallRecord] = msgspec.field(default_factory=list)
+    datagrams: list[DatagramsRecord] = msgspec.field(default_factory=list)
     samples: list[Sample] = msgspec.field(default_factory=list)
     views: list[ViewRecord] = msgspec.field(default_factory=list)
     lateness: list[float] = msgspec.field(default_factory=list)  # ms, of each send of the rig
--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -18,7 +18,7 @@
 
 from dillport.lab import records
 from dillport.lab.figures import WINDOW, backend_loads, presence, series, wishes
-from dillport.lab.spec import Experiment, Link, tag
+from dillport.lab.spec import Experiment, Link, Power, tag
 from dillport.lab.timeline import over
 
 INK, GOOD, BAD, QUIET = "#1f2a37", "#1b7f5c", "#b3261e", "#8a94a3"
@@ -44,6 +44,8 @@
     out = []
     for fault in spec.faults:
         what = getattr(fault, "what", "")
+        if isinstance(fault, Power):
+            what = ", ".join(fault.what)
         if isinstance(fault, Link):
             what = f"{fault.from_} {'to and from' if fault.both else 'to'} {fault.to}"
         out.append((fault.at, max(over(spec, fault), fault.at + 0.05), f"{tag(fault)} {what}".strip()))
@@ -93,6 +95,25 @@
     ax.legend(loc="lower right", fontsize=8, frameon=False)
 
 
+def _phases(ax: Axes, spec: Experiment, seen: records.Seen) -> None:
+    """What each node's log says of its recovery: a bar a phase, grey to green."""
+    shades = {"verify": "#4b5563", "ask": "#b3261e", "listed": "#d98e04", "warming": "#e7c65a", "full": GOOD}
+    for life in seen.lives:
+        end = min(life.ended / 1000 if life.ended else spec.seconds, spec.seconds)
+        inside = [p for p in seen.phases if life.started <= p.at and not 0 < life.ended < p.at]
+        mine = sorted((p.at / 1000, p.phase) for p in inside if p.node == life.node)
+        for (begin, phase), (until, _) in zip(mine, [*mine[1:], (end, "")], strict=True):
+            begin, until = max(0.0, begin), min(end, until)
+            if begin < until:
+                ax.plot([begin, until], [life.node] * 2, color=shades.get(phase, INK), lw=4,
+                        solid_capstyle="butt")  # fmt: skip
+    for phase, shade in shades.items():
+        ax.plot([], [], color=shade, lw=4, label=phase)
+    ax.set(ylabel="phase", ylim=(-0.7, spec.fleet.nodes - 0.3), xlim=(0, spec.seconds))
+    ax.invert_yaxis()
+    ax.legend(loc="lower right", fontsize=8, frameon=False, ncols=5)
+
+
 def plots(spec: Experiment, seen: records.Seen) -> Figure:
     """Goodput and load, latency, refusals, load per backend, nodes; faults as bands."""
     line = series(spec, seen, wishes(spec, seen))
@@ -100,6 +121,8 @@
     heights = [2.2, 2.2, 1.2, 2.2, max(1.2, min(3.5, 0.22 * spec.fleet.nodes))]
     if spec.fleet.membership:
         heights.append(2.2)
+    if spec.fleet.recovery:
+        heights.append(heights[4])
     figure = Figure(figsize=(10.5, 1.35 * sum(heights)), layout="constrained")
     axes: Sequence[Axes] = figure.subplots(len(heights), 1, sharex=True, height_ratios=heights).tolist()
     goodput, latency, refused, backends, nodes = axes[:5]
@@ -138,7 +161,9 @@
     nodes.set(ylabel="nodes", xlabel="seconds", xlim=(0, spec.seconds))
     if spec.fleet.membership:
         _views(axes[5], spec, seen)
-        _shade(axes[5:], spec)
+    if spec.fleet.recovery:
+        _phases(axes[-1], spec, seen)
+    _shade(axes[5:], spec)
     for ax in (goodput, latency, refused, nodes, *axes[5:]):
         ax.grid(axis="y", color="#e3e7ec", lw=0.6)
         for side in ("top", "right"):
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -21,10 +21,23 @@
 
 from dillport.lab import records
 from dillport.lab.logs import LabLog
+from dillport.lab.outage import Outage
 from dillport.lab.places import Block, PlaceError, Places
 from dillport.lab.processes import Fleet, limits
 from dillport.lab.programs import ROOT, Program
-from dillport.lab.spec import Disk, Experiment, Kill, Maint, Reload, Stall, Terminate, Upgrade, tag
+from dillport.lab.spec import (
+    Disk,
+    Experiment,
+    Kill,
+    Maint,
+    Power,
+    Reload,
+    Stall,
+    Terminate,
+    Upgrade,
+    choose,
+    tag,
+)
 from dillport.lab.timeline import Moment, Step, timeline
 from dillport.lab.worker import Plan, Role
 
@@ -33,6 +46,7 @@
 LEAD = 0.4  # s from the rig's last preparation to the first possible arrival
 SAMPLE = 0.5  # s between two looks at the nodes' processes
 VIEW_LINE = re.compile(r"^(\S+ \S+) INFO membership: node (\d+) (?:is|has) (\w+)$", re.M)
+PHASE_LINE = re.compile(r"^(\S+ \S+) INFO recovery: phase (\w+), path (\w+): (.*)$", re.M)
 TAIL = 1.5  # s that late answers have after the last client's time
 WORKER_READY = 20.0  # s
 
@@ -76,6 +90,7 @@
         self.fleet = Fleet(spec, seed, program, places, out, cpus[:half], log)
         self.rigs: list[Rig] = []
         self.bans: list[records.BanRecord] = []
+        self.outages = [Outage(self.fleet, fault) for fault in spec.faults if isinstance(fault, Power)]
         self.seen = records.Seen()
         self.recent: list[float] = []  # ms: times of the answers since the last look at the live figures
         self.failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -139,8 +154,10 @@
             rig.say(msgspec.json.encode(zero))
         self.log.say("lab", "clients come", seed=self.seed, program=self.program.label)
         loop = asyncio.get_running_loop()
-        for moment in timeline(self.spec):
+        for moment in timeline(self.spec, self.seed):
             loop.call_later(zero + moment.at - time.monotonic(), self._apply, moment)
+        for outage in self.outages:
+            loop.call_later(zero + outage.fault.at / 2 - time.monotonic(), outage.copy)
         watch = self.fleet.task(self._watch())
         clients = [r for r in self.rigs if r.role == "clients"]
         longest = max(c.deadline_ms for c in self.spec.load.classes) / 1000
@@ -181,9 +198,13 @@
         fault, begin = moment.fault, moment.step is Step.BEGIN
         self.log.say("lab", f"fault {moment.step.value}", kind=tag(fault), what=list(moment.names))
         if isinstance(fault, Maint):
+            consoles = choose(self.spec, fault.nodes) if begin else self.spec.node_names
             for name in moment.names:
-                for node in self.fleet.nodes:
-                    self.fleet.task(self._operate(node.number, int(name[1:]), begin))
+                for console in consoles:
+                    self.fleet.task(self._operate(int(console[1:]), int(name[1:]), begin))
+        if isinstance(fault, Power):
+            self._power(fault, moment)
+            return
         for name in moment.names:
             if name[0] != "n":
                 continue
@@ -204,6 +225,17 @@
                 case Disk():
                     node.disk(fault.mode, begin)
 
+    def _power(self, fault: Power, moment: Moment) -> None:
+        mine = next(outage for outage in self.outages if outage.fault is fault)
+        if moment.step is Step.BEGIN:
+            for earlier in self.outages:
+                earlier.over = earlier.over or earlier.fault.at < fault.at
+            mine.cut(moment.names)
+            return
+        for name in moment.names:
+            if name[0] == "n":
+                self.fleet.task(mine.back(self.fleet.nodes[int(name[1:])]))
+
     async def _operate(self, node: int, backend: int, out: bool) -> None:
         called = self.fleet.now()
         held = [b for b in self.bans if (b.node, b.backend, b.ended) == (node, backend, 0.0)]
@@ -223,10 +255,13 @@
         self.seen.lives.extend(self.fleet.lives)
         self.seen.samples.extend(self.fleet.samples)
         self.seen.bans.extend(self.bans)
+        # One machine, one clock: the run's zero in Unix time. A node whose clock was stepped logs by its own.
+        wall = time.time() - (time.monotonic() - self.fleet.zero)
+        clocks = {(x.node, x.process): x.clock for x in self.fleet.lives}
         if self.spec.fleet.membership:
-            # One machine, one clock: the run's zero in Unix time.
-            wall = time.time() - (time.monotonic() - self.fleet.zero)
-            self.seen.views.extend(views(self.out / "logs", wall))
+            self.seen.views.extend(views(self.out / "logs", wall, clocks))
+        if self.spec.fleet.recovery:
+            self.seen.phases.extend(phases(self.out / "logs", wall, clocks))
         records.write(self.seen, self.out / "records.msgpack")
         shutil.rmtree(self.out / "nodes", ignore_errors=True)
 
@@ -244,13 +279,34 @@
             self.failed.exception()
 
 
-def views(logs: Path, wall_zero: float) -> Iterator[records.ViewRecord]:
-    """What the nodes' logs say of members; `wall_zero` is the run's zero in Unix time, s."""
+Clocks = dict[tuple[int, int], float]  # by node and process: s by which its wall clock is off
+
+
+def _lines(
+    logs: Path, wall_zero: float, clocks: Clocks, pattern: re.Pattern[str]
+) -> Iterator[tuple[int, float, re.Match[str]]]:
+    """Each line of a kind in the nodes' logs: the node, when (ms), the match, whose first group is a time.
+
+    `wall_zero` is the run's zero in Unix time, s.
+    """
     for path in sorted(logs.glob("n*-*.log")):
-        node = int(path.stem[1:].split("-")[0])
-        for found in VIEW_LINE.finditer(path.read_text("utf-8", "replace")):
+        node, process = map(int, path.stem[1:].split("-"))
+        zero = wall_zero + clocks.get((node, process), 0.0)
+        for found in pattern.finditer(path.read_text("utf-8", "replace")):
             stamp = datetime.strptime(found[1], "%Y-%m-%d %H:%M:%S,%f").timestamp()
-            yield records.ViewRecord(node, (stamp - wall_zero) * 1000, int(found[2]), found[3])
+            yield node, (stamp - zero) * 1000, found
+
+
+def views(logs: Path, wall_zero: float, clocks: Clocks) -> Iterator[records.ViewRecord]:
+    """What the nodes' logs say of members."""
+    for node, at, found in _lines(logs, wall_zero, clocks, VIEW_LINE):
+        yield records.ViewRecord(node, at, int(found[2]), found[3])
+
+
+def phases(logs: Path, wall_zero: float, clocks: Clocks) -> Iterator[records.PhaseRecord]:
+    """What the nodes' logs say of their recovery."""
+    for node, at, found in _lines(logs, wall_zero, clocks, PHASE_LINE):
+        yield records.PhaseRecord(node, at, found[2], found[3], found[4])
 
 
 def workers(spec: Experiment) -> dict[Role, int]:
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -35,6 +35,7 @@
     sockets: int = 1024
     membership: bool = False  # nodes get a fleet file with `[membership]`
     durable: bool = False  # and with `[durable]` and a directory that outlasts a node's processes
+    recovery: bool = False  # and with `[recovery]`, which needs the members
     ready_within: float = 30.0  # s
 
 
@@ -209,6 +210,36 @@
     mode: Literal["full", "readonly"] = "full"
 
 
+class DiskLeft(Table, frozen=True):
+    """What some nodes find on their disks after a power cut; without one it is `sound`: cut, but legally."""
+
+    nodes: str
+    state: Literal["empty", "damaged", "old", "swapped"]
+
+
+class ClockStep(Table, frozen=True):
+    """The wall clocks of some nodes are off by so many seconds from the return on."""
+
+    nodes: str
+    by: float
+
+
+class Power(Fault, frozen=True, tag="power"):
+    """All chosen lose power at one moment and come back, in a drawn order, over `return-over` seconds.
+
+    The first is back `restart-after` the cut, discovery `discovery-after` that. Who is in `never` stays away.
+    What a node's durable directory holds then is drawn by `power.py`.
+    """
+
+    what: tuple[str, ...] = ("nodes", "backends", "discovery")
+    restart_after: float = 1.0  # s
+    return_over: float = 3.0  # s
+    discovery_after: float = 0.0  # s
+    never: tuple[str, ...] = ()
+    disks: tuple[DiskLeft, ...] = ()
+    clocks: tuple[ClockStep, ...] = ()
+
+
 class Drain(Fault, frozen=True, tag="drain"):
     """Backends are listed as terminating, end `for` seconds later and come back cold `restart-after` that."""
 
@@ -218,10 +249,11 @@
 
 
 class Maint(Fault, frozen=True, tag="maint"):
-    """The operators take backends out at every node's console, and put them back."""
+    """The operators take backends out at the consoles of `nodes`, and put them back at every node's."""
 
     what: str
     for_: float = field(name="for")
+    nodes: str = "nodes"
 
 
 class Gray(Fault, frozen=True, tag="gray"):
@@ -291,8 +323,8 @@
     zone: str = ""
 
 
-AnyFault = (Kill | Terminate | Stall | Upgrade | Reload | Disk | Drain | Maint | Gray | Slow | Resets | Link
-            | DiscoveryDown | DiscoveryLate | Surge)  # fmt: skip
+AnyFault = (Kill | Terminate | Stall | Upgrade | Reload | Disk | Power | Drain | Maint | Gray | Slow | Resets
+            | Link | DiscoveryDown | DiscoveryLate | Surge)  # fmt: skip
 
 
 class Expect(Table, frozen=True):
@@ -381,6 +413,13 @@
     raise ValueError(f"{selector!r} names nothing here: there are {len(names)} {kind}")
 
 
+def parties(spec: Experiment, fault: Fault) -> list[str]:
+    """The parties that a fault strikes; none for one that strikes a way or a service. Raises ValueError."""
+    what = getattr(fault, "what", ())
+    selectors = (what,) if isinstance(what, str) else what
+    return list(dict.fromkeys(name for one in selectors for name in choose(spec, one)))
+
+
 def batches(names: list[str], count: int) -> list[list[str]]:
     """The names in `count` parts of about the same size, in order; none is empty."""
     count = min(count, len(names))
@@ -416,6 +455,7 @@
     yield "fleet.memory-mb", spec.fleet.memory_mb >= 32
     yield "fleet.sockets", spec.fleet.sockets >= 64
     yield "fleet.membership", not spec.fleet.membership or spec.network.peers
+    yield "fleet.recovery", not spec.fleet.recovery or spec.fleet.membership
     yield "backends.count", 1 <= spec.backends.count <= 200
     yield "backends.cores", spec.backends.cores >= 1
     yield "backends.speed", 0 < spec.backends.speed[0] <= spec.backends.speed[1]
@@ -444,19 +484,41 @@
     for index, fault in enumerate(spec.faults):
         if not (0 <= fault.at < spec.seconds and fault.until <= spec.seconds):
             raise SpecError(f"faults[{index}].at is not within the run's {spec.seconds:g} s")
-        for name in ("what", "from_", "to"):
-            if (selector := getattr(fault, name, None)) is not None:
-                try:
-                    chosen = choose(spec, selector)
-                except ValueError as err:
-                    raise SpecError(f"faults[{index}].{name.strip('_')}: {err}") from None
-                if name == "what" and not all(n[0] in kinds_of(fault) for n in chosen):
-                    raise SpecError(f"faults[{index}].what: {selector!r} cannot have a {tag(fault)}")
+        if isinstance(fault, Power):
+            for name in ("restart_after", "return_over", "discovery_after"):
+                if getattr(fault, name) < 0:
+                    raise SpecError(f"faults[{index}].{name.replace('_', '-')} is below 0")
+        for name, selector, kinds in _selectors(fault):
+            try:
+                chosen = choose(spec, selector)
+            except ValueError as err:
+                raise SpecError(f"faults[{index}].{name}: {err}") from None
+            if not all(n[0] in kinds for n in chosen):
+                raise SpecError(f"faults[{index}].{name}: {selector!r} cannot have a {tag(fault)}")
     for index, expect in enumerate(spec.expect):
         if expect.min is None and expect.max is None:
             raise SpecError(f"expect[{index}].min and max are both missing")
 
 
+def _selectors(fault: AnyFault) -> Iterable[tuple[str, str, str]]:
+    """Each selector of a fault: its dotted field, itself, and first letters of the parties it may name."""
+    if isinstance(fault, Link):
+        yield "from", fault.from_, "nscd"
+        yield "to", fault.to, "nscd"
+    elif isinstance(fault, Power):
+        for name, some in (("what", fault.what), ("never", fault.never)):
+            for one in some:
+                yield name, one, kinds_of(fault)
+        for index, left in enumerate(fault.disks):
+            yield f"disks.{index}.nodes", left.nodes, "n"
+        for index, step in enumerate(fault.clocks):
+            yield f"clocks.{index}.nodes", step.nodes, "n"
+    elif (what := getattr(fault, "what", None)) is not None:
+        yield "what", what, kinds_of(fault)
+    if isinstance(fault, Maint):
+        yield "nodes", fault.nodes, "n"
+
+
 def tag(fault: Fault) -> str:
     """A fault's name in the file."""
     return str(type(fault).__struct_config__.tag)
@@ -466,6 +528,8 @@
     """First letters of the parties that a fault can hit."""
     if isinstance(fault, (Kill, Stall)):
         return "ns"
+    if isinstance(fault, Power):
+        return "nsd"
     return "n" if isinstance(fault, (Terminate, Upgrade, Reload, Disk)) else "s"
 
 
--- a/dillport/lab/variant.py
+++ b/dillport/lab/variant.py
@@ -1,8 +1,9 @@
-"""The node changed on purpose, for comparisons in the lab: `variant.py NAME` in place of `-m dillport`.
+"""The node changed on purpose, for the lab: `variant.py NAME...` in place of `-m dillport`.
 
 Names: `alone` leaves the fleet file out; `random` chooses any listed backend that may be sent to; `delay-MS`
-holds every request back for so long; `burn-US` wastes so much processor time on every request. It runs on
-the standard library and the node alone, in the folder of the revision that is played.
+holds every request back for so long; `burn-US` wastes so much processor time on every request; `clock-S` sets
+its wall clock ahead by so many seconds, `clock--S` back. It runs on the standard library and the node alone,
+in the folder of the revision that is played.
 """
 
 from __future__ import annotations
@@ -46,10 +47,16 @@
     Node.arrival = arrival  # type: ignore[method-assign]
 
 
-def main() -> int:
-    """Change the node as told, then run it."""
-    sys.path[0] = os.getcwd()
-    kind, _, amount = sys.argv[1].partition("-")
+def clock(by: float) -> None:
+    """Step the wall clock of this process by `by` s: what it reads, writes and logs goes by that."""
+    wall, wall_ns, by_ns = time.time, time.time_ns, round(by * 1e9)
+    time.time = lambda: wall() + by
+    time.time_ns = lambda: wall_ns() + by_ns
+
+
+def change(name: str) -> bool:
+    """Change the node as a name says; False where it says nothing."""
+    kind, _, amount = name.partition("-")
     if kind == "random":
         random_choice()
     elif kind == "alone":
@@ -58,9 +65,20 @@
         slower(float(amount) / 1000, 0.0)
     elif kind == "burn":
         slower(0.0, float(amount) / 1e6)
+    elif kind == "clock":
+        clock(float(amount))
     else:
-        print(f"variant {sys.argv[1]!r} is none of alone, random, delay-MS, burn-US", file=sys.stderr)
-        return 2
+        return False
+    return True
+
+
+def main() -> int:
+    """Change the node as told, then run it."""
+    sys.path[0] = os.getcwd()
+    for name in sys.argv[1:]:
+        if not change(name):
+            print(f"variant {name!r} is none of alone, random, delay-MS, burn-US, clock-S", file=sys.stderr)
+            return 2
     from dillport.__main__ import main as run
 
     return run()
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import math
 import os
 import sys
 import time
@@ -32,6 +33,7 @@
     Gray,
     Kill,
     Link,
+    Power,
     Resets,
     Slow,
     Stall,
@@ -42,6 +44,7 @@
 
 LIVE = 0.25  # s between two lines of live figures
 PULSE = 0.02  # s between two looks at the event loop's lag
+SLOT = 0.1  # s between two looks at what the backends bear
 
 
 Role = Literal["backends", "clients", "hub"]
@@ -99,12 +102,19 @@
         """The run's zero is known: faults and clients go by it."""
         self.clock.zero = zero
         loop = asyncio.get_running_loop()
-        for moment in timeline(self.spec):
+        for moment in timeline(self.spec, self.plan.seed):
             loop.call_later(max(0.0, moment.at - self.clock.now() / 1000), self._apply, moment)
         wait = -self.clock.now() / 1000
         for crowd in self.crowds:
             loop.call_later(max(0.0, wait), crowd.start)
         loop.call_later(PULSE, self._pulse, loop.time() + PULSE)
+        if self.farm is not None and any(isinstance(f, Power) for f in self.spec.faults):
+            loop.call_later(max(0.0, wait), self._bears, self.farm, 0)
+
+    def _bears(self, farm: Farm, slot: int) -> None:
+        self.seen.bears.append(records.BearRecord(slot, farm.bears()))
+        wait = (slot + 1) * SLOT - self.clock.now() / 1000
+        asyncio.get_running_loop().call_later(max(0.0, wait), self._bears, farm, slot + 1)
 
     def _pulse(self, due: float) -> None:
         loop = asyncio.get_running_loop()
@@ -139,6 +149,8 @@
             directory.fail(moment.step is Step.BEGIN)
         elif isinstance(fault, DiscoveryLate):
             directory.late_ms = fault.by_ms if moment.step is Step.BEGIN else 0.0
+        elif isinstance(fault, Power):
+            self._outage(directory, moment)
         elif isinstance(fault, (Kill, Drain)):
             for name in moment.names:
                 if name[0] != "s":
@@ -150,6 +162,21 @@
                 else:
                     directory.plan(spec.notice_s, name, Phase.GONE)
 
+    def _outage(self, directory: DirectoryService, moment: Moment) -> None:
+        """Who comes back before it is missed is listed on, with its new start once that is known."""
+        spec, on = self.spec.discovery, moment.step is Step.BEGIN
+        if "d" in moment.names:
+            directory.fail(on)
+        back = {m.names[0]: m.at for m in timeline(self.spec, self.plan.seed)
+                if m.fault is moment.fault and m.step is Step.BACK}  # fmt: skip
+        for name in moment.names:
+            if name[0] != "s":
+                continue
+            if not on:
+                directory.plan(spec.add_s, name, Phase.UP, time.time() * 1000)
+            elif back.get(name, math.inf) + spec.add_s >= moment.at + spec.notice_s:
+                directory.plan(spec.notice_s, name, Phase.GONE)
+
     def live(self) -> dict[str, Any]:
         """Figures for the screen."""
         out: dict[str, Any] = {"live": True, "role": self.plan.role}
@@ -175,9 +202,9 @@
     fault, on, now = moment.fault, moment.step is Step.BEGIN, host.farm.clock.now()
     trouble = host.core.trouble
     match fault:
-        case Kill() | Drain() if moment.step is Step.BACK:
+        case Kill() | Drain() | Power() if moment.step is Step.BACK:
             host.restart()
-        case Kill():
+        case Kill() | Power():
             host.close()
         case Drain() if moment.step is Step.END:
             host.close()
@@ -231,6 +258,8 @@
     done.cancel()
     if not last:
         return 1
+    if worker.relay is not None:
+        worker.seen.datagrams.extend(worker.relay.sent(worker.clock.zero))
     try:
         records.write(worker.seen, Path(worker.plan.records))
     except OSError as err:
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -65,7 +65,7 @@
         command = shlex.join([sys.executable, "-B", str(Path(__file__).with_name("broken_node.py")), defect])
         seen = await play(spec, 1, Program(defect, ROOT, f"exec {command}"), folder / defect)
         judged = Judge(spec, seen).judge()
-        assert figures(spec, seen, judged)["served"] > 0.1, defect
+        assert figures(spec, 1, seen, judged)["served"] > 0.1, defect
         return dict(judged.broken)
 
     async def every() -> dict[str, dict[str, int]]:
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -236,7 +236,7 @@
     path.write_text(
         'name = "x"\n[[faults]]\nkind = "kill"\nat = 1.0\nwhat = "nodes:0"\nrestart-after = 1.0\n'
     )
-    assert [(m.at, m.step) for m in timeline(load(path))] == [(1.0, Step.BEGIN), (2.0, Step.BACK)]
+    assert [(m.at, m.step) for m in timeline(load(path), 1)] == [(1.0, Step.BEGIN), (2.0, Step.BACK)]
     with pytest.raises(SpecError) as caught:
         load(path, [assignment])
     assert str(caught.value).startswith(field) and "\n" not in str(caught.value)
