Fleet: the rooms share one port with one budget; membership is the first of them

The platform gives a node one address between nodes, and the recovery of a tier needs datagrams of its own. Membership sends and hears what it did before.

--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -1,10 +1,9 @@
-"""The membership on a socket: datagrams in, datagrams out, one timer. It decides nothing."""
+"""The membership on the tier's port: datagrams in, datagrams out, one timer. It decides nothing."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import socket
 import time
 
 from dillport.membership.core import (
@@ -22,10 +21,10 @@
     ViewChanged,
 )
 from dillport.membership.messages import State
+from dillport.membership.port import MEMBERSHIP, Moved, Port
 
 log = logging.getLogger(__name__)
 
-Address = tuple[str, int]
 EPOCH = 1_577_836_800.0  # s, Unix time: the year 2020, from which lives are counted
 LIFE_UNIT = 0.256  # s: a life's number fits four bytes until 2054, and a process takes longer to start
 COLUMNS = ("state", "life", "incarnation", "changed_ms", "view")  # of a member in `stats`
@@ -56,59 +55,38 @@
     )
 
 
-class MembershipShell(asyncio.DatagramProtocol):
-    """The socket of one node's membership."""
+class MembershipShell:
+    """One node's membership, on the tier's port."""
 
-    def __init__(self, config: Config, me: int, listen: Address, peers: list[Address], everybody: Address,
-                 seed: int, life: int = 0) -> None:  # fmt: skip
-        self.config, self.me, self.listen, self.peers, self.everybody = config, me, listen, peers, everybody
-        self.seed = seed
+    def __init__(self, config: Config, me: int, port: Port, seed: int, life: int = 0) -> None:
+        self.config, self.me, self.port, self.seed = config, me, port, seed
         self.life = max(life, life_now())  # `life` is the least that it may be
-        self.number = {address: node for node, address in enumerate(peers)}
         self.loop = asyncio.get_running_loop()
         self.core: Membership | None = None
-        self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.due = float("inf")
-        self.foreign = 0  # datagrams from no address of `peers`
         self._lines: dict[State, list[float]] = {}
         self._unsaid = 0
         self._refuted_at = -SPAN
         self._viewed: ViewChanged | None = None
         self._viewed_at = 0.0  # ms, as `_now`
-        self._changed_at = [0.0] * len(peers)  # ms, when the state of each member last changed
-
-    async def open(self) -> None:
-        """Listen, and be present from now on. Raises OSError."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_CLOEXEC)
-        try:
-            sock.setblocking(False)
-            sock.bind(self.listen)
-        except OSError:
-            sock.close()
-            raise
-        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
-        self.transport = transport
-        self.core = Membership(self.config, self.me, len(self.peers), self.life, self.seed,
-                               self._now())  # fmt: skip
+        self._changed_at: list[float] = []  # ms, when the state of each member last changed
+        port.register(MEMBERSHIP, self._received, first=True)
+
+    def begin(self) -> None:
+        """Be present from now on: the port has its socket."""
+        count = len(self.port.peers)
+        self.core = Membership(self.config, self.me, count, self.life, self.seed, self._now())
         self._viewed_at = self._now()
-        self._changed_at = [self._viewed_at] * len(self.peers)
-        log.info("membership: node %d of %d on %s:%d", self.me, len(self.peers), *self.listen)
+        self._changed_at = [self._viewed_at] * count
+        log.info("membership: node %d of %d on %s:%d", self.me, count, *self.port.listen)
         self._handle(Tick())
 
     def _now(self) -> float:
         return time.monotonic() * 1000
 
-    def datagram_received(self, data: bytes, addr: Address) -> None:
-        """A datagram counts only if it comes from an address of `peers`."""
-        node = self.number.get((addr[0], addr[1]))
-        if node is None:
-            self.foreign += 1
-        else:
-            self._handle(Received(node, data))
-
-    def error_received(self, exc: Exception) -> None:
-        """A peer's machine refused: its silence says as much."""
+    def _received(self, node: int, data: bytes) -> None:
+        self._handle(Received(node, data))
 
     def _handle(self, event: Event) -> None:
         if self.core is None:
@@ -116,7 +94,7 @@
         for action in self.core.handle(self._now(), event):
             match action:
                 case Tell():
-                    self._send(action)
+                    self.port.send(action.node, action.data)
                 case Changed():
                     if action.member < len(self._changed_at):  # else it is no longer of the tier
                         self._changed_at[action.member] = self._now()
@@ -137,12 +115,6 @@
         self.due, self.timer = float("inf"), None
         self._handle(Tick())
 
-    def _send(self, action: Tell) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.sendto(
-                action.data, self.everybody if action.node is None else self.peers[action.node]
-            )
-
     def _say(self, change: Changed) -> None:
         """A line for each change, but no flood of them."""
         now = self.loop.time()
@@ -162,7 +134,7 @@
         before, self._viewed, self._viewed_at = self._viewed, change, self._now()
         if before is not None and before.quorum != change.quorum:
             log.info("membership: %s with %d of %d present (%s)", "more than half again" if change.quorum else
-                     "a minority now", change.present, len(self.peers), change.reason)  # fmt: skip
+                     "a minority now", change.present, len(self.port.peers), change.reason)  # fmt: skip
 
     def _refuted(self, refuted: Refuted) -> None:
         """One line in `SPAN` at most: a node that is often doubted has a bad link, or stands still."""
@@ -180,22 +152,14 @@
         else:
             log.info("membership: views agree again")
 
-    def move(self, peers: list[Address], everybody: Address) -> None:
-        """The tier has another list of addresses, by node; this node keeps its number and its own address.
-
-        A node whose address has changed is another one: what was known of the one before is forgotten.
-        """
-        both = min(len(peers), len(self.peers))
-        replaced = frozenset(m for m in range(both) if peers[m] != self.peers[m]) - {self.me}
-        fewer = self._changed_at[: len(peers)]
-        self._changed_at = fewer + [self._now()] * (len(peers) - len(fewer))
-        changed = peers != self.peers
-        self.peers, self.everybody = peers, everybody
-        self.number = {address: node for node, address in enumerate(peers)}
-        if changed:
-            log.info("membership: %d nodes by the new list, %d of them others than before",
-                     len(peers), len(replaced) + max(0, len(peers) - both))  # fmt: skip
-            self._handle(Peers(len(peers), replaced))
+    def moved(self, moved: Moved) -> None:
+        """The port has another list of addresses; this node keeps its number and its own address."""
+        fewer, before = self._changed_at[: moved.count], len(self._changed_at)
+        self._changed_at = fewer + [self._now()] * (moved.count - len(fewer))
+        replaced = moved.replaced - {self.me}
+        log.info("membership: %d nodes by the new list, %d of them others than before",
+                 moved.count, len(replaced) + max(0, moved.count - before))  # fmt: skip
+        self._handle(Peers(moved.count, replaced))
 
     def leave(self) -> None:
         """Say that this node leaves; it goes on answering until `close`."""
@@ -205,8 +169,6 @@
         """Fall silent."""
         if self.timer is not None:
             self.timer.cancel()
-        if self.transport is not None:
-            self.transport.close()
         self.core = None
 
     def stats(self) -> dict[str, object]:
@@ -236,5 +198,5 @@
             "health": core.health,
             "columns": list(COLUMNS),
             "members": members,  # by the node's number, the fields in the order of `columns`
-            "counts": dict(core.counts) | {"foreign": self.foreign},
+            "counts": dict(core.counts) | {"foreign": self.port.counts["foreign"]},
         }
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -20,6 +20,7 @@
 from dillport.net.config import Address, ConfigError, address, address_at
 
 if TYPE_CHECKING:
+    from dillport.membership.port import Port
     from dillport.membership.shell import MembershipShell
     from dillport.net.keeping import Keeping
 
@@ -102,17 +103,20 @@
             from dillport.net.keeping import Keeping
 
             self.keeping = Keeping(Path(table.durable.directory), held.name)
+        self.port: Port | None = None
         self.membership: MembershipShell | None = None
         self._opening: asyncio.Task[None] | None = None
         if table.membership is not None:
             listen, peers, everybody = _peers(config.read(env))
             me = held.settings.me
             _numbered(me, peers)
+            from dillport.membership.port import Port
             from dillport.membership.shell import MembershipShell, scaled
 
             times = scaled(table.membership.period_ms)
             least = self.keeping.kept.life + 1 if self.keeping is not None else 1
-            self.membership = MembershipShell(times, me, listen, peers, everybody, held.seed, least)
+            self.port = Port(listen, peers, everybody)
+            self.membership = MembershipShell(times, me, self.port, held.seed, least)
 
     def take_over(self) -> None:
         """Keep the node's state from here on: before a successor is ready, or when it has ended by itself."""
@@ -148,27 +152,34 @@
 
     def start(self) -> None:
         """Be present, unless it is so already. A successor calls this when its predecessor has ended."""
-        if self.membership is not None and self._opening is None:
-            self._opening = asyncio.get_running_loop().create_task(self._open(self.membership))
+        if self.port is not None and self._opening is None:
+            self._opening = asyncio.get_running_loop().create_task(self._open(self.port))
 
     def checked(self, env: Mapping[str, str], new: config.Config) -> Callable[[], None]:
         """What a replaced file brings for the rooms: a call that takes it over. Raises ConfigError."""
-        shell = self.membership
-        if shell is None:
+        port, shell = self.port, self.membership
+        if port is None or shell is None:
             return lambda: None
         listen, peers, everybody = _peers(config.read(env))
         if new.settings.me != shell.me:
             raise ConfigError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
         _numbered(shell.me, peers)
-        if listen != shell.listen:
+        if listen != port.listen:
             raise ConfigError("peer_listen cannot change in one life")
-        return partial(shell.move, peers, everybody)
+        return partial(self._move, port, peers, everybody)
 
-    async def _open(self, shell: MembershipShell) -> None:
+    def _move(self, port: Port, peers: list[Address], everybody: Address) -> None:
+        if (moved := port.move(peers, everybody)) is not None and self.membership is not None:
+            self.membership.moved(moved)
+
+    async def _open(self, port: Port) -> None:
         try:
-            await shell.open()
+            await port.bind()
         except OSError as err:  # the node serves without: alone, as without the file
-            log.warning("membership: %s:%d: %s; the node goes on alone", *shell.listen, err)
+            log.warning("membership: %s:%d: %s; the node goes on alone", *port.listen, err)
+            return
+        if self.membership is not None:
+            self.membership.begin()
 
     def leave(self) -> None:
         """The node ends, and nobody takes its place."""
@@ -181,6 +192,8 @@
             self._opening.cancel()
         if self.membership is not None:
             self.membership.close()
+        if self.port is not None:
+            self.port.close()
         if self.keeping is not None:
             self.keeping.durable.close()
 
@@ -189,6 +202,8 @@
         out: dict[str, object] = {}
         if self.membership is not None:
             out["membership"] = self.membership.stats()
+        if self.port is not None:
+            out["port"] = self.port.stats()
         if self.keeping is not None:
             out["durable"] = self.keeping.durable.stats()
         return out
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import subprocess
 import sys
 import threading
@@ -23,9 +24,11 @@
 from dillport.lab.run import Run, play
 from dillport.lab.spec import load
 from dillport.membership.core import Config
+from dillport.membership.messages import Kind, Message, encode
+from dillport.membership.port import MOST, RECOVERY, Port
 from dillport.membership.shell import MembershipShell
 from dillport.net import config
-from dillport.net.config import ConfigError
+from dillport.net.config import Address, ConfigError
 from dillport.net.fleet import Fleet, read
 
 NODE = Program("tests", ROOT, f"exec {sys.executable} -B -m dillport")
@@ -173,29 +176,87 @@
             await asyncio.sleep(0.02)
 
 
+Present = tuple[Port, MembershipShell]
+
+
+async def present(node: int, listen: Address, peers: list[Address], seed: int) -> Present:
+    """A node that is present, with quick times."""
+    quick = Config(period=70.0, direct=25.0, indirect=30.0, suspicion_least=60.0, suspicion_most=300.0)
+    port = Port(listen, peers, listen)
+    shell = MembershipShell(quick, node, port, seed)
+    await port.bind()
+    shell.begin()
+    return port, shell
+
+
+def move(one: Present, peers: list[Address]) -> None:
+    """Give it another list."""
+    moved = one[0].move(peers, one[0].everybody)
+    assert moved is not None
+    one[1].moved(moved)
+
+
+def close(one: Present) -> None:
+    one[1].close()
+    one[0].close()
+
+
 def test_another_list_of_peers_is_taken_over_by_nodes_that_run() -> None:
     async def body() -> None:
         block = Block(4, 1)
         peers = [block.places.peer(node) for node in range(4)]
-        quick = Config(period=70.0, direct=25.0, indirect=30.0, suspicion_least=60.0, suspicion_most=300.0)
-        shells = [MembershipShell(quick, n, peers[n], peers[:3], peers[n], n) for n in range(3)]
+        nodes = [await present(n, peers[n], peers[:3], n) for n in range(3)]
+        shells = [shell for _, shell in nodes]
         try:
-            for shell in shells:
-                await shell.open()
             await reach(shells, [0, 1, 2])
-            for shell in shells[:2]:
-                shell.move(peers[:2], peers[0])
-            shells[2].close()
+            for one in nodes[:2]:
+                move(one, peers[:2])
+            close(nodes[2])
             await reach(shells[:2], [0, 1])
-            fourth = MembershipShell(quick, 2, peers[3], [*peers[:2], peers[3]], peers[3], 9)
-            shells[2] = fourth
-            await fourth.open()
-            for shell in shells[:2]:  # number two is at home elsewhere now
-                shell.move([*peers[:2], peers[3]], peers[0])
-            await reach(shells, [0, 1, 2])
+            nodes[2] = await present(2, peers[3], [*peers[:2], peers[3]], 9)
+            for one in nodes[:2]:  # number two is at home elsewhere now
+                move(one, [*peers[:2], peers[3]])
+            await reach([*shells[:2], nodes[2][1]], [0, 1, 2])
+        finally:
+            for one in nodes:
+                close(one)
+            block.close()
+
+    uvloop.run(body())
+
+
+def test_the_port_gives_each_room_its_kinds_and_leaves_half_of_the_budget_to_membership() -> None:
+    async def body() -> None:
+        block = Block(2, 1)
+        peers = [block.places.peer(node) for node in range(2)]
+        here, there = Port(peers[0], peers, peers[1]), Port(peers[1], peers, peers[0])
+        foreign = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        got: asyncio.Queue[tuple[int, bytes]] = asyncio.Queue()
+        ping = encode(Message(Kind.PING, 0, 1, 1, 1, 0))
+        roll = ping[:5] + bytes([RECOVERY[0]]) + ping[6:]
+        later = ping[:5] + bytes([RECOVERY.stop]) + ping[6:]
+        for port in (here, there):
+            port.register(range(16), lambda node, data: got.put_nowait((node, data)), first=True)
+        here.register(RECOVERY, lambda node, data: None)
+        here.register(range(RECOVERY.stop, RECOVERY.stop + 1), lambda node, data: None)
+        try:
+            await here.bind()
+            await there.bind()
+            foreign.sendto(ping, peers[1])
+            here.send(1, later)
+            here.send(1, roll)
+            here.send(1, ping)
+            assert await asyncio.wait_for(got.get(), 20) == (0, ping)
+            assert there.stats()["foreign"] == 1 and there.stats()["unknown"] == 2
+            for _ in range(2 * int(MOST)):
+                here.send(1, roll)
+            assert here.stats()["sent"] < 0.6 * MOST and here.stats()["over_budget"] > MOST
+            here.send(None, ping)
+            assert await asyncio.wait_for(got.get(), 20) == (0, ping)
         finally:
-            for shell in shells:
-                shell.close()
+            here.close()
+            there.close()
+            foreign.close()
             block.close()
 
     uvloop.run(body())
@@ -211,7 +272,7 @@
     async def body() -> None:
         held = config.load(env)
         rooms = Fleet(env, held)
-        assert rooms.membership is not None
+        assert rooms.port is not None
         for over, line in (
             ({"peer_listen": "127.0.0.1:9"}, "peer_listen cannot change"),
             ({"peers": []}, "peers is missing"),
@@ -222,6 +283,6 @@
                 rooms.checked(env, config.load(env))
         path.write_text(json.dumps(table | {"peers": table["peers"][:3]}))
         rooms.checked(env, config.load(env))()
-        assert len(rooms.membership.peers) == 3
+        assert len(rooms.port.peers) == 3
 
     uvloop.run(body())
