Errors: the command line and the lab say a code and what to do, in two lines

The lab's errors were RuntimeErrors and ValueErrors printed as one line that stopped at what happened; a variant's name was checked only in the node's own process, where delay-soon ended in a trace in a log. Names of variants are checked before anything starts now, full disks and too many descriptors have errors of their own, and every refusal of the command is "dillport: CODE: what" and "what to do: ...".

--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -20,11 +20,12 @@
 
 from dillport.cli import fleet, state
 from dillport.cli.output import Exit, stop
+from dillport.errors import DillportError
 from dillport.lab import records
 from dillport.lab.figures import FEWEST, JUDGED, summary
 from dillport.lab.judge import RULES, Judge
 from dillport.lab.programs import HERE, ROOT, Program, ProgramError, obtain
-from dillport.lab.run import LabError, Live, Run, play
+from dillport.lab.run import Live, ResultsError, Run, play
 from dillport.lab.spec import Experiment, SpecError, load
 
 EXPERIMENTS = ROOT / "lab" / "experiments"
@@ -47,15 +48,45 @@
 AsJson = Annotated[bool, typer.Option("--json", help="Print the result as JSON on standard output.")]
 
 
+class InterruptError(DillportError):
+    """A command was ended by SIGINT or SIGTERM before it was done."""
+
+    code = "CLI01"
+    remedy = "start it again; what stands in --out is not whole"
+
+
+class RunFolderError(DillportError):
+    """The folder of a run does not hold what a run leaves."""
+
+    code = "LAB07"
+    remedy = "name the --out folder of a lab run that has ended, or play it again with this version"
+
+
+class LateError(DillportError):
+    """The rig of a comparison was late itself, so it cannot tell."""
+
+    code = "LAB08"
+    remedy = "compare again on a machine at rest, or with a lower rate and fewer nodes"
+
+
+class FigureError(DillportError):
+    """A comparison is to judge a figure that not all of its runs have."""
+
+    code = "LAB09"
+    remedy = "take a figure that is in the summary.json of every run under --out"
+
+
 @contextlib.contextmanager
-def one_line() -> Iterator[None]:
-    """What can go wrong while something is played ends the command with one line."""
+def stopping() -> Iterator[None]:
+    """What can go wrong while something is played ends the command with two lines."""
     try:
         yield
-    except (LabError, OSError) as err:
-        raise stop(str(err)) from None
+    except DillportError as err:
+        raise stop(err) from None
+    except OSError as err:
+        raise stop(ResultsError(str(err))) from None
     except (asyncio.CancelledError, KeyboardInterrupt):
-        raise stop("interrupted") from None
+        raise stop(InterruptError("interrupted")) from None
 
 
 def experiment_of(name: str, sets: list[str] | None) -> Experiment:
@@ -64,7 +95,7 @@
     try:
         return load(path if path.suffix == ".toml" else EXPERIMENTS / f"{name}.toml", sets or ())
     except SpecError as err:
-        raise stop(str(err)) from None
+        raise stop(err) from None
 
 
 def program(what: str) -> Program:
@@ -72,13 +103,15 @@
     try:
         with console.status(f"building {what}" if what != HERE else "building the node"):
             return obtain(what)
-    except (ProgramError, OSError) as err:
-        raise stop(str(err)) from None
+    except ProgramError as err:
+        raise stop(err) from None
+    except OSError as err:
+        raise stop(ProgramError(str(err))) from None
 
 
 def run_once(spec: Experiment, seed: int, what: Program, out: Path, human: bool = False,
              live: Live | None = None) -> tuple[records.Seen, dict[str, Any]]:  # fmt: skip
-    """Play, judge and write `summary.json` and `experiment.json`; raises LabError or OSError."""
+    """Play, judge and write `summary.json` and `experiment.json`; raises what `play` does, and OSError."""
     seen = uvloop.run(play(spec, seed, what, out, human, live))
     (out / "experiment.json").write_bytes(msgspec.json.encode(spec))
     return seen, judged(spec, seed, what.label, seen, out)
@@ -154,7 +187,7 @@
     what = program(HERE)
     with tempfile.TemporaryDirectory(prefix="dillport-demo-") as temporary:
         folder = out or Path(temporary)
-        with one_line():
+        with stopping():
             with rich.live.Live(console=console, transient=True, refresh_per_second=4) as picture:
                 picture.update("starting three nodes")
                 seen, table = run_once(spec, seed, what, folder, False, Screen(picture))
@@ -179,7 +212,7 @@
     spec = experiment_of(experiment, sets)
     what = program(revision)
     title = f"{spec.name}: {spec.seconds:g} s with {spec.fleet.nodes} nodes"
-    with one_line(), console.status(title) as status:
+    with stopping(), console.status(title) as status:
 
         def live(run: Run) -> None:
             at = max(0.0, run.fleet.now() / 1000)
@@ -209,7 +242,7 @@
         table = judged(spec, old["seed"], old["program"], seen, folder)
         write_report(spec, seen, table, folder)
     except (OSError, ValueError, KeyError, msgspec.MsgspecError) as err:
-        raise stop(f"{folder} holds no whole run: {err}") from None
+        raise stop(RunFolderError(f"{folder} holds no whole run: {err}")) from None
     raise finish(table, as_json)
 
 
@@ -221,7 +254,7 @@
         try:
             spec = load(path)
         except SpecError as err:
-            raise stop(f"{path.name}: {err}") from None
+            raise stop(SpecError(f"{path.name}: {err}")) from None
         rows.append(
             {
                 "name": spec.name,
@@ -264,7 +297,7 @@
     spec = experiment_of(experiment, sets)
     programs = (program(a), program(b))
     values: tuple[list[dict[str, float]], list[dict[str, float]]] = ([], [])
-    with one_line():
+    with stopping():
         with Progress(console=console, transient=True) as progress:
             bar = progress.add_task(spec.name, total=2 * seeds)
             for seed in range(first_seed, first_seed + seeds):
@@ -273,13 +306,15 @@
                     folder = out / f"{'ab'[side]}-{seed}"
                     _, done = run_once(spec, seed, programs[side], folder)
                     if done["void"]:
-                        raise stop(f"seed {seed}, {programs[side].label}: the rig was late; see {folder}")
+                        raise LateError(
+                            f"seed {seed}, {programs[side].label}: the rig was late; see {folder}"
+                        )
                     values[side].append(done["figures"])
                     progress.advance(bar)
         judged = tuple(dict.fromkeys([*JUDGED, *(more or ())]))
         for name in judged:
             if not all(name in figures for side in values for figures in side):
-                raise stop(f"--figure {name}: not all runs have that figure; see {out}")
+                raise FigureError(f"--figure {name}: not all runs have that figure; see {out}")
         found = compare(*values, judged)
         names = (programs[0].label, programs[1].label)
         result = {"experiment": spec.name, "a": names[0], "b": names[1], "seeds": seeds,
--- a/dillport/cli/fleet.py
+++ b/dillport/cli/fleet.py
@@ -21,8 +21,31 @@
 from rich.text import Text
 
 from dillport.cli.output import Exit, stop
+from dillport.errors import DillportError
 from dillport.net.config import address
 
+
+class ArgumentError(DillportError):
+    """`--console` names no address."""
+
+    code = "CLI02"
+    remedy = "write HOST:PORT with a literal address, as PROXY_CONSOLE has it"
+
+
+class SilentError(DillportError):
+    """A console does not answer, or it is no node's."""
+
+    code = "CLI03"
+    remedy = "compare --console with the node's line console on HOST:PORT; look whether the node runs"
+
+
+class AbsentError(DillportError):
+    """The node that was asked takes no part in the tier."""
+
+    code = "CLI04"
+    remedy = "give it a PROXY_FLEET file with [membership]; where it has one, its log says MEM01 and why"
+
+
 PATIENCE = 2.0  # s for a console to answer
 EVERY = 1.0  # s between two looks of --watch
 COLOURS = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim", "unknown": "dim"}
@@ -73,30 +96,34 @@
 
 
 def look(console: str) -> Membership:
-    """What the console says now; raises typer.Exit with one line where it says nothing of use."""
+    """What the console says now; raises typer.Exit, said why, where it says nothing of use."""
     try:
         host, port = address(console)
     except ValueError as err:
-        raise stop(f"--console makes no sense: {err}") from None
+        raise stop(ArgumentError(f"--console makes no sense: {err}")) from None
     link = http.client.HTTPConnection(host, port, timeout=PATIENCE)
     try:
         link.request("GET", "/stats")
         answer = link.getresponse()
         body = answer.read()
     except (OSError, http.client.HTTPException) as err:
-        raise stop(f"{console} does not answer: {err}") from None
+        raise stop(SilentError(f"{console} does not answer: {err}")) from None
     finally:
         link.close()
     if answer.status != 200:
-        raise stop(f"{console} answers {answer.status} to GET /stats")
+        raise stop(SilentError(f"{console} answers {answer.status} to GET /stats"))
     try:
         stats = msgspec.json.decode(body, type=Stats)
     except msgspec.MsgspecError as err:
-        raise stop(f"{console} gives no figures of a node: {err}") from None
+        raise stop(SilentError(f"{console} gives no figures of a node: {err}")) from None
     if stats.fleet is None or stats.fleet.membership is None:
-        raise stop(f"{console}: membership is off there (PROXY_FLEET names no file with [membership])")
+        raise stop(AbsentError(
+            f"{console}: membership is off there (PROXY_FLEET names no file with [membership])"
+        ))  # fmt: skip
     if not stats.fleet.membership.present:
-        raise stop(f"{console}: the node takes no part: its socket could not be had, or it has ended")
+        raise stop(AbsentError(
+            f"{console}: the node takes no part: its socket could not be had, or it has ended"
+        ))  # fmt: skip
     return stats.fleet.membership
 
 
--- a/dillport/cli/output.py
+++ b/dillport/cli/output.py
@@ -1,4 +1,4 @@
-"""What all commands share: exit codes, and the one line that says why not."""
+"""What all commands share: exit codes, and the two lines that say why not and what to do."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 import typer
 
+from dillport.errors import DillportError
+
 
 class Exit(IntEnum):
     """What the exit code says."""
@@ -16,7 +18,8 @@
     NOT_RUN = 2
 
 
-def stop(text: str) -> typer.Exit:
-    """One line on standard error, exit code 2."""
-    print(f"dillport: {' '.join(text.split())}", file=sys.stderr)
+def stop(err: DillportError) -> typer.Exit:
+    """The code and what happened, then what to do, on standard error; exit code 2."""
+    happened, remedy = err.report
+    print(f"dillport: {happened}\n{remedy}", file=sys.stderr)
     return typer.Exit(Exit.NOT_RUN)
--- a/dillport/cli/state.py
+++ b/dillport/cli/state.py
@@ -17,24 +17,45 @@
 
 from dillport.cli.output import Exit, stop
 from dillport.durable.files import RealFiles
-from dillport.durable.records import Kept, RecordError, stamp, total
-from dillport.durable.store import Loaded, Store, StoreError, load
+from dillport.durable.records import Kept, stamp, total
+from dillport.durable.store import Loaded, Store, load
+from dillport.errors import DillportError
 
 app = typer.Typer(help="A node's durable state: verify, show, compact.", no_args_is_help=True)
 
+class FolderError(DillportError):
+    """A directory of durable state cannot be read, or there is none."""
+
+    code = "CLI05"
+    remedy = "name the directory that durable.directory has, as a user who may read it"
+
+
+class UsedError(DillportError):
+    """A directory is not to be touched while a process of its node lives."""
+
+    code = "CLI06"
+    remedy = "end the node first; its own start makes the directory small as well"
+
+
 Folder = Annotated[Path, typer.Argument(help="What durable.directory names.")]
 AsJson = Annotated[bool, typer.Option("--json", help="Print the result as JSON on standard output.")]
 
 
 def read(folder: Path) -> tuple[Loaded, Kept]:
-    """What a directory holds; raises typer.Exit with one line where it cannot be read."""
+    """What a directory holds; raises typer.Exit, said why, where it cannot be read."""
     try:
         if not folder.is_dir():
-            raise stop(f"{folder} is no directory")
+            raise stop(FolderError(f"{folder} is no directory"))
         loaded = load(RealFiles(folder))
         return loaded, total(loaded.snapshot, loaded.records)
-    except (StoreError, RecordError, OSError) as err:
-        raise stop(f"{folder}: {err}") from None
+    except (DillportError, OSError) as err:
+        raise refused(folder, err) from None
+
+
+def refused(folder: Path, err: DillportError | OSError) -> typer.Exit:
+    """What is wrong with a directory."""
+    kind = type(err) if isinstance(err, DillportError) else FolderError
+    return stop(kind(f"{folder}: {err}"))
 
 
 def outcome(loaded: Loaded) -> dict[str, Any]:
@@ -101,16 +122,16 @@
     """Begin a new generation, as a start of the node does. Not while a process of the node lives."""
     before, _ = read(folder)
     if not before.node:
-        raise stop(f"{folder}: there is no state in it")
+        raise stop(FolderError(f"{folder}: there is no state in it"))
     files = RealFiles(folder)
     try:
         with files.unused():
             Store(files, before.node, before.store,
                   lambda loaded: total(loaded.snapshot, loaded.records).encode()).close()  # fmt: skip
     except BlockingIOError:
-        raise stop(f"{folder}: a process of the node uses it") from None
-    except (StoreError, OSError) as err:
-        raise stop(f"{folder}: {err}") from None
+        raise stop(UsedError(f"{folder}: a process of the node uses it")) from None
+    except (DillportError, OSError) as err:
+        raise refused(folder, err) from None
     after, _ = read(folder)
     if as_json:
         print(json.dumps({"before": outcome(before), "after": outcome(after)}))
--- a/dillport/lab/places.py
+++ b/dillport/lab/places.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from dillport.errors import DillportError
+
 PORT = 8080
 CONSOLE = 9800
 FIRST_BLOCK, LAST_BLOCK = 16, 250
@@ -18,8 +20,11 @@
 PAIRS, DISCOVERY, CONSOLES, PEERS = 4, 200, 220, 240  # first x of what listens there
 
 
-class PlaceError(RuntimeError):
-    """No block is free, or the fleet does not fit into one."""
+class PlaceError(DillportError):
+    """No block of addresses is free, or the fleet does not fit into one."""
+
+    code = "LAB04"
+    remedy = "play fewer nodes or backends, or wait until other runs have ended"
 
 
 @dataclass(slots=True, frozen=True)
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -384,7 +384,7 @@
         def done(task: asyncio.Task[Any]) -> None:
             self.tasks.discard(task)
             if not task.cancelled() and (err := task.exception()) is not None:
-                self.errors.append(f"{type(err).__name__}: {err}")
+                self.errors.append(f"a part of the lab failed: {type(err).__name__}: {err}")
 
         out.add_done_callback(done)
         return out
--- a/dillport/lab/programs.py
+++ b/dillport/lab/programs.py
@@ -4,22 +4,29 @@
 
 import hashlib
 import io
+import re
 import subprocess
 import tarfile
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 
+from dillport.errors import DillportError
+
 ROOT = Path(__file__).resolve().parents[2]
 CACHE = ROOT / ".lab"
 HERE = "."  # the working tree, where a revision is asked for
 EXTRA = "requirements-fleet.txt"
 NEEDED = ("deploy", "dillport", "requirements.txt", EXTRA, "pyproject.toml")  # of a revision
+VARIANT = re.compile(r"alone|random|(delay|burn|clock-?)-\d+(\.\d+)?")  # see `variant.py`
 STAMP = "built"  # in `.venv`: the requirements that it was built from
 
 
-class ProgramError(RuntimeError):
-    """The program cannot be had; one line."""
+class ProgramError(DillportError):
+    """The program that is to be played cannot be had."""
+
+    code = "LAB03"
+    remedy = "name a commit of this repository that can be built (see git log), or . for the files here"
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,20 +78,24 @@
         label, root = ("here", ROOT) if revision in ("", HERE) else _checkout(revision)
     except ProgramError as err:
         raise ProgramError(f"revision {revision!r} cannot be had: {err}") from None
-    deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text("utf-8"))
+    if variant and not VARIANT.fullmatch(variant):
+        raise ProgramError(f"variant {variant!r} is none of alone, random, delay-MS, burn-US, clock-S")
+    try:
+        deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text("utf-8"))
+        build, run = str(deploy["build"]), str(deploy["run"])
+    except (OSError, ValueError, KeyError) as err:
+        raise ProgramError(f"{label} does not say how it is built and run: {err!r}") from None
     files = [p for name in ("requirements.txt", EXTRA) if (p := root / name).exists()]
     wanted = hashlib.sha256(b"".join(p.read_bytes() for p in files)).hexdigest()
     stamp = root / ".venv" / STAMP
     if not stamp.exists() or stamp.read_text("utf-8") != wanted:
         # With what a fleet file needs: a node without one imports none of it.
-        build = str(deploy["build"])
         if root / EXTRA in files:
             build += f" && .venv/bin/pip -q install --disable-pip-version-check -r {EXTRA}"
         done = subprocess.run(["/bin/sh", "-c", build], cwd=root, capture_output=True, check=False)
         if done.returncode:
             raise ProgramError(f"build of {label}: {done.stderr.decode().strip().split(chr(10))[-1]}")
         stamp.write_text(wanted, "utf-8")
-    run = str(deploy["run"])
     if variant:
         label = f"{label}+{variant}"
         run = Program(label, root, run).varied(variant)
--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -19,10 +19,11 @@
 
 import msgspec
 
+from dillport.errors import DillportError
 from dillport.lab import records
 from dillport.lab.logs import LabLog
 from dillport.lab.outage import Outage
-from dillport.lab.places import Block, PlaceError, Places
+from dillport.lab.places import Block, Places
 from dillport.lab.processes import Fleet, limits
 from dillport.lab.programs import ROOT, Program
 from dillport.lab.spec import (
@@ -51,8 +52,25 @@
 WORKER_READY = 20.0  # s
 
 
-class LabError(RuntimeError):
-    """The experiment could not be run; one line."""
+class LabError(DillportError):
+    """An experiment was begun and could not be played to its end."""
+
+    code = "LAB02"
+    remedy = "read lab.jsonl and logs/ in the folder of the run, then play it again on a machine at rest"
+
+
+class LimitError(DillportError):
+    """An experiment needs more open files in one process than the system allows."""
+
+    code = "LAB05"
+    remedy = "play fewer nodes or backends, or raise the hard limit (ulimit -Hn)"
+
+
+class ResultsError(DillportError):
+    """The results of a run cannot be written."""
+
+    code = "LAB06"
+    remedy = "let --out name a folder that can be written, on a disk with room"
 
 
 Live = Callable[["Run"], None]
@@ -326,7 +344,7 @@
     held = spec.fleet.nodes * spec.fleet.sockets
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     if listeners + min(held, 2 * listeners) + 100 > most:
-        raise LabError(
+        raise LimitError(
             f"{spec.fleet.nodes} nodes and {spec.backends.count} backends need more descriptors in one "
             f"process than the limit of {most}"
         )
@@ -335,14 +353,17 @@
 async def play(
     spec: Experiment, seed: int, program: Program, out: Path, human: bool = False, live: Live | None = None
 ) -> records.Seen:
-    """Play an experiment once. Raises LabError, and CancelledError on SIGINT or SIGTERM; no child is left."""
+    """Play an experiment once; no child is left.
+
+    Raises LabError, LimitError, PlaceError, ResultsError, and CancelledError on SIGINT or SIGTERM.
+    """
     _check_descriptors(spec)
     try:
         (out / "logs").mkdir(parents=True, exist_ok=True)
         block = Block(spec.fleet.nodes, spec.backends.count)
         log = LabLog(out / "lab.jsonl", f"{spec.name}-{seed}", human)
-    except (OSError, PlaceError) as err:
-        raise LabError(str(err)) from None
+    except OSError as err:
+        raise ResultsError(str(err)) from None
     run = Run(spec, seed, program, out, log, block.places, live)
     task, loop = asyncio.current_task(), asyncio.get_running_loop()
     assert task is not None
@@ -351,7 +372,7 @@
     try:
         await run.whole()
     except OSError as err:
-        raise LabError(f"{out}: {err.strerror or err}") from None
+        raise ResultsError(f"{out}: {err.strerror or err}") from None
     finally:
         await run.abandon()
         block.close()
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -14,11 +14,16 @@
 import msgspec
 from msgspec import field
 
+from dillport.errors import DillportError
+
 ZONES = ("a", "b", "c")
 
 
-class SpecError(ValueError):
-    """The experiment makes no sense; the text names the dotted field."""
+class SpecError(DillportError):
+    """An experiment makes no sense; the text names the dotted field."""
+
+    code = "LAB01"
+    remedy = "correct the field that is named, in the file or after --set; lab list has the names there are"
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"):
@@ -387,7 +392,7 @@
     """The parties that a selector names, in a fixed order.
 
     `KIND` or `KIND:WHICH`; kinds: nodes, backends, clients, discovery; WHICH: `3`, `0-2`, `70%`, `zone=a` or
-    `zone!=a`. A share is spread evenly over the numbers. Raises ValueError.
+    `zone!=a`. A share is spread evenly over the numbers. Raises SpecError.
     """
     kind, _, which = selector.partition(":")
     everyone = {
@@ -395,14 +400,14 @@
         "clients": [f"c-{zone}" for zone in spec.fleet.zones],
     }  # fmt: skip
     if kind not in everyone:
-        raise ValueError(f"{selector!r} names none of {', '.join(everyone)}")
+        raise SpecError(f"{selector!r} names none of {', '.join(everyone)}")
     names = everyone[kind]
     if not which:
         return names
     if "zone" in which:
         left, _, zone = which.rpartition("=")
         if zone not in spec.fleet.zones or left not in ("zone", "zone!"):
-            raise ValueError(f"{selector!r} names no zone of the fleet")
+            raise SpecError(f"{selector!r} names no zone of the fleet")
         return [n for n in names if (spec.zone_of(n) == zone) == (left == "zone")]
     if which.endswith("%") and which[:-1].isdecimal() and 0 < int(which[:-1]) <= 100:
         count = max(1, round(len(names) * int(which[:-1]) / 100))
@@ -410,11 +415,11 @@
     first, _, last = which.partition("-")
     if first.isdecimal() and (last or first).isdecimal() and int(first) <= int(last or first) < len(names):
         return names[int(first) : int(last or first) + 1]
-    raise ValueError(f"{selector!r} names nothing here: there are {len(names)} {kind}")
+    raise SpecError(f"{selector!r} names nothing here: there are {len(names)} {kind}")
 
 
 def parties(spec: Experiment, fault: Fault) -> list[str]:
-    """The parties that a fault strikes; none for one that strikes a way or a service. Raises ValueError."""
+    """The parties that a fault strikes; none for one that strikes a way or a service. Raises SpecError."""
     what = getattr(fault, "what", ())
     selectors = (what,) if isinstance(what, str) else what
     return list(dict.fromkeys(name for one in selectors for name in choose(spec, one)))
@@ -491,7 +496,7 @@
         for name, selector, kinds in _selectors(fault):
             try:
                 chosen = choose(spec, selector)
-            except ValueError as err:
+            except SpecError as err:
                 raise SpecError(f"faults[{index}].{name}: {err}") from None
             if not all(n[0] in kinds for n in chosen):
                 raise SpecError(f"faults[{index}].{name}: {selector!r} cannot have a {tag(fault)}")
@@ -534,7 +539,7 @@
 
 
 def load(path: Path, sets: Iterable[str] = ()) -> Experiment:
-    """The experiment in a file, with `--set` fields; raises SpecError with one line."""
+    """The experiment in a file, with `--set` fields; raises SpecError."""
     try:
         raw = tomllib.loads(path.read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as err:
--- a/dillport/lab/variant.py
+++ b/dillport/lab/variant.py
@@ -54,8 +54,8 @@
     time.time_ns = lambda: wall_ns() + by_ns
 
 
-def change(name: str) -> bool:
-    """Change the node as a name says; False where it says nothing."""
+def change(name: str) -> None:
+    """Change the node as a name says; `programs` has checked it."""
     kind, _, amount = name.partition("-")
     if kind == "random":
         random_choice()
@@ -65,20 +65,15 @@
         slower(float(amount) / 1000, 0.0)
     elif kind == "burn":
         slower(0.0, float(amount) / 1e6)
-    elif kind == "clock":
-        clock(float(amount))
     else:
-        return False
-    return True
+        clock(float(amount))
 
 
 def main() -> int:
     """Change the node as told, then run it."""
     sys.path[0] = os.getcwd()
     for name in sys.argv[1:]:
-        if not change(name):
-            print(f"variant {name!r} is none of alone, random, delay-MS, burn-US, clock-S", file=sys.stderr)
-            return 2
+        change(name)
     from dillport.__main__ import main as run
 
     return run()
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -414,6 +414,16 @@
     assert sum("the node serves on" in r.message for r in caplog.records) == 1
 
 
+def test_a_record_that_is_too_long_is_said_and_nobody_waits_for_ever(tmp_path: Path) -> None:
+    async def body(one: Durable) -> None:
+        for _ in range(2):
+            with pytest.raises(frames.LengthError):
+                await asyncio.wait_for(one.keep(Out("a" * frames.LONGEST, 1.0)), 10.0)
+        assert one.stats()["off"]
+
+    live(tmp_path, body)
+
+
 def test_a_directory_of_another_node_is_left_alone_with_one_line(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -11,8 +11,10 @@
 from pathlib import Path
 
 import pytest
+from typer.testing import CliRunner
 
 import dillport
+from dillport.cli.app import app
 from dillport.errors import DillportError
 
 ROOT = Path(__file__).parents[1]
@@ -75,3 +77,26 @@
     got = subprocess.run([sys.executable, "-m", "dillport"], cwd=ROOT, env=kept | env, capture_output=True)
     text = got.stderr.decode()
     assert got.returncode == 2 and text.startswith(start) and text.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("args", "code"),
+    [
+        ("lab run no-such-experiment --out OUT", "LAB01"),
+        ("lab run calm --out OUT --set seconds=-1", "LAB01"),
+        ("lab run calm --out OUT --revision .+slow", "LAB03"),
+        ("lab report OUT", "LAB07"),
+        ("fleet members --console 127.0.0.1:1", "CLI03"),
+        ("fleet view --console nowhere", "CLI02"),
+        ("state verify OUT", "CLI05"),
+        ("state compact FILLED", "CLI05"),
+    ],
+)
+def test_the_command_says_code_and_what_happened_then_what_to_do(
+    tmp_path: Path, args: str, code: str
+) -> None:
+    where = args.replace("OUT", str(tmp_path / "none")).replace("FILLED", str(tmp_path))
+    done = CliRunner().invoke(app, where.split())
+    happened, remedy = done.stderr.splitlines()
+    assert done.exit_code == 2 and happened.startswith(f"dillport: {code}: ")
+    assert remedy == f"what to do: {every()[code].remedy}"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -162,11 +162,11 @@
     assert command.summary(told)["states"].get("dead") == 1 and told.view_reason
 
 
-def test_a_console_that_gives_no_view_is_one_line() -> None:
+def test_a_console_that_gives_no_view_is_said() -> None:
     runner = CliRunner()
-    for argument, line in (("127.0.0.1:1", "does not answer"), ("nowhere", "--console makes no sense")):
+    for argument, line in (("127.0.0.1:1", "CLI03: 127.0.0.1:1 does not"), ("nowhere", "CLI02: --console")):
         done = runner.invoke(app, ["fleet", "view", "--console", argument])
-        assert done.exit_code == 2 and line in done.stderr and done.stderr.count("\n") == 1
+        assert done.exit_code == 2 and line in done.stderr and done.stderr.count("\n") == 2
 
 
 async def reach(shells: list[MembershipShell], members: list[int]) -> None:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -141,7 +141,7 @@
     _, said = process.communicate(timeout=WAIT)
     assert process.returncode == (-number if number == signal.SIGKILL else 2)
     if number != signal.SIGKILL:
-        assert said.decode().splitlines()[-1] == "dillport: interrupted"
+        assert said.decode().splitlines()[-2] == "dillport: CLI01: interrupted"
     until = time.monotonic() + WAIT
     while left := [pid for pid in children if Path(f"/proc/{pid}").exists()]:
         assert time.monotonic() < until, left
@@ -155,23 +155,25 @@
         (["--set", "fleet.nodes=200", "--set", "backends.count=200", "--set", "seconds=2.0"],
          "200 nodes and 200 backends need more descriptors"),
         (["--revision", "no-such-revision"], "revision 'no-such-revision' cannot be had"),
+        (["--revision", ".+delay-soon"], "variant 'delay-soon' is none of"),
         (["--out", "/dev/null/x"], "Not a directory"),
     ],
 )  # fmt: skip
-def test_the_impossible_is_one_line_and_exit_code_2(tmp_path: Path, args: list[str], word: str) -> None:
+def test_the_impossible_is_said_and_what_to_do(tmp_path: Path, args: list[str], word: str) -> None:
     done = lab("run", file(tmp_path, CALM), "--out", str(tmp_path / "out"), *args)
     assert done.returncode == 2 and word in done.stderr and done.stdout == ""
-    assert len(done.stderr.strip().splitlines()) == 1, done.stderr
+    happened, remedy = done.stderr.splitlines()
+    assert happened.startswith("dillport: LAB") and remedy.startswith("what to do: "), done.stderr
 
 
-def test_a_disk_that_fills_up_under_the_results_is_one_line(tmp_path: Path) -> None:
+def test_a_disk_that_fills_up_under_the_results_is_said(tmp_path: Path) -> None:
     def full() -> None:
         resource.setrlimit(resource.RLIMIT_FSIZE, (4096, 4096))
 
     done = lab(
         "run", file(tmp_path, CALM), "--out", str(tmp_path / "out"), "--set", "seconds=2.0", preexec_fn=full
     )
-    assert done.returncode == 2 and "File too large" in done.stderr.strip().splitlines()[-1]
+    assert done.returncode == 2 and "File too large" in done.stderr.splitlines()[-2]
     assert not (tmp_path / "out" / "records.msgpack").exists()
 
 
