--- a/dillport/durable/records.py
+++ b/dillport/durable/records.py
@@ -99,9 +99,32 @@
 
     at: Stamp
     learned: Learned
+    rate: float = 0.0  # requests a second that the node takes; 0: not known
 
 
-Record = Out | Back | Listed | Started | Sampled
+class Flag(msgspec.Struct, frozen=True, array_like=True):
+    """A row of the register of bans and returns that the nodes of a tier share (`recovery.register`)."""
+
+    backend: str
+    node: int
+    life: int
+    seq: int
+    live: bool
+    at: float  # -inf where nobody knows
+
+    @property
+    def key(self) -> tuple[int, int, bool]:
+        """The greater one of the same backend and node wins."""
+        return self.life, self.seq, not self.live
+
+
+class Flagged(msgspec.Struct, frozen=True, tag="flags"):
+    """Rows of the register have changed."""
+
+    rows: list[Flag]
+
+
+Record = Out | Back | Listed | Started | Sampled | Flagged
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
@@ -116,6 +139,9 @@
     life: int = 0
     sampled: Sampled | None = None
     unknown: list[bytes] = []
+    # By backend and node. In a snapshot they are a record among the unknown ones, last: that is what a
+    # program from before the register passes on.
+    flags: dict[str, dict[int, Flag]] = {}
 
     def apply(self, data: bytes) -> None:
         """One more record."""
@@ -139,10 +165,45 @@
                 self.life = max(self.life, record.life)
             case Sampled():
                 self.sampled = record
+            case Flagged():
+                self._flagged(record.rows)
+                for name in {row.backend for row in record.rows}:
+                    self._follow(name)
+
+    def _flagged(self, rows: list[Flag]) -> None:
+        for row in rows:
+            held = self.flags.setdefault(row.backend, {})
+            if row.node not in held or row.key > held[row.node].key:
+                held[row.node] = row
+
+    def _follow(self, backend: str) -> None:
+        """The register's word counts as that of the operators: another start may be without the register."""
+        rows = self.flags[backend].values()
+        if any(row.live for row in rows):
+            self.out[backend] = max(0.0, min(row.at for row in rows if row.live))
+            self.back.pop(backend, None)
+        else:
+            self.out.pop(backend, None)
+            self.back[backend] = max(0.0, max(row.at for row in rows))
+
+    def resolve(self) -> None:
+        """Take records that an older program has passed on; of bans it knew by records of its own."""
+        rest = []
+        for data in self.unknown:
+            try:
+                record = _decoder.decode(data)
+            except msgspec.MsgspecError:
+                rest.append(data)
+                continue
+            if isinstance(record, Flagged):
+                self._flagged(record.rows)
+        self.unknown = rest
 
     def encode(self) -> bytes:
         """A snapshot."""
-        return msgspec.msgpack.encode(self)
+        rows = [row for held in self.flags.values() for row in held.values()]
+        more = [encode(Flagged(rows))] if rows else []
+        return msgspec.msgpack.encode(msgspec.structs.replace(self, unknown=self.unknown + more, flags={}))
 
     def forget(self, before: float) -> None:
         """Drop returns that no ramp needs any more."""
@@ -155,6 +216,7 @@
         kept = msgspec.msgpack.decode(snapshot, type=Kept) if snapshot else Kept()
     except msgspec.MsgspecError as err:
         raise RecordError(f"a snapshot is of a form this program does not know: {err}") from None
+    kept.resolve()
     for data in records:
         kept.apply(data)
     return kept
--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -50,6 +50,8 @@
         self.store: Store | None = None
         self.off = ""  # why nothing is written, and will not be; empty where it may be
         self.fenced = False
+        self.lost = False  # something that had been promised is not there any more
+        self.fresh = True  # nothing was ever kept
         self.failures = self.dropped = self.written = self.synced = 0
         self.slowest = 0.0  # s, of all syncs
         self._tried = -TRY_AGAIN
@@ -82,6 +84,7 @@
         try:
             loaded = load(self.files, self.node, whole=False)
             self.kept = total(loaded.snapshot, loaded.records)
+            self.lost, self.fresh = loaded.lost, not loaded.number and not loaded.lost
         except (StoreError, RecordError) as err:
             self._refused(str(err))
         except OSError as err:
@@ -104,13 +107,18 @@
 
     async def keep(self, record: Record) -> None:
         """Returns once the record would outlast a power cut; raises DurableError where it may not."""
-        if self.off or self._thread is None:
-            raise DurableError(self.off or "not yet open")
-        if self._queue.qsize() >= MOST_WAITING:
-            raise DurableError("too many wait for the disk")
+        await self.put(record)
+
+    def put(self, record: Record) -> asyncio.Future[None]:
+        """The same for those who do not wait here; it stands before whatever is handed over later."""
         done: asyncio.Future[None] = self._loop.create_future()
-        self._queue.put(Waiting(encode(record), done))
-        await done
+        if self.off or self._thread is None:
+            done.set_exception(DurableError(self.off or "not yet open"))
+        elif self._queue.qsize() >= MOST_WAITING:
+            done.set_exception(DurableError("too many wait for the disk"))
+        else:
+            self._queue.put(Waiting(encode(record), done))
+        return done
 
     def note(self, record: Record) -> None:
         """A record that may be lost with the power."""
--- /dev/null
+++ b/dillport/recovery/earlier.py
@@ -0,0 +1,17 @@
+"""Bans from before a node had the register, or from a time when its fleet file did without it."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from dillport.recovery.register import Row
+
+
+def calls(out: Collection[str], rows: Iterable[Row]) -> list[tuple[str, bool]]:
+    """What was called meanwhile, as (backend, whether it is out): it is called once more in the register.
+
+    `out` is who is out by all records of the disk. As every row counts there too, what differs from the rows
+    came after them.
+    """
+    live = {row.backend for row in rows if row.live}
+    return [(name, True) for name in sorted(set(out) - live)] + [(name, False) for name in sorted(live - set(out))]
--- /dev/null
+++ b/dillport/recovery/shell.py
@@ -0,0 +1,329 @@
+"""The return of one node on the tier's port, its disk and its timer. It decides nothing.
+
+Where the core fails by a defect, or its port cannot be had, the node goes on alone: nothing here may keep it
+from serving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from dillport.durable.records import Back, Flag, Flagged, Kept, Out, stamp
+from dillport.durable.shell import Durable, DurableError
+from dillport.membership.port import RECOVERY, Moved, Port
+from dillport.recovery import events
+from dillport.recovery.core import Config, Recovery
+from dillport.recovery.earlier import calls
+from dillport.recovery.phases import Path, Phase
+from dillport.recovery.register import Row
+from dillport.recovery.trust import Kind
+
+log = logging.getLogger(__name__)
+
+MARGIN = 500.0  # ms past the longest roll call, after which the node serves whatever became of the room
+SYNC = 0.6  # s that a call waits for the disk, of the 1 s that its caller waits
+
+
+class Steered(Protocol):
+    """The node, as far as its return steers it."""
+
+    def now(self) -> float:
+        """Its clock, ms."""
+
+    async def follow(self, backend: str, out: bool, since: float) -> None:
+        """Its bans follow the register; `since` is Unix time, ms, 0 where nobody knows."""
+
+    def admit(self, phase: Phase, admit: events.Admit | None) -> None:
+        """What it may put on cold backends; None: whatever it would without the room."""
+
+    def ask(self) -> None:
+        """It may call discovery."""
+
+    def restrict(self, ids: frozenset[str]) -> None:
+        """Of its saved list it avoids these, in place of any before."""
+
+
+@dataclass(slots=True)
+class Call:
+    """An operator's call that waits for its answer."""
+
+    backend: str
+    done: asyncio.Future[bool]  # whether the backend is out
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """What a process leaves to its successor."""
+
+    phase: Phase
+    path: Path
+    cold_since: float  # ms, node clock
+    rows: tuple[Row, ...]
+
+
+class CallError(Exception):
+    """The call could not be put on record, so nothing is changed."""
+
+
+class RecoveryShell:
+    """The room of one process of a node."""
+
+    def __init__(
+        self, config: Config, me: int, life: int, seed: int, port: Port, node: Steered, disk: Durable | None
+    ) -> None:
+        self.config, self.port, self.node, self.disk = config, port, node, disk
+        self.loop = asyncio.get_running_loop()
+        self.core = Recovery(config, me, len(port.peers), life, seed, node.now())
+        self.failed = False
+        self.serving = asyncio.Event()  # from the phase LISTED on
+        self._admit: events.Admit | None = None
+        self._said: tuple[Phase, events.Admit | None] = (Phase.FULL, None)
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = float("inf")
+        self._calls: dict[int, Call] = {}
+        self._token = 0
+        self._words: asyncio.Queue[tuple[events.Apply, Call | None]] = asyncio.Queue()
+        self._follower = self.loop.create_task(self._follow())
+        self._syncing: set[asyncio.Task[None]] = set()
+        port.register(RECOVERY, lambda source, data: self.tell(events.Received(source, data)))
+
+    # --- the start
+
+    def begin(self, kept: Kept) -> None:
+        """The node starts from what its disk has kept."""
+        disk = self.disk
+        rows = rows_of(kept)
+        sampled = kept.sampled
+        self.tell(events.Kept(
+            sound=disk is None or not (disk.off or disk.lost),
+            fresh_disk=disk is None or disk.fresh,
+            life=kept.life,
+            age_ms=sampled.at.age(stamp()) if sampled is not None else float("inf"),
+            rows=rows,
+            revision=kept.revision,
+            rate=sampled.rate if sampled is not None else 0.0,
+        ))  # fmt: skip
+        for backend, out in calls(kept.out, rows):
+            self._call(backend, out)
+
+    def inherit(self, left: Left) -> None:
+        """The node goes on from where the process before it was."""
+        self.tell(events.Inherited(left.phase, left.path, left.cold_since, left.rows))
+
+    async def served(self) -> None:
+        """Returns when the node may listen: the bans are learned and in force, or enough has been waited."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((self.config.ask_most + MARGIN) / 1000):
+                await self.serving.wait()
+                await self._words.join()
+        if not self.serving.is_set():
+            log.warning("recovery: no phase came in time; the node goes on alone")
+            self.serving.set()
+
+    def left(self) -> Left:
+        """For a successor."""
+        core = self.core
+        return Left(core.phase, core.path, core.cold_since, tuple(core.register.rows()))
+
+    # --- events
+
+    def tell(self, event: events.Event, call: Call | None = None) -> None:
+        """Hand an event to the core and do what it says."""
+        if self.failed:
+            return
+        try:
+            actions = self.core.handle(self.node.now(), event)
+        except Exception:  # guards the node against a defect of this room
+            log.exception("recovery: %s failed; the node goes on alone", type(event).__name__)
+            self._give_up()
+            return
+        for action in actions:
+            self._act(action, call)
+        self._steer()
+        self._arm()
+
+    def members(self, lives: Mapping[int, int], quorum: bool) -> None:
+        """Who is present, by the membership."""
+        self.tell(events.Members(lives, quorum))
+
+    def moved(self, moved: Moved) -> None:
+        """The port has another list of addresses."""
+        self.tell(events.Peers(moved.count, moved.replaced))
+
+    async def called(self, backend: str, out: bool) -> bool:
+        """An operator's call; returns whether the backend is out, once that is on record. Raises CallError."""
+        call, token = self._call(backend, out)
+        try:
+            async with asyncio.timeout(SYNC):
+                while token in self._calls:
+                    await asyncio.wait({call.done}, return_when=asyncio.FIRST_COMPLETED)
+        except TimeoutError:
+            if token in self._calls:
+                self._synced(token, False, "the disk takes too long")
+        return await call.done
+
+    def trusts(self, kind: Kind) -> bool:
+        """Whether what was kept of a kind may be used now."""
+        return not self.failed and self.core.trusts(kind)
+
+    def banned(self, backend: str) -> bool:
+        """The register's word."""
+        return self.core.register.banned(backend)
+
+    def knows(self, backend: str) -> bool:
+        """Whether the register has a word on a backend."""
+        return any(row.backend == backend for row in self.core.register.rows())
+
+    # --- actions
+
+    def _act(self, action: events.Action, call: Call | None) -> None:
+        match action:
+            case events.Tell():
+                self.port.send(action.node, action.data)
+            case events.Keep():
+                self._keep(action)
+            case events.Apply():
+                answers = call if call is not None and call.backend == action.backend else None
+                self._words.put_nowait((action, answers))
+                if self.disk is not None:  # for a start without this room
+                    at = max(0.0, action.since_ms)
+                    self.disk.note(Out(action.backend, at) if action.out else Back(action.backend, at))
+            case events.AskList():
+                self.node.ask()
+            case events.Restrict():
+                self.node.restrict(action.ids)
+            case events.Entered():
+                log.info("recovery: phase %s, path %s: %s", action.phase.name.lower(), action.path.value,
+                         action.reason)  # fmt: skip
+            case events.Admit():
+                self._admit = action
+
+    def _steer(self) -> None:
+        """Tell the node what has changed for its requests."""
+        phase = self.core.phase
+        if phase < Phase.LISTED:
+            return
+        now = (phase, None if phase is Phase.FULL else self._admit)
+        if now != self._said:
+            self._said = now
+            self.node.admit(*now)
+        self.serving.set()
+
+    def _arm(self) -> None:
+        due = self.core.due
+        if due < self._due:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._due = due
+            self._timer = self.loop.call_later(max(0.0, due - self.node.now()) / 1000, self._tick)
+
+    def _tick(self) -> None:
+        self._due, self._timer = float("inf"), None
+        self.tell(events.Tick())
+
+    def _give_up(self) -> None:
+        self.failed = True
+        for token in list(self._calls):
+            self._calls.pop(token).done.set_exception(CallError("the room of the return has failed"))
+        self.node.restrict(frozenset())
+        self.node.admit(Phase.FULL, None)
+        self.node.ask()
+        self.serving.set()
+
+    # --- the disk
+
+    def _call(self, backend: str, out: bool) -> tuple[Call, int]:
+        self._token += 1
+        token = self._token
+        call = self._calls[token] = Call(backend, self.loop.create_future())
+        call.done.add_done_callback(lambda done: done.exception())  # not every call is waited for
+        if self.failed:
+            self._calls.pop(token).done.set_exception(CallError("the room of the return has failed"))
+        else:
+            self.tell(events.Called(backend, out, self.node.now(), token))
+        return call, token
+
+    def _keep(self, action: events.Keep) -> None:
+        record = Flagged([Flag(*row) for row in action.rows])
+        if action.token is None:
+            if self.disk is not None:
+                self.disk.note(record)
+            return
+        put = self.disk.put(record) if self.disk is not None and action.rows else None
+        task = self.loop.create_task(self._sync(action.token, put))
+        self._syncing.add(task)
+        task.add_done_callback(self._syncing.discard)
+
+    async def _sync(self, token: int, put: asyncio.Future[None] | None) -> None:
+        why = ""
+        if put is not None and self.disk is not None and not self.disk.off:
+            try:
+                await put
+            except DurableError as err:
+                why = str(err)
+        elif put is not None:  # without a disk that can be used a call is answered as it would be without one
+            put.exception()
+        if token in self._calls:
+            self._synced(token, not why, why)
+
+    def _synced(self, token: int, ok: bool, why: str = "") -> None:
+        """The rows of a call are on the disk, or not; it may be that others have to be written for it."""
+        call = self._calls.pop(token)
+        if not ok:
+            call.done.set_exception(CallError(why))
+            self.tell(events.Synced(token, False))
+            return
+        self._calls[token] = call
+        before = len(self._syncing)
+        self.tell(events.Synced(token, True), call)
+        if len(self._syncing) == before and self._calls.get(token) is call:
+            del self._calls[token]  # its word is on its way to the node
+
+    async def _follow(self) -> None:
+        while True:
+            word, call = await self._words.get()
+            try:
+                await self.node.follow(word.backend, word.out, max(0.0, word.since_ms))
+            finally:
+                if call is not None and not call.done.done():
+                    call.done.set_result(word.out)
+                self._words.task_done()
+
+    # --- the end
+
+    def leave(self) -> None:
+        """The node ends, and nobody takes its place."""
+        self.tell(events.Leave())
+
+    def close(self) -> None:
+        """Fall silent."""
+        self.failed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._follower.cancel()
+        for task in list(self._syncing):
+            task.cancel()
+
+    def stats(self) -> dict[str, object]:
+        """What operators are shown."""
+        return {**self.core.stats(), "failed": self.failed}
+
+
+def rows_of(kept: Kept) -> tuple[Row, ...]:
+    """The register as the disk has it."""
+    return tuple(as_row(flag) for held in kept.flags.values() for flag in held.values())
+
+
+def as_row(flag: Flag) -> Row:
+    """One row of it."""
+    return Row(flag.backend, flag.node, flag.life, flag.seq, flag.live, flag.at)
+
+
+def as_flags(rows: Iterable[Row]) -> list[Flag]:
+    """Rows as they are kept."""
+    return [Flag(*row) for row in rows]
