Recovery: the shell of a tier's return, off unless the fleet file has [recovery]

After a power loss of all nodes each served by its own disk alone: an empty disk forgot the bans that its peers knew. A successor takes phase, path and rows over by a file in $TMPDIR. Bans from before the register are called in it at the first start. Six tests with real processes: a lost disk and two swapped ones among three, the only one that knew, a partition that heals, one crash among live peers, SIGTERM and a successor in mid-return, alone without port or disk.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Coroutine
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -89,6 +90,8 @@
     if fleet is not None:
         known, recovered = fleet.known(known), fleet.recovered()
     node.discovery = discovery = Discovery(node, config.discovery, known.revision)
+    if fleet is not None:
+        node.discovery = fleet.steer(node, discovery, known)
     front, console = Front(node, config.shares(1)[0]), Console(node)
     pair = Pair(node.meeting, partial(beside_changed, node, front, fleet))
     stop = asyncio.Event()
@@ -104,29 +107,21 @@
     if fleet is not None:
         fleet.take_over()
     node.list(known, ListKind.SAVED)
-    if recovered is not None:
+    if recovered is not None and not (fleet is not None and fleet.returning):
         node.event(recovered)
     if not config.settings.must_ask:
-        discovery.watch(True)
-    if beside:
-        logging.info("another process of this node runs: taking over")
-        share(node, front, True)
-        node.event(TakingOver())
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(node.fresh.wait(), FRESH)
-        if recovered is None:
-            loop.call_later(SOON, inherit, node)
-    gc.freeze()
-    await front.listen(config.listen, shared=config.console is not None)
-    node.listening = True
-    if front.socket is not None and config.console is not None:
-        unsteer(front.socket)
-    node.pulse(loop.time())
-    logging.info("%s serves on %s:%d", config.name, *front.address)
-    if fleet is not None and not pair.beside:
-        fleet.start()
-    await stop.wait()
-    await end(node, front, pair, fleet)
+        node.discovery.watch(True)
+    if fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside)):
+        if beside:
+            await take_place(node, front, recovered is None)
+        await listen(node, front, pair, fleet)
+        await stop.wait()
+        await end(node, front, pair, fleet)
+    else:
+        node.stopping = True
+        pair.refresh()
+        if not pair.beside:
+            fleet.leave()
     discovery.watch(False)
     node.pool.close()
     await asyncio.sleep(0.05)  # the last answers leave
@@ -138,9 +133,46 @@
     logging.info("%s ends", config.name)
 
 
+async def take_place(node: Node, front: Front, ask: bool) -> None:
+    """Another process of this node runs: be as ready as it is before both listen; `ask` it what it knows."""
+    logging.info("another process of this node runs: taking over")
+    share(node, front, True)
+    node.event(TakingOver())
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(node.fresh.wait(), FRESH)
+    if ask:
+        node.loop.call_later(SOON, inherit, node)
+
+
+async def listen(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
+    """Serve clients, and be present in the tier."""
+    gc.freeze()
+    await front.listen(node.config.listen, shared=node.config.console is not None)
+    node.listening = True
+    if front.socket is not None and node.config.console is not None:
+        unsteer(front.socket)
+    node.pulse(node.loop.time())
+    logging.info("%s serves on %s:%d", node.config.name, *front.address)
+    if fleet is not None and not pair.beside:
+        fleet.start()
+
+
+async def unless(stop: asyncio.Event, what: Coroutine[None, None, None]) -> bool:
+    """Carry it out, unless the process is to end before that; whether it was carried out."""
+    tasks = asyncio.create_task(what), asyncio.create_task(stop.wait())
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+    if tasks[0].done():
+        tasks[0].result()
+    return not stop.is_set()
+
+
 def beside_changed(node: Node, front: Front, fleet: Fleet | None, beside: bool) -> None:
     """The other process of this node has begun or ended; a successor then takes its place as a member."""
     share(node, front, beside)
+    if beside and fleet is not None and not node.stopping:
+        fleet.hand_over()
     if beside and node.listening and not node.stopping:  # a successor has come
         give(node.meeting.with_suffix(SUFFIX), node.balancer.learned(node.now()))
     if fleet is not None and not beside and node.listening and not node.stopping:
--- a/dillport/membership/shell.py
+++ b/dillport/membership/shell.py
@@ -5,8 +5,10 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from dillport.membership.core import (
+    PRESENT,
     Changed,
     Config,
     Disagreement,
@@ -65,6 +67,7 @@
         self.core: Membership | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.due = float("inf")
+        self.viewed: Callable[[dict[int, int], bool], None] = lambda lives, quorum: None
         self._lines: dict[State, list[float]] = {}
         self._unsaid = 0
         self._refuted_at = -SPAN
@@ -132,6 +135,8 @@
     def _view(self, change: ViewChanged) -> None:
         """Who is present has changed. Whether this node is of a minority now is worth a line."""
         before, self._viewed, self._viewed_at = self._viewed, change, self._now()
+        if self.core is not None:  # another room is told of it: who is present in which life
+            self.viewed({r.member: r.life for r in self.core.view.known if r.state in PRESENT}, change.quorum)
         if before is not None and before.quorum != change.quorum:
             log.info("membership: %s with %d of %d present (%s)", "more than half again" if change.quorum else
                      "a minority now", change.present, len(self.port.peers), change.reason)  # fmt: skip
--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -113,17 +113,29 @@
         try:
             async with self._locked():
                 self._refresh()  # the other process may have written since the last look
-                held = self.record
-                if out == (backend in held.out):
+                if out == (backend in self.record.out):
                     return
-                back = {k: t for k, t in held.back.items() if now - t < keep and k != backend}
-                fresh = Record(held.out | {backend}, back) if out else Record(
-                    held.out - {backend}, back | {backend: now})  # fmt: skip
+                fresh = self._changed(backend, out, now, keep)
                 self._write(fresh)
                 self._take(fresh)
         except OSError as err:
             raise BansError(str(err)) from None
 
+    async def follow(self, backend: str, out: bool, since: float, keep: float) -> None:
+        """The same on the word of the tier: where the file cannot be written it holds in this process."""
+        try:
+            await self.change(backend, out, since, keep)
+        except BansError as err:
+            self._fault(f"cannot be written: {err}")
+            self._take(self._changed(backend, out, since, keep))
+
+    def _changed(self, backend: str, out: bool, now: float, keep: float) -> Record:
+        held = self.record
+        back = {k: t for k, t in held.back.items() if now - t < keep and k != backend}
+        if out:
+            return Record(held.out | {backend}, back)
+        return Record(held.out - {backend}, back | {backend: now})
+
     @contextlib.asynccontextmanager
     async def _locked(self) -> AsyncIterator[None]:
         fd = os.open(self.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -183,3 +183,5 @@
         elif call.watch and self.wanted:
             self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
             self.wait = min(2 * self.wait, WAIT_MOST)
+        if self.node.fleet is not None and not call.done:
+            self.node.fleet.list_failed()
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -23,6 +23,8 @@
     from dillport.membership.port import Port
     from dillport.membership.shell import MembershipShell
     from dillport.net.keeping import Keeping
+    from dillport.net.node import Node, Watcher
+    from dillport.net.returning import Returning
 
 log = logging.getLogger(__name__)
 
@@ -55,11 +57,16 @@
     directory: str = ""
 
 
+class RecoveryTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """`[recovery]`: its presence switches the part on."""
+
+
 class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
     """The fleet file."""
 
     membership: MembershipTable | None = None
     durable: DurableTable | None = None
+    recovery: RecoveryTable | None = None
 
 
 def read(path: Path) -> FleetFile:
@@ -77,6 +84,8 @@
         raise FleetFileError(
             f"{VARIABLE}: membership.period-ms makes no sense: {out.membership.period_ms!r}"
         )
+    if out.recovery is not None and out.membership is None:
+        raise FleetFileError(f"{VARIABLE}: recovery: it needs [membership]")
     return out
 
 
@@ -121,6 +130,8 @@
             self.keeping = Keeping(Path(table.durable.directory), held.name)
         self.port: Port | None = None
         self.membership: MembershipShell | None = None
+        self.returning: Returning | None = None
+        self._returns = table.recovery is not None
         self._opening: asyncio.Task[None] | None = None
         if table.membership is not None:
             listen, peers, everybody = _peers(config.read(env))
@@ -134,6 +145,43 @@
             self.port = Port(listen, peers, everybody)
             self.membership = MembershipShell(times, me, self.port, held.seed, least)
 
+    def steer(self, node: Node, watcher: Watcher, known: config.News) -> Watcher:
+        """What brings the list to this node: the one given, or the room that asks it in turns.
+
+        `known` is the list to begin with.
+        """
+        if not self._returns or self.port is None or self.membership is None:
+            return watcher
+        from dillport.net.returning import Returning
+
+        disk = self.keeping.durable if self.keeping is not None else None
+        self.returning = Returning(node, watcher, known, self.port, self.membership.life, disk)
+        self.membership.viewed = self.returning.shell.members
+        return self.returning
+
+    async def returned(self, beside: bool) -> None:
+        """Returns when the node may listen, a bounded time after the start."""
+        if self.returning is not None:
+            if not beside:
+                self.start()
+            if self._opening is not None:  # else the first roll call would be lost
+                await asyncio.shield(self._opening)
+            await self.returning.returned(beside, self.recovered())
+
+    def hand_over(self) -> None:
+        """A successor has come."""
+        if self.returning is not None:
+            self.returning.hand_over()
+
+    def waiting(self) -> str:
+        """Why the node does not listen yet; empty where that is not for its rooms."""
+        return self.returning.waiting() if self.returning is not None else ""
+
+    def list_failed(self) -> None:
+        """A call of discovery has failed."""
+        if self.returning is not None:
+            self.returning.list_failed()
+
     def take_over(self) -> None:
         """Keep the node's state from here on: before a successor is ready, or when it has ended by itself."""
         if self.keeping is not None:
@@ -155,15 +203,20 @@
         """Discovery has told the list, or a change of it."""
         if self.keeping is not None:
             self.keeping.listed(news, kind)
+        if self.returning is not None:
+            self.returning.listed(news, kind)
 
     def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
         """What the module has learned may be had."""
+        rate = self.returning.pulse() if self.returning is not None else 0.0
         if self.keeping is not None:
-            self.keeping.learned(what, now)
+            self.keeping.learned(what, now, rate)
 
-    async def banned(self, backend: str, out: bool, at: float) -> None:
+    async def banned(self, backend: str, out: bool, at: float, changes: bool) -> None:
         """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
-        if self.keeping is not None:
+        if self.returning is not None:  # to be called again is news there: the call is this node's own now
+            await self.returning.banned(backend, out)
+        elif self.keeping is not None and changes:
             await self.keeping.banned(backend, out, at)
 
     def start(self) -> None:
@@ -187,6 +240,8 @@
     def _move(self, port: Port, peers: list[Address], everybody: Address) -> None:
         if (moved := port.move(peers, everybody)) is not None and self.membership is not None:
             self.membership.moved(moved)
+            if self.returning is not None:
+                self.returning.shell.moved(moved)
 
     async def _open(self, port: Port) -> None:
         try:
@@ -199,6 +254,8 @@
 
     def leave(self) -> None:
         """The node ends, and nobody takes its place."""
+        if self.returning is not None:
+            self.returning.shell.leave()
         if self.membership is not None:
             self.membership.leave()
 
@@ -206,6 +263,8 @@
         """The process ends."""
         if self._opening is not None:
             self._opening.cancel()
+        if self.returning is not None:
+            self.returning.shell.close()
         if self.membership is not None:
             self.membership.close()
         if self.port is not None:
@@ -220,6 +279,8 @@
             out["membership"] = self.membership.stats()
         if self.port is not None:
             out["port"] = self.port.stats()
+        if self.returning is not None:
+            out["recovery"] = self.returning.shell.stats()
         if self.keeping is not None:
             out["durable"] = self.keeping.durable.stats()
         return out
--- a/dillport/net/keeping.py
+++ b/dillport/net/keeping.py
@@ -46,10 +46,10 @@
         whole = kind is api.ListKind.FULL
         self.durable.note(Listed(news.revision, whole, stamp().wall, list(map(_row, news.members))))
 
-    def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
-        """Keep a sample, unless the disk is behind: the next one will do."""
+    def learned(self, what: Callable[[float], api.Learned], now: float, rate: float) -> None:
+        """Keep a sample, unless the disk is behind: the next one will do. `rate`: requests a second."""
         if self.durable.idle:
-            self.durable.note(Sampled(stamp(), what(now)))
+            self.durable.note(Sampled(stamp(), what(now), rate))
 
     async def banned(self, backend: str, out: bool, at: float) -> None:
         """Returns once the ban or the return is on disk, where there is one. Raises BansError."""
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -61,8 +61,17 @@
     def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
         """What the module has learned may be had; asked for now and then."""
 
-    async def banned(self, backend: str, out: bool, at: float) -> None:
-        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+    async def banned(self, backend: str, out: bool, at: float, changes: bool) -> None:
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError.
+
+        `changes`: whether it is another word than the one in force.
+        """
+
+    def list_failed(self) -> None:
+        """A call of discovery has ended, or came to nothing."""
+
+    def waiting(self) -> str:
+        """Why the node does not listen yet; empty where that is not for its rooms."""
 
 
 class Watcher(Protocol):
@@ -255,7 +264,9 @@
         """Why the process is not ready to serve; empty where it is."""
         if self.stopping:
             return "stopping"
-        return "" if self.up else "no backends are known" if self.listening else "starting"
+        if self.listening:
+            return "" if self.up else "no backends are known"
+        return (self.fleet.waiting() if self.fleet is not None else "") or "starting"
 
     @property
     def up(self) -> bool:
@@ -268,14 +279,14 @@
             return False
         now = self.now()
         changes = out != (backend in self.bans.record.out)
-        if self.fleet is not None and changes:
-            await self.fleet.banned(backend, out, now)
+        if self.fleet is not None:
+            await self.fleet.banned(backend, out, now, changes)
         try:
             await self.bans.change(backend, out, now, self.settings.ramp_time)
         except BansError:
             if self.fleet is not None and changes:  # the answer is no: no later process may think otherwise
                 with contextlib.suppress(BansError):
-                    await self.fleet.banned(backend, not out, now)
+                    await self.fleet.banned(backend, not out, now, changes)
             raise
         return True
 
--- /dev/null
+++ b/dillport/net/returning.py
@@ -0,0 +1,234 @@
+"""The node's return with its tier: between its own types and those of the room. It decides nothing.
+
+Imported only where the fleet file has `[recovery]`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import math
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from dillport import interface as api
+from dillport.durable.records import Kept
+from dillport.durable.shell import Durable
+from dillport.membership.port import Port
+from dillport.net.bans import BansError, write_whole
+from dillport.net.config import Member, News
+from dillport.net.figures import End
+from dillport.net.node import Node, Watcher
+from dillport.recovery import events
+from dillport.recovery.core import Config
+from dillport.recovery.phases import Path as Way
+from dillport.recovery.phases import Phase
+from dillport.recovery.register import Row
+from dillport.recovery.shell import CallError, Left, RecoveryShell
+from dillport.recovery.trust import Kind
+
+log = logging.getLogger(__name__)
+
+SUFFIX = ".return"  # of the file for a successor, beside the others by which a node's processes meet
+LOOK, SOON = 0.02, 0.5  # s between two looks for it, and for which it is looked for
+OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
+SMOOTH = 0.1  # of the rate, a second
+
+
+class Returning:
+    """The return of one process of a node; to the module it is what brings the list."""
+
+    def __init__(
+        self, node: Node, watcher: Watcher, known: News, port: Port, life: int, disk: Durable | None
+    ) -> None:
+        self.node, self.watcher, self.disk = node, watcher, disk
+        self.kept = disk.kept if disk is not None else Kept()
+        settings = node.settings
+        self.shell = RecoveryShell(
+            Config(ramp_time=settings.ramp_time), settings.me, life, node.config.seed, port, self, disk
+        )
+        self.rate = self.kept.sampled.rate if self.kept.sampled is not None else 0.0
+        self._completed: int | None = None
+        self._turn = False  # it may call discovery
+        self._wanted, self._whole = False, False  # what the module wants of it
+        self._fresh = False  # discovery has told the list
+        self._saved = replace(known, members=tuple(map(_copy, known.members)))
+        self._list = {m.entry.backend: m for m in self._saved.members}
+        self._restricted: frozenset[str] = frozenset()
+
+    # --- the start
+
+    async def returned(self, beside: bool, recovered: api.Recovered | None) -> None:
+        """Returns when the node may listen."""
+        self.shell.tell(events.SavedIds(tuple(self._list)))
+        left = await self._inherited() if beside else None
+        if beside:
+            # A predecessor from before the room is one that has served: nothing is cold.
+            self.shell.inherit(left or Left(Phase.FULL, Way.UPGRADE, -math.inf, ()))
+            if left is None:
+                self.shell.begin(self.kept)
+        else:
+            self.shell.begin(self.kept)
+        await self.shell.served()
+        if not beside:
+            await self._reconcile()
+        if recovered is not None and self.shell.trusts(Kind.LEARNED):
+            self.node.event(recovered)
+
+    async def _reconcile(self) -> None:
+        """Bans that stand in `$TMPDIR` alone: a disk that holds has the last word, else they are taken up."""
+        holds = self.disk is not None and not (self.disk.off or self.disk.lost or self.disk.fresh)
+        for backend in sorted(self.node.bans.record.out):
+            if self.shell.banned(backend):
+                continue
+            if holds or self.shell.knows(backend):
+                await self.follow(backend, False, 0.0)
+            else:
+                with contextlib.suppress(CallError):
+                    await self.shell.called(backend, True)
+
+    async def _inherited(self) -> Left | None:
+        """What the predecessor leaves, once it has seen this process."""
+        path = self.node.meeting.with_suffix(SUFFIX)
+        until = self.node.loop.time() + SOON
+        while (left := take(path, self._clock())) is None and self.node.loop.time() < until:
+            await asyncio.sleep(LOOK)
+        return left
+
+    def hand_over(self) -> None:
+        """A successor has come."""
+        give(self.node.meeting.with_suffix(SUFFIX), self.shell.left(), self._clock())
+
+    def _clock(self) -> float:
+        """The node's clock where the system's monotonic one is 0: that one all processes share."""
+        return self.now() - time.monotonic() * 1000
+
+    # --- what steers the node
+
+    def now(self) -> float:
+        """The node's clock, ms."""
+        return self.node.now()
+
+    async def follow(self, backend: str, out: bool, since: float) -> None:
+        """The bans follow the register, in both processes of an upgrade."""
+        await self.node.bans.follow(backend, out, since, self.node.settings.ramp_time)
+
+    def admit(self, phase: Phase, admit: events.Admit | None) -> None:
+        """Kept for the module until it takes such an event."""
+        self.admitted = phase, admit
+
+    def ask(self) -> None:
+        """Discovery may be called."""
+        self._turn = True
+        if self._wanted:
+            self.watcher.watch(True)
+        if self._whole:
+            self._whole = False
+            self.watcher.fetch()
+
+    def restrict(self, ids: frozenset[str]) -> None:
+        """The saved list anew, with these as leaving; once discovery has told one, what that did not name."""
+        before, self._restricted = self._restricted, ids
+        if not self._fresh:
+            drained = [
+                replace(m, entry=replace(m.entry, phase=api.Phase.DRAINING))
+                if m.entry.backend in ids else _copy(m) for m in self._saved.members
+            ]  # fmt: skip
+            self.node.list(News(self._saved.revision, True, tuple(drained)), api.ListKind.SAVED)
+        elif again := [_copy(m) for name, m in self._list.items() if name in before - ids]:
+            self.node.list(News(self._saved.revision, False, tuple(again)), api.ListKind.CHANGES)
+
+    # --- what brings the list
+
+    def watch(self, on: bool) -> None:
+        """The module wants the watch, or no more of it: it is held until this node's turn."""
+        self._wanted = on
+        if self._turn or not on:
+            self.watcher.watch(on)
+
+    def fetch(self) -> None:
+        """The module wants the whole list."""
+        if self._turn:
+            self.watcher.fetch()
+        else:
+            self._whole = True
+
+    def list_failed(self) -> None:
+        """A call has failed: the next one waits for the next turn, until the list has been told."""
+        if not self._fresh and self._turn and not self.shell.failed:
+            self._turn = False
+            self.watcher.watch(False)
+            self.shell.tell(events.ListFailed())
+
+    def listed(self, news: News, kind: api.ListKind) -> None:
+        """Discovery has told the list, or a change of it."""
+        if kind is api.ListKind.FULL:
+            self._list, self._restricted = {}, frozenset()
+        self._fresh = True
+        self._saved = replace(self._saved, revision=news.revision)
+        self._list |= {m.entry.backend: _copy(m) for m in news.members}
+        self._restricted -= {m.entry.backend for m in news.members}
+        up = [m.entry for m in self._list.values() if m.entry.phase is api.Phase.UP]
+        starts = tuple(entry.started_at for entry in up)
+        self.shell.tell(events.Listed(news.revision, starts, tuple(entry.backend for entry in up)))
+
+    # --- for the operators
+
+    async def banned(self, backend: str, out: bool) -> None:
+        """Returns once a call is on record and in force. Raises BansError."""
+        try:
+            held = await self.shell.called(backend, out)
+        except CallError as err:
+            raise BansError(str(err)) from None
+        if held != out:
+            raise BansError("a peer has said otherwise at the same time")
+
+    def waiting(self) -> str:
+        """Why the node does not listen yet."""
+        return f"recovering: {self.shell.core.phase.name.lower()}"
+
+    def pulse(self) -> float:
+        """Once a second: the requests a second that it carries when warm; 0: not known."""
+        total = self.node.figures.ends[End.COMPLETED].total()
+        before, self._completed = self._completed, total
+        if before is not None and self.shell.core.phase is Phase.FULL:
+            self.rate += SMOOTH * (total - before - self.rate)
+        return self.rate
+
+
+def _copy(member: Member) -> Member:
+    """The module changes the entries that it is given."""
+    return replace(member, entry=replace(member.entry))
+
+
+def give(path: Path, left: Left, clock: float) -> None:
+    """Leave it for the successor; a file that cannot be written is left out."""
+    table = {"clock": clock, "at": time.time() * 1000, "phase": int(left.phase), "path": left.path.value,
+             "cold_since": left.cold_since, "rows": left.rows}  # fmt: skip
+    try:
+        write_whole(path, json.dumps(table))
+    except OSError as err:
+        log.info("recovery: %s", err)
+
+
+def take(path: Path, clock: float) -> Left | None:
+    """What the predecessor has left, on this process's clock; None where there is nothing of use."""
+    try:
+        raw: Any = json.loads(path.read_text("utf-8"))
+        path.unlink()
+        shift, age = clock - float(raw["clock"]), time.time() * 1000 - float(raw["at"])
+        rows = tuple(
+            Row(str(name), int(node), int(life), int(seq), bool(live), float(at) + shift)
+            for name, node, life, seq, live, at in raw["rows"]
+        )
+        left = Left(Phase(raw["phase"]), Way(raw["path"]), float(raw["cold_since"]) + shift, rows)
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError, KeyError, TypeError, RecursionError) as err:
+        log.info("recovery: %s cannot be read: %.200s", path.name, err)
+        return None
+    return left if 0 <= age <= OLDEST else None
--- a/dillport/recovery/earlier.py
+++ b/dillport/recovery/earlier.py
@@ -14,4 +14,4 @@
     came after them.
     """
     live = {row.backend for row in rows if row.live}
-    return [(name, True) for name in sorted(set(out) - live)] + [(name, False) for name in sorted(live - set(out))]
+    return [(name, name not in live) for name in sorted(live.symmetric_difference(out))]
--- a/dillport/recovery/shell.py
+++ b/dillport/recovery/shell.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -54,6 +54,8 @@
 
     backend: str
     done: asyncio.Future[bool]  # whether the backend is out
+    waits: bool = False  # for the disk
+    told: bool = False  # its word is on its way to the node
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,14 +158,13 @@
         self.tell(events.Peers(moved.count, moved.replaced))
 
     async def called(self, backend: str, out: bool) -> bool:
-        """An operator's call; returns whether the backend is out, once that is on record. Raises CallError."""
+        """An operator's call; whether the backend is out, once that is on record. Raises CallError."""
         call, token = self._call(backend, out)
         try:
             async with asyncio.timeout(SYNC):
-                while token in self._calls:
-                    await asyncio.wait({call.done}, return_when=asyncio.FIRST_COMPLETED)
+                return await asyncio.shield(call.done)
         except TimeoutError:
-            if token in self._calls:
+            if call.waits:
                 self._synced(token, False, "the disk takes too long")
         return await call.done
 
@@ -189,6 +190,8 @@
                 self._keep(action)
             case events.Apply():
                 answers = call if call is not None and call.backend == action.backend else None
+                if answers is not None:
+                    answers.told = True
                 self._words.put_nowait((action, answers))
                 if self.disk is not None:  # for a start without this room
                     at = max(0.0, action.since_ms)
@@ -249,11 +252,13 @@
         return call, token
 
     def _keep(self, action: events.Keep) -> None:
-        record = Flagged([Flag(*row) for row in action.rows])
+        record = Flagged([Flag(r.backend, r.node, r.life, r.seq, r.live, r.at) for r in action.rows])
         if action.token is None:
             if self.disk is not None:
                 self.disk.note(record)
             return
+        if (call := self._calls.get(action.token)) is not None:
+            call.waits = True
         put = self.disk.put(record) if self.disk is not None and action.rows else None
         task = self.loop.create_task(self._sync(action.token, put))
         self._syncing.add(task)
@@ -273,16 +278,16 @@
 
     def _synced(self, token: int, ok: bool, why: str = "") -> None:
         """The rows of a call are on the disk, or not; it may be that others have to be written for it."""
-        call = self._calls.pop(token)
-        if not ok:
-            call.done.set_exception(CallError(why))
-            self.tell(events.Synced(token, False))
+        call = self._calls[token]
+        call.waits = False
+        self.tell(events.Synced(token, ok), call)
+        if call.waits:
             return
-        self._calls[token] = call
-        before = len(self._syncing)
-        self.tell(events.Synced(token, True), call)
-        if len(self._syncing) == before and self._calls.get(token) is call:
-            del self._calls[token]  # its word is on its way to the node
+        self._calls.pop(token, None)
+        if not ok and not call.done.done():
+            call.done.set_exception(CallError(why))
+        elif not call.told and not call.done.done():
+            call.done.set_result(self.banned(call.backend))
 
     async def _follow(self) -> None:
         while True:
@@ -316,14 +321,5 @@
 
 def rows_of(kept: Kept) -> tuple[Row, ...]:
     """The register as the disk has it."""
-    return tuple(as_row(flag) for held in kept.flags.values() for flag in held.values())
-
-
-def as_row(flag: Flag) -> Row:
-    """One row of it."""
-    return Row(flag.backend, flag.node, flag.life, flag.seq, flag.live, flag.at)
-
-
-def as_flags(rows: Iterable[Row]) -> list[Flag]:
-    """Rows as they are kept."""
-    return [Flag(*row) for row in rows]
+    flags = (flag for held in kept.flags.values() for flag in held.values())
+    return tuple(Row(f.backend, f.node, f.life, f.seq, f.live, f.at) for f in flags)
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,7 +19,20 @@
 from dillport.cli.app import app
 from dillport.durable import frames, store
 from dillport.durable.files import File, RealFiles
-from dillport.durable.records import Back, Kept, Listed, Out, Row, Sampled, Stamp, Started, encode, total
+from dillport.durable.records import (
+    Back,
+    Flag,
+    Flagged,
+    Kept,
+    Listed,
+    Out,
+    Row,
+    Sampled,
+    Stamp,
+    Started,
+    encode,
+    total,
+)
 from dillport.durable.shell import Durable, DurableError
 from dillport.durable.store import Fenced, Store, StoreError, load
 from dillport.interface import Learned
@@ -315,8 +329,10 @@
 names = st.sampled_from(["a", "b", "c"])
 rows = st.builds(Row, names, st.just("127.0.0.1"), st.integers(1, 65535), names, names, st.integers(-1, 5),
                  st.floats(0, 10), st.sampled_from(["up", "draining", "gone"]), times)  # fmt: skip
+flags = st.builds(Flag, names, st.integers(0, 2), st.integers(0, 3), st.integers(0, 3), st.booleans(), times)
 kinds = (
     st.builds(Out, names, times)
+    | st.builds(Flagged, st.lists(flags, max_size=3))
     | st.builds(Back, names, times)
     | st.builds(Listed, st.integers(0, 9), st.booleans(), times, st.lists(rows, max_size=3))
     | st.builds(Started, st.integers(0, 2**32), times)
@@ -338,6 +354,18 @@
     assert kept.unknown == [strange] and kept.out == {}
 
 
+def test_rows_of_the_register_count_as_bans_and_come_through_a_program_that_does_not_know_them() -> None:
+    banned = Flagged([Flag("a", 0, 7, 1, True, 5.0), Flag("a", 1, 7, 1, False, 6.0)])
+    late = Flagged([Flag("a", 1, 6, 9, True, 4.0)])  # from before node 1's last word
+    kept = total(None, [encode(Back("a", 1.0)), encode(banned), encode(late)])
+    assert kept.out == {"a": 5.0} and kept.back == {} and not kept.flags["a"][1].live
+    older = msgspec.msgpack.decode(kept.encode())[:8]  # the fields that it had
+    again = total(msgspec.msgpack.encode(older), [])
+    assert again == kept and not again.unknown
+    back = total(kept.encode(), [encode(Flagged([Flag("a", 0, 7, 1, False, 8.0)]))])
+    assert back.out == {} and back.back == {"a": 8.0}
+
+
 @pytest.mark.parametrize(
     ("now", "age"),
     [
--- /dev/null
+++ b/tests/test_fleet_recovery.py
@@ -0,0 +1,256 @@
+"""Tiers of real processes that lose their power, with faults between them, and what they know afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import shutil
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.lab.places import Block, text
+from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, spawn, started
+from tests.test_console import CONSOLE
+from tests.test_node import run
+
+BACKENDS = ["b0", "b1", "b2", "b3"]
+
+
+@dataclass
+class Tier:
+    """Some nodes, each with discovery, disk and `$TMPDIR` of its own, and the datagrams between them."""
+
+    folder: Path
+    count: int
+    block: Block
+    backends: list[Backend] = field(default_factory=lambda: [Backend(name) for name in BACKENDS])
+    discovery: list[FakeDiscovery] = field(default_factory=list)
+    cut: set[frozenset[int]] = field(default_factory=set)  # pairs between which nothing gets through
+    starts: int = 0
+    sockets: dict[tuple[int, int], socket.socket] = field(default_factory=dict)
+
+    async def prepare(self) -> None:
+        """Everything but the nodes."""
+        places, loop = self.block.places, asyncio.get_running_loop()
+        for backend in self.backends:
+            await backend.start()
+        for near in range(self.count):
+            self.discovery.append(FakeDiscovery())
+            await self.discovery[near].start()
+            for far in range(self.count):
+                sock = self.sockets[near, far] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                sock.setblocking(False)
+                sock.bind(places.relay(near, far))
+                loop.add_reader(sock, self._pass, near, far)
+            self.write(near)
+
+    def write(self, node: int) -> None:
+        """A node's files."""
+        places, home = self.block.places, self.home(node)
+        home.mkdir(exist_ok=True)
+        table = configuration([b.member() for b in self.backends], self.discovery[node].port,
+                              console=CONSOLE, me=node)  # fmt: skip
+        table |= {"name": f"n{node}", "seed": f"{node + 1:016x}", "peer_listen": text(places.peer(node)),
+                  "peers": [text(places.relay(node, far)) for far in range(self.count)],
+                  "peers_all": text(places.relay(node, node))}  # fmt: skip
+        (home / "config.json").write_text(json.dumps(table))
+        state = json.dumps(str(home / "state"))
+        (home / "fleet.toml").write_text(
+            f"[membership]\nperiod-ms = 100\n[recovery]\n[durable]\ndirectory = {state}\n"
+        )
+
+    def home(self, node: int) -> Path:
+        """A node's directory."""
+        return self.folder / f"n{node}"
+
+    def _pass(self, near: int, far: int) -> None:
+        with contextlib.suppress(OSError):
+            data = self.sockets[near, far].recv(512)
+            for to in [far] if far != near else set(range(self.count)) - {near}:
+                if frozenset({near, to}) not in self.cut:
+                    self.sockets[to, near].sendto(data, self.block.places.peer(to))
+
+    def split(self, *nodes: int) -> None:
+        """Nothing gets through between these and the others."""
+        others = set(range(self.count)) - set(nodes)
+        self.cut = {frozenset({a, b}) for a in nodes for b in others}
+
+    def env(self, node: int, fresh_tmp: bool = True) -> dict[str, str]:
+        """For a process of a node; what `$TMPDIR` held before is gone, unless told otherwise."""
+        self.starts += fresh_tmp
+        tmp = self.home(node) / f"tmp-{self.starts}"
+        tmp.mkdir(exist_ok=True)
+        return {"TMPDIR": str(tmp), "PROXY_FLEET": str(self.home(node) / "fleet.toml")}
+
+    def up(self, node: int, fresh_tmp: bool = True) -> contextlib.AbstractAsyncContextManager[Rig]:
+        """A process of a node, from when it serves."""
+        path = self.home(node) / "config.json"
+        return started(path, self.discovery[node], **self.env(node, fresh_tmp))
+
+    @contextlib.asynccontextmanager
+    async def powered(self, *nodes: int) -> AsyncIterator[list[Rig]]:
+        """These nodes at once; at the end all lose their power."""
+        async with contextlib.AsyncExitStack() as stack:
+            begin = [stack.enter_async_context(self.up(n)) for n in nodes or range(self.count)]
+            rigs = await asyncio.gather(*begin)
+            yield rigs
+            for rig in rigs:
+                if rig.process.returncode is None:
+                    rig.process.kill()
+
+    async def tell(self, node: int) -> None:
+        """Discovery answers a node's call with the whole list."""
+        await asyncio.wait_for(self.discovery[node].asked.get(), WAIT)
+        self.discovery[node].news(50, *[b.member() for b in self.backends], complete=True)
+
+    def close(self) -> None:
+        """The end of all."""
+        for sock in self.sockets.values():
+            asyncio.get_running_loop().remove_reader(sock)
+            sock.close()
+        for discovery in self.discovery:
+            assert discovery.server is not None
+            discovery.server.close()
+        for backend in self.backends:
+            backend.stop()
+        self.block.close()
+
+
+def tier(test: Callable[[Tier], Awaitable[None]], folder: Path, count: int = 3) -> None:
+    """Run a test on a tier."""
+
+    async def body() -> None:
+        one = Tier(folder, count, Block(count, 1))
+        try:
+            await one.prepare()
+            await test(one)
+        finally:
+            one.close()
+
+    run(body)
+
+
+async def recovery(rig: Rig) -> dict[str, Any]:
+    """What a node says of its return."""
+    out: dict[str, Any] = (await rig.stats())["fleet"]["recovery"]
+    return out
+
+
+async def served(rig: Rig, requests: int = 24) -> set[str]:
+    """The backends that answer a client of the node."""
+    client = await rig.client()
+    return {(await client.ask("/read")).body.split()[0].decode() for _ in range(requests)}
+
+
+async def ban(rig: Rig, backend: str = "b1") -> None:
+    """An operator takes it out, and is told yes."""
+    assert (await rig.call(f"/backends/{backend}/maint", "POST")).code == 200
+
+
+def test_a_ban_outlasts_the_power_of_all_and_a_lost_and_two_swapped_disks(tmp_path: Path) -> None:
+    async def test(one: Tier) -> None:
+        async with one.powered() as rigs:
+            await ban(rigs[0])
+            for rig in rigs[1:]:
+                await rig.logged("maintenance: b1 is out")
+            assert [(await recovery(rig))["bans"] for rig in rigs] == [1, 1, 1]
+        shutil.rmtree(one.home(1) / "state")
+        async with one.powered() as rigs:
+            for rig in rigs:
+                assert "b1" not in await served(rig)
+            assert "nothing was kept" in "".join(rigs[1].log)
+            assert (await recovery(rigs[1]))["path"] == "power"
+        (one.home(0) / "state").rename(tmp_path / "moved")
+        (one.home(1) / "state").rename(one.home(0) / "state")
+        (tmp_path / "moved").rename(one.home(1) / "state")
+        async with one.powered() as rigs:
+            for rig in rigs:
+                assert "b1" not in await served(rig)
+            assert "the disk is not sound" in "".join(rigs[0].log + rigs[1].log)
+            assert (await rigs[2].call("/backends/b1/ready", "POST")).code == 200
+            await rigs[0].logged("maintenance: b1 is back")
+
+    tier(test, tmp_path)
+
+
+def test_what_only_one_node_knew_is_lost_with_it_and_a_partition_heals(tmp_path: Path) -> None:
+    async def test(one: Tier) -> None:
+        async with one.powered() as rigs:
+            one.split(0)
+            await ban(rigs[0])
+        one.cut = set()
+        async with one.powered(1, 2) as rigs:  # the others say so by serving: see docs/fleet-recovery.md
+            assert "b1" in await served(rigs[0], 100)
+            async with one.up(0) as late:
+                assert "b1" not in await served(late)
+                for rig in rigs:
+                    await rig.logged("maintenance: b1 is out")
+                one.split(2)
+                assert (await late.call("/backends/b1/ready", "POST")).code == 200
+                await rigs[0].logged("maintenance: b1 is back")
+                await ban(rigs[1])  # on the other side: ends in the ban
+                one.cut = set()
+                await rigs[0].logged("maintenance: b1 is out")
+                await late.logged("maintenance: b1 is out")
+
+    tier(test, tmp_path)
+
+
+def test_one_crash_among_live_peers_is_told_and_leaves_no_phase_to_wait_in(tmp_path: Path) -> None:
+    async def test(one: Tier) -> None:
+        async with one.powered() as rigs:
+            for node, rig in enumerate(rigs):
+                await one.tell(node)
+                await rig.logged("phase full")
+            await ban(rigs[0], "b2")
+            rigs[2].process.kill()
+            async with one.up(2) as again:
+                assert any("phase full, path crash" in line for line in again.log)
+                assert "b2" not in await served(again)
+
+    tier(test, tmp_path)
+
+
+def test_an_end_and_a_successor_in_the_midst_of_a_return(tmp_path: Path) -> None:
+    async def test(one: Tier) -> None:
+        process = await spawn(one.home(0) / "config.json", **one.env(0))
+        rig = Rig(process, 0, one.discovery[0], [], one.home(0))
+        await rig.logged("phase ask")
+        rig.terminate()
+        assert await rig.end() == 0 and not any("serves on" in line for line in rig.log)
+        async with one.up(0) as old:
+            await ban(old)
+            assert (await recovery(old))["phase"] == "listed"
+            await one.discovery[0].asked.get()
+            answer = asyncio.create_task(one.tell(0))
+            async with one.up(0, fresh_tmp=False) as new:
+                await answer
+                lines = "".join(new.log)
+                assert "phase listed, path upgrade" in lines and (await recovery(new))["bans"] == 1
+                old.terminate()
+                assert await old.end() == 0
+                await new.logged("membership: node 0")
+
+    tier(test, tmp_path, 2)
+
+
+@pytest.mark.parametrize("name", ["peers", "disk"])
+def test_nothing_keeps_a_node_from_serving_alone(tmp_path: Path, name: str) -> None:
+    async def test(one: Tier) -> None:
+        if name == "disk":
+            (one.home(0) / "state").write_text("no directory")
+        else:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(one.block.places.peer(0))
+        async with one.up(0) as rig:
+            assert (await recovery(rig))["path"] == "alone" and await served(rig)
+            await ban(rig)
+            assert "b1" not in await served(rig)
+
+    tier(test, tmp_path, 2)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -165,7 +165,7 @@
 
 
 def test_nothing_of_a_room_is_imported_that_the_fleet_file_does_not_name() -> None:
-    rooms = ("durable", "membership", "lab", "sim", "cli")
+    rooms = ("durable", "membership", "recovery", "lab", "sim", "cli")
     code = f"import sys, dillport.net.fleet; print([m for m in sys.modules if m.split('.')[1:2] and " \
            f"m.split('.')[1] in {rooms}], 'google_crc32c' in sys.modules)"  # fmt: skip
     done = subprocess.run([sys.executable, "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
