--- a/dillport/membership/port.py
+++ b/dillport/membership/port.py
@@ -17,6 +17,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from dillport.errors import DillportError
+
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
@@ -27,6 +29,13 @@
 MOST = 100.0  # datagrams a second, and as many at once; membership alone usually sends 2.9
 
 
+class SocketError(DillportError):
+    """The socket between nodes cannot be had."""
+
+    code = "MEM01"
+    remedy = "see who has the address of peer_listen (ss -lunp) and end that, then start the node again"
+
+
 @dataclass(slots=True, frozen=True)
 class Moved:
     """What another list of addresses brings: how many nodes, and at which numbers others are at home now."""
@@ -57,14 +66,14 @@
         return self.transport is not None and not self.transport.is_closing()
 
     async def bind(self) -> None:
-        """Listen. Raises OSError."""
+        """Listen. Raises SocketError."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_CLOEXEC)
         try:
             sock.setblocking(False)
             sock.bind(self.listen)
-        except OSError:
+        except OSError as err:
             sock.close()
-            raise
+            raise SocketError(f"{self.listen[0]}:{self.listen[1]}: {err}") from None
         self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, sock=sock)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -18,8 +18,9 @@
 from dillport import interface as api
 from dillport.durable.records import Kept
 from dillport.durable.shell import Durable
+from dillport.errors import DillportError
 from dillport.membership.port import Port
-from dillport.net.bans import BansError, write_whole
+from dillport.net.bans import write_whole
 from dillport.net.config import Member, News
 from dillport.net.figures import End
 from dillport.net.node import Node, Watcher
@@ -81,14 +82,14 @@
 
     async def _reconcile(self) -> None:
         """Bans that stand in `$TMPDIR` alone: a disk that holds has the last word, else they are taken up."""
-        holds = self.disk is not None and not (self.disk.off or self.disk.lost or self.disk.fresh)
+        holds = self.disk is not None and self.disk.off is None and not (self.disk.lost or self.disk.fresh)
         for backend in sorted(self.node.bans.record.out):
             if self.shell.banned(backend):
                 continue
             if holds or self.shell.knows(backend):
                 await self.follow(backend, False, 0.0)
             else:
-                with contextlib.suppress(CallError):
+                with contextlib.suppress(DillportError):
                     await self.shell.called(backend, True)
 
     async def _inherited(self) -> Left | None:
@@ -179,13 +180,9 @@
     # --- for the operators
 
     async def banned(self, backend: str, out: bool) -> None:
-        """Returns once a call is on record and in force. Raises BansError."""
-        try:
-            held = await self.shell.called(backend, out)
-        except CallError as err:
-            raise BansError(str(err)) from None
-        if held != out:
-            raise BansError("a peer has said otherwise at the same time")
+        """Returns once a call is on record and in force. Raises DillportError."""
+        if await self.shell.called(backend, out) != out:
+            raise CallError("at another node it was taken out at the same time")
 
     def waiting(self) -> str:
         """Why the node does not listen yet."""
--- a/dillport/recovery/shell.py
+++ b/dillport/recovery/shell.py
@@ -14,7 +14,8 @@
 from typing import Protocol
 
 from dillport.durable.records import Back, Flag, Flagged, Kept, Out, stamp
-from dillport.durable.shell import Durable, DurableError
+from dillport.durable.shell import Durable
+from dillport.errors import DillportError
 from dillport.membership.port import RECOVERY, Moved, Port
 from dillport.recovery import events
 from dillport.recovery.core import Config, Recovery
@@ -68,8 +69,11 @@
     rows: tuple[Row, ...]
 
 
-class CallError(Exception):
-    """The call could not be put on record, so nothing is changed."""
+class CallError(DillportError):
+    """A call could not be put on the record that the tier shares, so nothing is changed."""
+
+    code = "RCV01"
+    remedy = "call again; where it stays so, see the log of this node and the disk of durable.directory"
 
 
 class RecoveryShell:
@@ -102,7 +106,7 @@
         rows = rows_of(kept)
         sampled = kept.sampled
         self.tell(events.Kept(
-            sound=disk is None or not (disk.off or disk.lost),
+            sound=disk is None or (disk.off is None and not disk.lost),
             fresh_disk=disk is None or disk.fresh,
             life=kept.life,
             age_ms=sampled.at.age(stamp()) if sampled is not None else float("inf"),
@@ -158,14 +162,14 @@
         self.tell(events.Peers(moved.count, moved.replaced))
 
     async def called(self, backend: str, out: bool) -> bool:
-        """An operator's call; whether the backend is out, once that is on record. Raises CallError."""
+        """An operator's call; whether the backend is out, once that is on record. Raises DillportError."""
         call, token = self._call(backend, out)
         try:
             async with asyncio.timeout(SYNC):
                 return await asyncio.shield(call.done)
         except TimeoutError:
             if call.waits:
-                self._synced(token, False, "the disk takes too long")
+                self._synced(token, CallError("the disk takes too long"))
         return await call.done
 
     def trusts(self, kind: Kind) -> bool:
@@ -265,27 +269,27 @@
         task.add_done_callback(self._syncing.discard)
 
     async def _sync(self, token: int, put: asyncio.Future[None] | None) -> None:
-        why = ""
-        if put is not None and self.disk is not None and not self.disk.off:
+        why: DillportError | None = None
+        if put is not None and self.disk is not None and self.disk.off is None:
             try:
                 await put
-            except DurableError as err:
-                why = str(err)
+            except DillportError as err:
+                why = err
         elif put is not None:  # without a disk that can be used a call is answered as it would be without one
             put.exception()
         if token in self._calls:
-            self._synced(token, not why, why)
+            self._synced(token, why)
 
-    def _synced(self, token: int, ok: bool, why: str = "") -> None:
+    def _synced(self, token: int, why: DillportError | None) -> None:
         """The rows of a call are on the disk, or not; it may be that others have to be written for it."""
         call = self._calls[token]
         call.waits = False
-        self.tell(events.Synced(token, ok), call)
+        self.tell(events.Synced(token, why is None), call)
         if call.waits:
             return
         self._calls.pop(token, None)
-        if not ok and not call.done.done():
-            call.done.set_exception(CallError(why))
+        if why is not None and not call.done.done():
+            call.done.set_exception(why)
         elif not call.told and not call.done.done():
             call.done.set_result(self.banned(call.backend))
 
