--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -254,6 +254,9 @@
     seeds: Annotated[int, typer.Option(min=2, max=100, help="Each is played by both.")] = FEWEST,
     first_seed: Annotated[int, typer.Option(min=0)] = 1,
     sets: Sets = None,
+    sets_b: Annotated[
+        list[str] | None, typer.Option("--set-b", help="KEY=VALUE for B alone, as --set. Repeatable.")
+    ] = None,
     more: Annotated[list[str] | None, typer.Option("--figure", help="Judge this, too. Repeatable.")] = None,
     as_json: AsJson = False,
 ) -> None:
@@ -261,7 +264,8 @@
     from dillport.lab.compare import compare, compare_page
     from dillport.lab.compare import table as rows_of
 
-    spec = experiment_of(experiment, sets)
+    specs = (experiment_of(experiment, sets), experiment_of(experiment, [*(sets or ()), *(sets_b or ())]))
+    spec = specs[0]
     programs = (program(a), program(b))
     values: tuple[list[dict[str, float]], list[dict[str, float]]] = ([], [])
     with one_line():
@@ -271,7 +275,7 @@
                 # Who plays first changes from seed to seed: a machine that drifts favours neither.
                 for side in ((0, 1), (1, 0))[seed % 2]:
                     folder = out / f"{'ab'[side]}-{seed}"
-                    _, done = run_once(spec, seed, programs[side], folder)
+                    _, done = run_once(specs[side], seed, programs[side], folder)
                     if done["void"]:
                         raise stop(f"seed {seed}, {programs[side].label}: the rig was late; see {folder}")
                     values[side].append(done["figures"])
@@ -281,7 +285,7 @@
             if not all(name in figures for side in values for figures in side):
                 raise stop(f"--figure {name}: not all runs have that figure; see {out}")
         found = compare(*values, judged)
-        names = (programs[0].label, programs[1].label)
+        names = (programs[0].label, " ".join([programs[1].label, *(sets_b or ())]))
         result = {"experiment": spec.name, "a": names[0], "b": names[1], "seeds": seeds,
                   "differences": rows_of(found)}  # fmt: skip
         (out / "compare.json").write_text(json.dumps(result, indent=1) + "\n", "utf-8")
--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -15,11 +15,13 @@
 from dillport.lab import records
 from dillport.lab.judge import RULES, Judgement
 from dillport.lab.model.client import End
-from dillport.lab.returning import returning
+from dillport.lab.returning import forgotten, returning
 from dillport.lab.spec import Expect, Experiment, Link, Power, Stall, choose
 from dillport.lab.timeline import over
 
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
+STARVED = 1.0  # s within STRETCH that a node that runs could not run, from which on a run is void
+STRETCH, SETTLED = 2.0, 3.0  # s; from a process's start until it is looked at: many start at once
 HIGHEST = 60_000_000  # us that a latency can have in the histogram
 RECOVERED = 0.95  # of the goodput before the first fault
 KNOWN_BY = 10_000.0  # ms within which a death has to be known
@@ -178,6 +180,8 @@
             out["member_agreed_s"] = agreed_s
     if any(isinstance(f, Power) for f in spec.faults):
         out |= returning(spec, seed, seen, [(w.intended, w.worth, w.got) for w in done])
+    if seen.bans:
+        out["forgotten_bans"] = float(forgotten(spec, seen))
     recovery = _recovery(spec, line)
     if recovery is not None:
         out["recovery_s"] = recovery
@@ -232,10 +236,25 @@
         "node_cpu_us_per_try": 1e6 * spent / (len(seen.tries) or 1),
         "node_rss_mb_max": max((s.rss_mb for s in seen.samples), default=0.0),
         "node_descriptors_max": float(max((s.descriptors for s in seen.samples), default=0)),
+        "node_waited_s_max": waited(seen),
         "node_ready_ms_max": max((x.ready - x.started for x in seen.lives if x.ready), default=0.0),
     }
 
 
+def waited(seen: records.Seen) -> float:
+    """The most seconds within `STRETCH` that a process of a node could have run and had no core."""
+    by_process: dict[tuple[int, int], list[records.Sample]] = defaultdict(list)
+    for sample in sorted(seen.samples, key=lambda s: s.at):
+        by_process[sample.node, sample.process].append(sample)
+    most = 0.0
+    for life in seen.lives:
+        held = [s for s in by_process[life.node, life.process] if s.at >= life.started + SETTLED * 1000]
+        for first in held:
+            last = [s for s in held if first.at <= s.at <= first.at + STRETCH * 1000][-1]
+            most = max(most, last.waited_s - first.waited_s)
+    return most
+
+
 def flaky(spec: Experiment) -> set[int]:
     """Nodes that stall, or that lose half or more of what they say to all: no healthy ones."""
     out: set[int] = set()
@@ -336,7 +355,7 @@
         "seed": seed,
         "program": program,
         "seconds": spec.seconds,
-        "void": values["rig_late_p99_ms"] > LATE_RIG,
+        "void": values["rig_late_p99_ms"] > LATE_RIG or values["node_waited_s_max"] > STARVED,
         "figures": values,
         "expectations": [
             {
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -396,8 +396,9 @@
                 found = usage(running.process.pid)
                 if found is None:
                     continue
-                cpu, rss, count = found
-                self.samples.append(records.Sample(self.now(), node.number, cpu, rss, count))
+                cpu, rss, count, waited = found
+                self.samples.append(records.Sample(self.now(), node.number, cpu, rss, count,
+                                                   running.life.process, waited))  # fmt: skip
                 if rss > self.spec.fleet.memory_mb:
                     running.life.why = f"over its memory: {rss:.0f} MB"
                     running.signal(signal.SIGKILL)
@@ -421,13 +422,17 @@
             node.kill()
 
 
-def usage(pid: int) -> tuple[float, float, int] | None:
-    """Processor seconds, resident MB and open descriptors of a process; None once it has ended."""
+def usage(pid: int) -> tuple[float, float, int, float] | None:
+    """Processor seconds, resident MB, open descriptors, and seconds in which a process waited for a core.
+
+    None once it has ended.
+    """
     try:
         parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         spent = (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-        return spent, pages * os.sysconf("SC_PAGE_SIZE") / 2**20, len(os.listdir(f"/proc/{pid}/fd"))
+        waited = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+        return spent, pages * os.sysconf("SC_PAGE_SIZE") / 2**20, len(os.listdir(f"/proc/{pid}/fd")), waited
     except (OSError, IndexError, ValueError):
         return None
 
--- a/dillport/lab/records.py
+++ b/dillport/lab/records.py
@@ -144,6 +144,8 @@
     cpu_s: float  # since the process started
     rss_mb: float
     descriptors: int
+    process: int = 0  # of the node, the first is 0
+    waited_s: float = 0.0  # since it started: it could have run, and had no core
 
 
 class Seen(msgspec.Struct):
