--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -117,6 +117,15 @@
                      len(self.kept.out), self.kept.revision)  # fmt: skip
         return self.kept
 
+    def look(self) -> Kept:
+        """What is on the disk now, by whatever process; nothing where it cannot be had."""
+        try:
+            loaded = load(self.files, self.node, whole=False)
+            return total(loaded.snapshot, loaded.records)
+        except (DillportError, OSError) as err:
+            log.info("state: %s: cannot be read again: %s", self.where, err)
+            return Kept()
+
     def take_over(self) -> None:
         """Write from here on, in place of whoever did: a process before, or a successor that has ended."""
         self.fenced, self._asked = False, True
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -187,6 +187,8 @@
         """Keep the node's state from here on: before a successor is ready, or when it has ended by itself."""
         if self.keeping is not None:
             self.keeping.take_over(self.membership.life if self.membership is not None else 0)
+        if self.returning is not None and self.returning.shell.serving.is_set():
+            self.returning.resume()
 
     def known(self, told: config.News) -> config.News:
         """The list to begin with: the one told at the start, or a newer one that was kept."""
--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -70,16 +70,20 @@
         if beside:
             # A predecessor from before the room is one that has served: nothing is cold.
             self.shell.inherit(left or Left(Phase.FULL, Way.UPGRADE, -math.inf, ()))
-            if left is None:
-                self.shell.begin(self.kept)
-        else:
-            self.shell.begin(self.kept)
+            if self.disk is not None and self.disk.off is None:  # it has had calls since this process began
+                self.kept = self.disk.look()
+        self.shell.begin(self.kept)
         await self.shell.served()
         if not beside:
             await self._reconcile()
         if recovered is not None and self.shell.trusts(Kind.LEARNED):
             self.node.event(recovered)
 
+    def resume(self) -> None:
+        """A successor has come to nothing; what was called there stands on the disk."""
+        if self.disk is not None and self.disk.off is None:
+            self.shell.rejoin(self.disk.look())
+
     async def _reconcile(self) -> None:
         """Bans that stand in `$TMPDIR` alone: a disk that holds has the last word, else they are taken up."""
         holds = self.disk is not None and self.disk.off is None and not (self.disk.lost or self.disk.fresh)
--- a/dillport/recovery/shell.py
+++ b/dillport/recovery/shell.py
@@ -93,6 +93,7 @@
         self._due = float("inf")
         self._calls: dict[int, Call] = {}
         self._token = 0
+        self._earlier: list[Call] = []  # of bans from before the register
         self._words: asyncio.Queue[tuple[events.Apply, Call | None]] = asyncio.Queue()
         self._follower = self.loop.create_task(self._follow())
         self._syncing: set[asyncio.Task[None]] = set()
@@ -114,18 +115,23 @@
             revision=kept.revision,
             rate=sampled.rate if sampled is not None else 0.0,
         ))  # fmt: skip
-        for backend, out in calls(kept.out, rows):
-            self._call(backend, out)
+        self._earlier = [self._call(backend, out)[0] for backend, out in calls(kept.out, rows)]
 
     def inherit(self, left: Left) -> None:
         """The node goes on from where the process before it was."""
         self.tell(events.Inherited(left.phase, left.path, left.cold_since, left.rows))
 
+    def rejoin(self, kept: Kept) -> None:
+        """Another process of the node, which is gone, may have had calls that only the disk knows."""
+        self.tell(events.Inherited(Phase.VERIFY, Path.UPGRADE, self.core.cold_since, rows_of(kept)))
+
     async def served(self) -> None:
         """Returns when the node may listen: the bans are learned and in force, or enough has been waited."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout((self.config.ask_most + MARGIN) / 1000):
                 await self.serving.wait()
+                if self._earlier:
+                    await asyncio.wait([call.done for call in self._earlier])
                 await self._words.join()
         if not self.serving.is_set():
             log.warning("recovery: no phase came in time; the node goes on alone")
@@ -227,7 +233,7 @@
             if self._timer is not None:
                 self._timer.cancel()
             self._due = due
-            self._timer = self.loop.call_later(max(0.0, due - self.node.now()) / 1000, self._tick)
+            self._timer = self.loop.call_later(max(1.0, due - self.node.now()) / 1000, self._tick)
 
     def _tick(self) -> None:
         self._due, self._timer = float("inf"), None
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -7,7 +7,7 @@
 import json
 import shutil
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,7 +17,6 @@
 from dillport.lab.places import Block, text
 from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, spawn, started
 from tests.test_console import CONSOLE
-from tests.test_node import run
 
 BACKENDS = ["b0", "b1", "b2", "b3"]
 
@@ -122,18 +121,15 @@
         self.block.close()
 
 
-def tier(test: Callable[[Tier], Awaitable[None]], folder: Path, count: int = 3) -> None:
-    """Run a test on a tier."""
-
-    async def body() -> None:
-        one = Tier(folder, count, Block(count, 1))
-        try:
-            await one.prepare()
-            await test(one)
-        finally:
-            one.close()
-
-    run(body)
+@contextlib.asynccontextmanager
+async def tier(folder: Path, count: int = 3) -> AsyncIterator[Tier]:
+    """All of a tier but its processes."""
+    one = Tier(folder, count, Block(count, 1))
+    try:
+        await one.prepare()
+        yield one
+    finally:
+        one.close()
 
 
 async def recovery(rig: Rig) -> dict[str, Any]:
@@ -153,8 +149,8 @@
     assert (await rig.call(f"/backends/{backend}/maint", "POST")).code == 200
 
 
-def test_a_ban_outlasts_the_power_of_all_and_a_lost_and_two_swapped_disks(tmp_path: Path) -> None:
-    async def test(one: Tier) -> None:
+async def test_a_ban_outlasts_the_power_of_all_and_a_lost_and_two_swapped_disks(tmp_path: Path) -> None:
+    async with tier(tmp_path) as one:
         async with one.powered() as rigs:
             await ban(rigs[0])
             for rig in rigs[1:]:
@@ -165,7 +161,7 @@
             for rig in rigs:
                 assert "b1" not in await served(rig)
             assert "nothing was kept" in "".join(rigs[1].log)
-            assert (await recovery(rigs[1]))["path"] == "power"
+            await rigs[1].logged("path power")
         (one.home(0) / "state").rename(tmp_path / "moved")
         (one.home(1) / "state").rename(one.home(0) / "state")
         (tmp_path / "moved").rename(one.home(1) / "state")
@@ -176,11 +172,9 @@
             assert (await rigs[2].call("/backends/b1/ready", "POST")).code == 200
             await rigs[0].logged("maintenance: b1 is back")
 
-    tier(test, tmp_path)
 
-
-def test_what_only_one_node_knew_is_lost_with_it_and_a_partition_heals(tmp_path: Path) -> None:
-    async def test(one: Tier) -> None:
+async def test_what_only_one_node_knew_is_lost_with_it_and_a_partition_heals(tmp_path: Path) -> None:
+    async with tier(tmp_path) as one:
         async with one.powered() as rigs:
             one.split(0)
             await ban(rigs[0])
@@ -199,26 +193,21 @@
                 await rigs[0].logged("maintenance: b1 is out")
                 await late.logged("maintenance: b1 is out")
 
-    tier(test, tmp_path)
-
 
-def test_one_crash_among_live_peers_is_told_and_leaves_no_phase_to_wait_in(tmp_path: Path) -> None:
-    async def test(one: Tier) -> None:
-        async with one.powered() as rigs:
-            for node, rig in enumerate(rigs):
-                await one.tell(node)
-                await rig.logged("phase full")
-            await ban(rigs[0], "b2")
-            rigs[2].process.kill()
-            async with one.up(2) as again:
-                assert any("phase full, path crash" in line for line in again.log)
-                assert "b2" not in await served(again)
-
-    tier(test, tmp_path)
+async def test_one_crash_among_live_peers_is_told_and_leaves_no_phase_to_wait_in(tmp_path: Path) -> None:
+    async with tier(tmp_path) as one, one.powered() as rigs:
+        for node, rig in enumerate(rigs):
+            await one.tell(node)
+            await rig.logged("phase full")
+        await ban(rigs[0], "b2")
+        rigs[2].process.kill()
+        async with one.up(2) as again:
+            assert any("phase full, path crash" in line for line in again.log)
+            assert "b2" not in await served(again)
 
 
-def test_an_end_and_a_successor_in_the_midst_of_a_return(tmp_path: Path) -> None:
-    async def test(one: Tier) -> None:
+async def test_an_end_and_a_successor_in_the_midst_of_a_return(tmp_path: Path) -> None:
+    async with tier(tmp_path, 2) as one:
         process = await spawn(one.home(0) / "config.json", **one.env(0))
         rig = Rig(process, 0, one.discovery[0], [], one.home(0))
         await rig.logged("phase ask")
@@ -237,12 +226,10 @@
                 assert await old.end() == 0
                 await new.logged("membership: node 0")
 
-    tier(test, tmp_path, 2)
-
 
 @pytest.mark.parametrize("name", ["peers", "disk"])
-def test_nothing_keeps_a_node_from_serving_alone(tmp_path: Path, name: str) -> None:
-    async def test(one: Tier) -> None:
+async def test_nothing_keeps_a_node_from_serving_alone(tmp_path: Path, name: str) -> None:
+    async with tier(tmp_path, 2) as one:
         if name == "disk":
             (one.home(0) / "state").write_text("no directory")
         else:
@@ -252,5 +239,3 @@
             assert (await recovery(rig))["path"] == "alone" and await served(rig)
             await ban(rig)
             assert "b1" not in await served(rig)
-
-    tier(test, tmp_path, 2)
