--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -69,6 +69,8 @@
         self.store: Store | None = None
         self.off: DillportError | None = None  # why nothing is written, and will not be
         self.fenced = False
+        self.lost = False  # something that had been promised is not there any more
+        self.fresh = True  # nothing was ever kept
         self.failures = self.dropped = self.written = self.synced = 0
         self.slowest = 0.0  # s, of all syncs
         self._tried = -TRY_AGAIN
@@ -101,6 +103,7 @@
         try:
             loaded = load(self.files, self.node, whole=False)
             self.kept = total(loaded.snapshot, loaded.records)
+            self.lost, self.fresh = loaded.lost, not loaded.number and not loaded.lost
         except DillportError as err:
             self._refused(err)
         except OSError as err:
@@ -114,6 +117,15 @@
                      len(self.kept.out), self.kept.revision)  # fmt: skip
         return self.kept
 
+    def look(self) -> Kept:
+        """What is on the disk now, by whatever process; nothing where it cannot be had."""
+        try:
+            loaded = load(self.files, self.node, whole=False)
+            return total(loaded.snapshot, loaded.records)
+        except (DillportError, OSError) as err:
+            log.info("state: %s: cannot be read again: %s", self.where, err)
+            return Kept()
+
     def take_over(self) -> None:
         """Write from here on, in place of whoever did: a process before, or a successor that has ended."""
         self.fenced, self._asked = False, True
@@ -123,15 +135,20 @@
 
     async def keep(self, record: Record) -> None:
         """Returns once the record would outlast a power cut; raises DillportError where it may not."""
-        if self.off is not None:
-            raise self.off
-        if self._thread is None:
-            raise DurableError("not yet open")
-        if self._queue.qsize() >= MOST_WAITING:
-            raise DurableError("too many wait for the disk")
+        await self.put(record)
+
+    def put(self, record: Record) -> asyncio.Future[None]:
+        """The same for those who do not wait here; it stands before whatever is handed over later."""
         done: asyncio.Future[None] = self._loop.create_future()
-        self._queue.put(Waiting(encode(record), done))
-        await done
+        if self.off is not None:
+            done.set_exception(self.off)
+        elif self._thread is None:
+            done.set_exception(DurableError("not yet open"))
+        elif self._queue.qsize() >= MOST_WAITING:
+            done.set_exception(DurableError("too many wait for the disk"))
+        else:
+            self._queue.put(Waiting(encode(record), done))
+        return done
 
     def note(self, record: Record) -> None:
         """A record that may be lost with the power."""
