Discovery: objects end where their JSON ends, so that indented lists are taken

The watch's body was split at line ends and each line decoded (`on_body`: `self.rest.split(b"\n")`): an indented list was a row of bad lines, each closed the call, and no list was ever taken. Seen also: a sound change in the same chunk behind a bad line was applied and set the revision, so what the bad one had said was never asked for again.

`GET` of the whole list goes the same way, and one that ends too soon counts as failed.

A doubled wait now ends only once a watch has lasted 2 s: a list that breaks behind its first object would have been asked for ten times a second. Warnings of a kind come once in 10 s, with the count of what was left out.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -1,4 +1,4 @@
-"""The list of backends: the watch, its lines, reconnecting."""
+"""The list of backends: the watch, its objects, its silence, reconnecting."""
 
 from __future__ import annotations
 
@@ -6,20 +6,24 @@
 import json
 import logging
 import random
+from collections import Counter
+from collections.abc import Iterator
 from typing import cast
 
 import httptools
 
 from dillport import interface as api
-from dillport.net.config import Address, ListError, News, news
+from dillport.net.config import Address, News, news
 from dillport.net.node import Node
+from dillport.net.objects import Objects
 
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes every 2 s
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s before a new try, doubled with each failure, jittered
-MAX_LINE = 8 * 1024 * 1024
+MOST_OBJECT = 8 * 1024 * 1024  # bytes
+WARN_EVERY = 10.0  # s between two warnings of a kind
 
 
 class Call(asyncio.Protocol):
@@ -29,9 +33,10 @@
         self.owner, self.target, self.watch = owner, target, watch
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
-        self.rest = bytearray()
+        self.objects = Objects(MOST_OBJECT)
         self.timer: asyncio.TimerHandle | None = None
-        self.done = False
+        self.told_at: float | None = None  # when it first told something
+        self.done = self.over = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask, unless discovery moved or the watch was given up while the connection came up."""
@@ -53,7 +58,7 @@
 
     def _silent(self) -> None:
         """Guards against a discovery that is cut off: nothing closes its connection, it just says no more."""
-        log.warning("discovery is silent")
+        self.owner.warn("discovery is silent")
         self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -62,46 +67,44 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
-            log.warning("discovery: broken answer: %s", err)
+            self.owner.warn("discovery: broken answer", str(err))
             self.close()
 
     def on_body(self, body: bytes) -> None:
-        """Lines may be cut anywhere."""
-        if self.parser.get_status_code() != 200:
-            return
-        self.rest += body
-        if self.watch:
-            *lines, rest = self.rest.split(b"\n")
-            self.rest = bytearray(rest)
-            for line in lines:
-                self._line(bytes(line))
-        if len(self.rest) > MAX_LINE:
-            log.warning("discovery: line too long")
-            self.close()
-
-    def _line(self, line: bytes) -> None:
-        if not line.strip():
-            self.owner.node.fresh.set()  # nothing has changed, which is news too
+        """Objects may be cut anywhere."""
+        if self.over or self.parser.get_status_code() != 200:
             return
+        for update in self._news(body):
+            if self.told_at is None:
+                self.told_at = self.owner.loop.time()
+            if update is None:
+                self.owner.node.fresh.set()  # nothing has changed, which is news too
+            else:
+                self.done = not self.watch
+                self.owner.news(update)
+
+    def _news(self, body: bytes) -> Iterator[News | None]:
         try:
-            update = news(json.loads(line))
-        except (ListError, ValueError, RecursionError) as err:
-            log.warning("discovery: bad line: %.200s", err)
-            # What it said is lost, and later changes do not repeat it: only the whole list will do.
-            self.owner.revision = 0
-            self.close()
-            return
-        self.owner.news(update)
+            for item in self.objects.feed(body):
+                yield news(json.loads(item)) if item else None
+        except (ValueError, RecursionError) as err:
+            self._broken(str(err))
+
+    def _broken(self, why: str) -> None:
+        """What it said is lost, and later changes do not repeat it: only the whole list will do."""
+        self.owner.warn("discovery: bad list", why)
+        self.owner.revision = 0
+        self.close()
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
-        if not self.watch and self.parser.get_status_code() == 200:
-            self.done = True
-            self._line(bytes(self.rest))
+        if not (self.watch or self.over or self.objects.between):
+            self._broken("it ends before its JSON does")
         self.close()
 
     def close(self) -> None:
-        """End the call."""
+        """End the call; what else comes is not read."""
+        self.over = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -122,6 +125,8 @@
         self.wait = WAIT_FIRST
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.warned: dict[str, float] = {}  # by kind, when last
+        self.muted: Counter[str] = Counter()
 
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
@@ -158,12 +163,22 @@
             async with asyncio.timeout(CONNECT):
                 await self.loop.create_connection(lambda: call, *self.address)
         except (OSError, TimeoutError) as err:
-            log.warning("discovery: no connection: %s", err or "timed out")
+            self.warn("discovery: no connection", str(err) or "timed out")
             self.lost(call)
 
+    def warn(self, what: str, why: str = "") -> None:
+        """Log what went wrong, with how often it was left out: one such line in `WARN_EVERY` at most."""
+        now = self.loop.time()
+        if now - self.warned.get(what, -WARN_EVERY) < WARN_EVERY:
+            self.muted[what] += 1
+            return
+        self.warned[what] = now
+        more = self.muted.pop(what, 0)
+        text = f"{what}: {why:.200}" if why else what
+        log.warning("%s%s", text, f" ({more} more since such a line)" if more else "")
+
     def news(self, update: News) -> None:
-        """Apply a line by its revision: a change that is not newer than the list held is an old one."""
-        self.wait = WAIT_FIRST
+        """Apply an object by its revision: a change that is not newer than the list held is an old one."""
         if update.complete:
             self.revision = update.revision
             self.node.list(update, api.ListKind.FULL)
@@ -181,5 +196,9 @@
             if not call.done and self.wanted:
                 self.node.list_failed()
         elif call.watch and self.wanted:
+            # News alone does not end the doubling: a list that breaks behind its first object would come ten
+            # times a second.
+            if call.told_at is not None and self.loop.time() - call.told_at >= WAIT_MOST:
+                self.wait = WAIT_FIRST
             self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
             self.wait = min(2 * self.wait, WAIT_MOST)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -518,13 +518,17 @@
     run(test)
 
 
-def test_a_bad_line_costs_a_log_line_and_the_whole_list(tmp_path: Path) -> None:
+def test_a_bad_object_costs_a_log_line_and_the_whole_list(tmp_path: Path) -> None:
+    """Guards also against a change behind it that is taken as if nothing were missing."""
+
     async def test() -> None:
         backend = Backend("b0")
         async with running(tmp_path, backend) as rig:
             await rig.discovery.asked.get()
-            rig.discovery.send(b'{"revision": 42, "members": [{"id": "b9"}]}\n')
-            await rig.logged("bad line")
+            gone = {"revision": 43, "complete": False, "members": [backend.member(phase="terminated")]}
+            bad = b'{"revision": 42, "members": [{"id": "b9"}]}\n'
+            rig.discovery.send(bad + json.dumps(gone).encode() + b"\n")
+            await rig.logged("bad list")
             assert await rig.discovery.asked.get() == "/discovery/hosts?watch=1&from=0"
             client = await rig.client()
             assert (await client.ask("/read")).code == 200
@@ -532,6 +536,32 @@
     run(test)
 
 
+def test_an_indented_list_is_taken_whole_and_in_pieces(tmp_path: Path) -> None:
+    """Guards against taking a line for an object: none was ever taken, and reconnects went on for ever."""
+
+    async def test() -> None:
+        old, new = Backend("b0"), Backend("b1")
+        await new.start()
+        async with running(tmp_path, old) as rig:
+            client = await rig.client()
+            await client.ask("/read")
+            await rig.discovery.asked.get()
+            first = {"revision": 50, "complete": True, "members": [new.member()]}
+            rig.discovery.send(json.dumps(first, indent=1).encode() + b"\n")
+            await old.lost.get()
+            assert (await client.ask("/read")).body.startswith(b"b1 ")
+            second = {"revision": 51, "complete": False, "members": [new.member(phase="terminating")]}
+            text = json.dumps(second, indent=2).replace("\n", "\r\n").encode()
+            for i in range(0, len(text), 7):
+                rig.discovery.send(text[i : i + 7])
+                await asyncio.sleep(0)
+            await new.lost.get()
+            assert rig.discovery.asked.empty()
+        new.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     "row",
     [{}, {"id": 3}, {"phase": "odd"}, {"size": -1}, {"size": "1"}, {"host_port": "here:1"}, {"cell": "x"}],
