Discovery: what a silent watch missed is asked for again within 5 s, by one clock

What a watch misses counts as told 6 s after its last byte. Before: 5 s without a byte of any kind, then up to 2 s for a connection, then (pushed) a jittered wait, or (asked) the module's own, 0.3 to 0.9 s at `ask-within` of 10 s and six times that at 60; a call that was taken and not answered had 5 s more. So the silence alone left 1 s at best, one stall of the connect passed 7 s, an unanswered call 10; and any trickle of bytes kept a dead watch for ever.

net/watchdog.py is the clock of a call, pure, with the budget of the 6 s: 2.75 to 3.25 s without a byte (drawn, so that 200 watches that fell silent together do not come back together), a second look 50 ms later (a node that stood still has not read yet what came), then a new call at once that has 1.5 s from its dialling to its first byte of news, and one more after a jittered wait. The shell does these two by itself in both kinds of `must_ask`; then the module's backoff, or the doubled waits, go on as before. Life is body bytes, and whole objects or empty lines at least every 4 s; a list that really takes longer gets twice the time with each call that was cut in it, up to 64 s.

Discovery's own queue may take 1 s.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -16,10 +16,10 @@
 from dillport.net.config import Address, News, news
 from dillport.net.node import Node
 from dillport.net.objects import Objects
+from dillport.net.watchdog import ANSWER, HURRY, LOOK, SILENT, UNDER_WAY, UNDER_WAY_MOST, Watchdog
 
 log = logging.getLogger(__name__)
 
-SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes every 2 s
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s before a new try, doubled with each failure, jittered
 MOST_OBJECT = 8 * 1024 * 1024  # bytes
@@ -29,14 +29,18 @@
 class Call(asyncio.Protocol):
     """One call: a watch that goes on until its connection ends, or the whole list once."""
 
-    def __init__(self, owner: Discovery, target: str, watch: bool) -> None:
-        self.owner, self.target, self.watch = owner, target, watch
+    def __init__(self, owner: Discovery, target: str, watch: bool, quick: bool = False) -> None:
+        """`quick` where a watch has fallen silent: what that missed is due soon."""
+        self.owner, self.target, self.watch, self.quick = owner, target, watch, quick
+        self.dog = Watchdog(
+            owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT), owner.under_way
+        )
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.objects = Objects(MOST_OBJECT)
         self.timer: asyncio.TimerHandle | None = None
         self.told_at: float | None = None  # when it first told something
-        self.done = self.over = False
+        self.done = self.over = self.silent = self.doubt = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask, unless discovery moved or the watch was given up while the connection came up."""
@@ -49,21 +53,29 @@
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: {keep}\r\n\r\n".encode("ascii")
         )
-        self._awake()
+        self._arm()
 
-    def _awake(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = asyncio.get_running_loop().call_later(SILENCE, self._silent)
+    def _arm(self) -> None:
+        self.timer = self.owner.loop.call_at(self.dog.due, self._look)
 
-    def _silent(self) -> None:
+    def _look(self) -> None:
         """Guards against a discovery that is cut off: nothing closes its connection, it just says no more."""
-        self.owner.warn("discovery is silent")
-        self.close()
+        now = self.owner.loop.time()
+        if now < self.dog.due:
+            self.doubt = False
+            self._arm()
+        elif not self.doubt:  # the node may have stood still itself, with news unread
+            self.doubt = True
+            self.timer = self.owner.loop.call_later(LOOK, self._look)
+        else:
+            if self.dog.trickles(now) and not self.objects.between:  # a list that takes its time, perhaps
+                self.owner.under_way = min(2 * self.owner.under_way, UNDER_WAY_MOST)
+            self.silent = True
+            self.owner.warn("discovery is silent")
+            self.close()
 
     def data_received(self, data: bytes) -> None:
         """Read; what is not HTTP ends the call."""
-        self._awake()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
@@ -74,9 +86,13 @@
         """Objects may be cut anywhere."""
         if self.over or self.parser.get_status_code() != 200:
             return
+        now = self.owner.loop.time()
+        self.dog.fed(now)
         for update in self._news(body):
+            self.dog.told(now)
+            self.owner.under_way = UNDER_WAY
             if self.told_at is None:
-                self.told_at = self.owner.loop.time()
+                self.told_at = now
             if update is None:
                 self.owner.node.fresh.set()  # nothing has changed, which is news too
             else:
@@ -123,6 +139,7 @@
         self.call: Call | None = None  # the watch, from the moment it is dialled
         self.wanted = False
         self.wait = WAIT_FIRST
+        self.under_way = UNDER_WAY
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.warned: dict[str, float] = {}  # by kind, when last
@@ -148,9 +165,9 @@
         """Ask for the whole list once."""
         self._start(Call(self, "/discovery/hosts", False))
 
-    def _connect(self) -> None:
+    def _connect(self, quick: bool = False) -> None:
         if self.wanted and self.call is None:
-            self.call = Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True)
+            self.call = Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True, quick)
             self._start(self.call)
 
     def _start(self, call: Call) -> None:
@@ -160,7 +177,7 @@
 
     async def _dial(self, call: Call) -> None:
         try:
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout(HURRY if call.quick else CONNECT):
                 await self.loop.create_connection(lambda: call, *self.address)
         except (OSError, TimeoutError) as err:
             self.warn("discovery: no connection", str(err) or "timed out")
@@ -187,18 +204,27 @@
             self.node.list(update, api.ListKind.CHANGES)
 
     def lost(self, call: Call) -> None:
-        """A call has ended: the module hears of it where it asks by itself, else the watch is tried again."""
+        """A call has ended: the module hears of it where it asks by itself, else the watch is tried again.
+
+        A watch that has fallen silent is opened anew at once, and once more if that fails, in either case: in
+        the module's first wait alone what was missed may come to count as told.
+        """
         if call.watch:
             if call is not self.call:  # left behind when discovery moved
                 return
             self.call = None
-        if self.node.settings.must_ask:
-            if not call.done and self.wanted:
+        if not self.wanted:
+            return
+        # News alone does not end the doubling: a list that breaks behind its first object would come ten
+        # times a second.
+        lasted = call.told_at is not None and self.loop.time() - call.told_at >= WAIT_MOST
+        if lasted:
+            self.wait = WAIT_FIRST
+        if call.watch and call.silent and lasted:
+            self._connect(quick=True)
+        elif self.node.settings.must_ask and not (call.quick and call.told_at is None):
+            if not call.done:
                 self.node.list_failed()
-        elif call.watch and self.wanted:
-            # News alone does not end the doubling: a list that breaks behind its first object would come ten
-            # times a second.
-            if call.told_at is not None and self.loop.time() - call.told_at >= WAIT_MOST:
-                self.wait = WAIT_FIRST
+        elif call.watch:
             self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
             self.wait = min(2 * self.wait, WAIT_MOST)
