Lab: indented lists, watches that fall silent once, connections that come up late

What a watch knows is now part of the model (`model/directory.py`), and the spells are drawn ahead (`model/late.py`).

On loopback a connection comes up at once or by the kernel's second try a second later, so a late one is a second late; a spell is 0.9 s and the next one 1.1 s away at least, so that the second try finds the way open.

--- a/dillport/lab/backends.py
+++ b/dillport/lab/backends.py
@@ -10,9 +10,10 @@
 
 from dillport.lab import records
 from dillport.lab.model.backend import RAN, Backend, Cell, Job, Topple, Verdict
+from dillport.lab.model.late import spells
 from dillport.lab.model.weather import Weather
 from dillport.lab.places import Places
-from dillport.lab.spec import Experiment
+from dillport.lab.spec import Experiment, LateConnect
 from dillport.lab.streams import stream
 from dillport.lab.wires import Clock, Listener, Wire
 
@@ -42,6 +43,7 @@
         self.served = self.errors = 0  # for the live figures
         self.alive = True
         self.owners: dict[Job, BackendWire] = {}
+        self.dark: set[int] = set()  # nodes whose connections do not come up for a moment
         self.listeners = [
             Listener(farm.places.backend(node, number), lambda node=node: BackendWire(self, node))  # type: ignore[misc]
             for node in range(farm.spec.fleet.nodes)
@@ -50,7 +52,20 @@
     def weather_changed(self) -> None:
         """Silence on the way of a node: its connections do not come up."""
         for node, listener in enumerate(self.listeners):
-            listener.darken(self.farm.weather.severed(f"n{node}", self.name))
+            listener.darken(node in self.dark or self.farm.weather.severed(f"n{node}", self.name))
+
+    def late(self, fault: LateConnect) -> None:
+        """Each node's new connections come up late in a share of the time from now on."""
+        loop, now = asyncio.get_running_loop(), self.farm.clock.now() / 1000
+        for node in range(self.farm.spec.fleet.nodes):
+            random = stream(self.farm.seed, "late", str(fault.at), self.number, node)
+            for begin, end in spells(random, fault.share, fault.at, fault.until):
+                loop.call_later(begin - now, self._darken, node, True)
+                loop.call_later(end - now, self._darken, node, False)
+
+    def _darken(self, node: int, on: bool) -> None:
+        (self.dark.add if on else self.dark.discard)(node)
+        self.weather_changed()
 
     def open(self) -> None:
         """Listen."""
@@ -263,6 +278,7 @@
     def __init__(self, spec: Experiment, seed: int, places: Places, weather: Weather, clock: Clock,
                  seen: records.Seen, numbers: list[int]) -> None:  # fmt: skip
         self.spec, self.places, self.weather, self.clock, self.seen = spec, places, weather, clock, seen
+        self.seed = seed
         self.classes = {c.name: c for c in spec.load.classes}
         self.serial = 0
         cells: dict[int, Cell] = {}
--- a/dillport/lab/hub.py
+++ b/dillport/lab/hub.py
@@ -12,7 +12,7 @@
 import httptools
 
 from dillport.lab import records
-from dillport.lab.model.directory import Directory, Listed, Phase
+from dillport.lab.model.directory import Directory, Listed, Phase, Watch
 from dillport.lab.model.weather import Weather
 from dillport.lab.places import Places, text
 from dillport.lab.spec import Experiment
@@ -54,6 +54,13 @@
         for wire in list(self.wires) if down else ():
             wire.reset()
 
+    def silence(self, names: tuple[str, ...]) -> None:
+        """The watches that these nodes have open say nothing more."""
+        for wire in self.wires:
+            if wire.watch is not None and wire.peer in names:
+                wire.watch.silent = True
+                self.counts["silent"] += 1
+
     def plan(self, lag_s: float, name: str, phase: Phase, up_since: float | None = None) -> None:
         """Something happened to a backend now; it becomes known `lag_s` later."""
         self.core.plan(self.clock.now() + lag_s * 1000, name, phase, up_since)
@@ -67,7 +74,7 @@
             records.ToldRecord(-1, self.clock.now(), int(e.name[1:]), e.phase.value, e.up_since)
             for e in changed
         )
-        wires = sorted((w for w in self.wires if w.told >= 0), key=lambda w: w.node)
+        wires = sorted((w for w in self.wires if w.watch is not None), key=lambda w: w.node)
         for place, wire in enumerate(wires):
             wait = self.spec.discovery.spread_ms * place / max(1, len(wires)) + self.late_ms
             asyncio.get_running_loop().call_later(wait / 1000, wire.tell)
@@ -95,8 +102,8 @@
             wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(line), line))
         else:
             wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            wire.told = since
-            wire.tell(first=True)
+            wire.watch = Watch(since)
+            wire.tell()
             wire.beat()
         self._next()
 
@@ -118,7 +125,7 @@
                 if name not in here:
                     self.seen.told.append(records.ToldRecord(node, now, number, Phase.GONE.value, 0.0))
         table = {"revision": self.core.revision, "complete": complete, "members": rows}
-        return json.dumps(table).encode() + b"\n"
+        return json.dumps(table, indent=1 if self.spec.discovery.indented else None).encode() + b"\n"
 
 
 class DiscoveryWire(Wire):
@@ -128,7 +135,7 @@
         super().__init__(service.weather, service.clock, "d", f"n{node}")
         self.service, self.node = service, node
         self.parser = httptools.HttpRequestParser(self)
-        self.told = -1  # the version up to which its watch knows; -1: it is none
+        self.watch: Watch | None = None
         self.beats: asyncio.TimerHandle | None = None
 
     def up(self) -> None:
@@ -151,29 +158,22 @@
         since = int(query.get("from", ["-1"])[0]) if query.get("watch") == ["1"] else None
         self.service.call(self, since)
 
-    def tell(self, first: bool = False) -> None:
+    def tell(self) -> None:
         """What the watch does not know yet."""
-        if not self.open or (self.told < 0 and not first):
-            return
-        core = self.service.core
-        changed = core.since(self.told)
-        complete = changed is None
-        if changed or complete or first:
-            line = self.service.line(
-                self.node, list(core.entries.values()) if changed is None else changed, complete
-            )
+        news = self.watch.news(self.service.core) if self.open and self.watch is not None else None
+        if news is not None:
+            line = self.service.line(self.node, *news)
             self.send(b"%x\r\n%b\r\n" % (len(line), line))
-        self.told = core.revision
 
     def beat(self) -> None:
         """An empty line now and then."""
-        if self.open:
+        if self.open and self.watch is not None and not self.watch.silent:
             self.send(b"1\r\n\n\r\n")
             self.beats = asyncio.get_running_loop().call_later(EMPTY_LINE, self.beat)
 
     def ended(self) -> None:
         self.service.wires.discard(self)
-        self.told = -1
+        self.watch = None
         if self.beats is not None:
             self.beats.cancel()
 
--- a/dillport/lab/model/directory.py
+++ b/dillport/lab/model/directory.py
@@ -28,6 +28,23 @@
     up_since: float = 0.0
 
 
+@dataclass
+class Watch:
+    """What one watch has been told: the list up to a version. Its first object comes in any case."""
+
+    told: int
+    first: bool = True
+    silent: bool = False
+
+    def news(self, directory: Directory) -> tuple[list[Listed], bool] | None:
+        """What it does not know, and whether that is the whole list; None where nothing is to be said."""
+        if self.silent or (self.told == directory.revision and not self.first):
+            return None
+        changed = directory.since(self.told)
+        self.told, self.first = directory.revision, False
+        return (list(directory.entries.values()), True) if changed is None else (changed, False)
+
+
 @dataclass
 class Directory:
     """The list with its history. `plan` sets a change that is known later, `advance` makes it known."""
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -15,6 +15,7 @@
 from msgspec import field
 
 ZONES = ("a", "b", "c")
+MOST_LATE = 0.45  # of the time: `model/late.py` has spells of 0.9 s and 1.1 s between them at least
 
 
 class SpecError(ValueError):
@@ -68,6 +69,7 @@
     spread_ms: float = 50.0  # until a watch is told, at most
     call_ms: float = 4.0  # work of one call; calls are handled in turn
     timeout_ms: float = 1000.0  # a call that has to wait longer fails
+    indented: bool = False  # lists come over many lines
 
 
 class Network(Table, frozen=True):
@@ -283,6 +285,20 @@
     by_ms: float = 2000.0
 
 
+class WatchSilent(Fault, frozen=True, tag="watch-silent"):
+    """The watches that nodes have open then say nothing more and stay open; new ones are sound."""
+
+    what: str = "nodes"
+
+
+class LateConnect(Fault, frozen=True, tag="late-connect"):
+    """New connections to backends come up a second late in a `share` of the time, by node and backend."""
+
+    what: str
+    for_: float = field(name="for")
+    share: float = 0.2
+
+
 class Surge(Fault, frozen=True, tag="surge"):
     """The clients' rate is `times` as high, in one zone or in all."""
 
@@ -292,7 +308,7 @@
 
 
 AnyFault = (Kill | Terminate | Stall | Upgrade | Reload | Disk | Drain | Maint | Gray | Slow | Resets | Link
-            | DiscoveryDown | DiscoveryLate | Surge)  # fmt: skip
+            | DiscoveryDown | DiscoveryLate | WatchSilent | LateConnect | Surge)  # fmt: skip
 
 
 class Expect(Table, frozen=True):
@@ -444,6 +460,8 @@
     for index, fault in enumerate(spec.faults):
         if not (0 <= fault.at < spec.seconds and fault.until <= spec.seconds):
             raise SpecError(f"faults[{index}].at is not within the run's {spec.seconds:g} s")
+        if isinstance(fault, LateConnect) and not 0 < fault.share <= MOST_LATE:
+            raise SpecError(f"faults[{index}].share makes no sense: {fault.share!r:.80}")
         for name in ("what", "from_", "to"):
             if (selector := getattr(fault, name, None)) is not None:
                 try:
@@ -466,7 +484,7 @@
     """First letters of the parties that a fault can hit."""
     if isinstance(fault, (Kill, Stall)):
         return "ns"
-    return "n" if isinstance(fault, (Terminate, Upgrade, Reload, Disk)) else "s"
+    return "n" if isinstance(fault, (Terminate, Upgrade, Reload, Disk, WatchSilent)) else "s"
 
 
 def load(path: Path, sets: Iterable[str] = ()) -> Experiment:
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -31,10 +31,12 @@
     Experiment,
     Gray,
     Kill,
+    LateConnect,
     Link,
     Resets,
     Slow,
     Stall,
+    WatchSilent,
 )
 from dillport.lab.streams import stream
 from dillport.lab.timeline import Moment, Step, timeline
@@ -139,6 +141,8 @@
             directory.fail(moment.step is Step.BEGIN)
         elif isinstance(fault, DiscoveryLate):
             directory.late_ms = fault.by_ms if moment.step is Step.BEGIN else 0.0
+        elif isinstance(fault, WatchSilent):
+            directory.silence(moment.names)
         elif isinstance(fault, (Kill, Drain)):
             for name in moment.names:
                 if name[0] != "s":
@@ -192,6 +196,8 @@
             trouble.slow = fault.times if on else 1.0
         case Resets():
             trouble.resets = fault.share if on else 0.0
+        case LateConnect() if on:
+            host.late(fault)
 
 
 def _say(**table: Any) -> None:
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
@@ -13,7 +14,8 @@
 from dillport.lab.figures import held
 from dillport.lab.model.backend import Backend, Job, Verdict
 from dillport.lab.model.client import End, Wish
-from dillport.lab.model.directory import Directory, Listed, Phase
+from dillport.lab.model.directory import Directory, Listed, Phase, Watch
+from dillport.lab.model.late import REST, SPELL, spells
 from dillport.lab.model.load import draw
 from dillport.lab.model.weather import Weather
 from dillport.lab.spec import (
@@ -158,21 +160,43 @@
     names = [f"s{i}" for i in range(4)]
     core = Directory({n: Listed(n, "a", 0) for n in names})
     views: list[dict[str, Listed]] = [dict(core.entries) for _ in range(4)]
-    told = [core.revision] * 4
+    told = [Watch(core.revision, first=False) for _ in range(4)]
     for now, (which, phase, watcher) in enumerate(steps):
         core.plan(float(now), names[which], phase, float(now))
         core.advance(float(now))
-        for entry in core.since(told[watcher]) or ():
+        for entry in (told[watcher].news(core) or ((), False))[0]:
             views[watcher].pop(entry.name, None)
             if entry.phase is not Phase.GONE:
                 views[watcher][entry.name] = entry
-        told[watcher] = core.revision
-        assert views[watcher] == core.entries
+        assert views[watcher] == core.entries and told[watcher].news(core) is None
 
 
 def test_an_unknown_version_gets_the_whole_list() -> None:
     core = Directory({"s0": Listed("s0", "a", 0)}, revision=7)
     assert core.since(8) is None and core.since(3) is None and core.since(7) == []
+    whole = ([Listed("s0", "a", 0)], True)
+    assert Watch(3).news(core) == whole and Watch(7).news(core) == ([], False)
+
+
+def test_a_watch_that_fell_silent_is_told_nothing_and_the_next_one_what_was_missed() -> None:
+    core = Directory({"s0": Listed("s0", "a", 0)}, revision=7)
+    watch = Watch(7, first=False, silent=True)
+    core.plan(1.0, "s0", Phase.DRAINING)
+    drained = core.advance(1.0)
+    assert watch.news(core) is None and watch.told == 7
+    assert Watch(watch.told).news(core) == (drained, False)
+
+
+@pytest.mark.parametrize("share", [0.05, 0.2, 0.45])
+def test_connections_come_up_late_in_the_stated_share_and_never_twice(share: float) -> None:
+    """A second try, a second after the first, finds the way open."""
+    drawn = [spells(stream(seed, "late"), share, 10.0, 110.0) for seed in range(40)]
+    assert drawn[0] == spells(stream(0, "late"), share, 10.0, 110.0) != drawn[1]
+    for row in drawn:
+        assert all(a >= 10.0 and b <= 110.0 and b - a == pytest.approx(SPELL) for a, b in row)
+        assert all(later[0] - earlier[1] >= REST - 1e-9 for earlier, later in pairwise(row))
+    assert SPELL < 1.0 < REST
+    assert sum(map(len, drawn)) * SPELL / 4000 == pytest.approx(share, rel=0.1)
 
 
 # --- load, network, experiments
@@ -229,6 +253,8 @@
         ('faults.0.what="nodes:9"', "faults[0].what"), ('faults.0.kind="zap"', "faults[0].kind"),
         ("faults.0.at=99.0", "faults[0].at"), ("load.rate=-1.0", "load.rate"), ("nonsense", "--set"),
         ('faults.0.what="discovery"', "faults[0].what"), ("faults.7.at=1.0", "--set"),
+        ('faults=[{kind="watch-silent", at=1.0, what="backends"}]', "faults[0].what"),
+        ('faults=[{kind="late-connect", at=1.0, for=1.0, what="backends", share=0.5}]', "faults[0].share"),
     ],
 )  # fmt: skip
 def test_what_makes_no_sense_is_refused_by_its_field(tmp_path: Path, assignment: str, field: str) -> None:
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -39,6 +39,16 @@
 rate = 120.0
 [network]
 peers = true
+[discovery]
+indented = true
+[[faults]]
+kind = "watch-silent"
+at = 0.8
+[[faults]]
+kind = "late-connect"
+at = 1.0
+for = 3.0
+what = "backends:0"
 [[faults]]
 kind = "kill"
 at = 1.0
