--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -13,9 +13,9 @@
 import httptools
 
 from dillport import interface as api
-from dillport.net.config import Address, News, news
+from dillport.net.config import Address, ListError, News, news
 from dillport.net.node import Node
-from dillport.net.objects import Objects
+from dillport.net.objects import BrokenObject, Objects
 from dillport.net.watchdog import ANSWER, HURRY, LOOK, SILENT, UNDER_WAY, UNDER_WAY_MOST, Watchdog
 
 log = logging.getLogger(__name__)
@@ -103,19 +103,21 @@
         try:
             for item in self.objects.feed(body):
                 yield news(json.loads(item)) if item else None
+        except (ListError, BrokenObject) as err:
+            self._broken(err)
         except (ValueError, RecursionError) as err:
-            self._broken(str(err))
+            self._broken(BrokenObject(str(err)))
 
-    def _broken(self, why: str) -> None:
+    def _broken(self, err: ListError | BrokenObject) -> None:
         """What it said is lost, and later changes do not repeat it: only the whole list will do."""
-        self.owner.warn("discovery: bad list", why)
+        self.owner.warn("discovery: bad list", err.line)
         self.owner.revision = 0
         self.close()
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
         if not (self.watch or self.over or self.objects.between):
-            self._broken("it ends before its JSON does")
+            self._broken(BrokenObject("the answer ends before its JSON does"))
         self.close()
 
     def close(self) -> None:
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -20,6 +20,7 @@
 from dillport.net.config import Address, ConfigError, address, address_at
 
 if TYPE_CHECKING:
+    from dillport.membership.port import Port
     from dillport.membership.shell import MembershipShell
     from dillport.net.keeping import Keeping
 
@@ -28,6 +29,20 @@
 VARIABLE = "PROXY_FLEET"
 
 
+class FleetFileError(ConfigError):
+    """The fleet file cannot be read, or a field of it makes no sense; the text names it."""
+
+    code = "CFG03"
+    remedy = "correct the field that is named in PROXY_FLEET's file, or unset PROXY_FLEET to run without it"
+
+
+class FixedError(ConfigError):
+    """A replaced file changes what stays for the life of a process; the text names the field."""
+
+    code = "CFG04"
+    remedy = "put the old value back and send SIGHUP again, or start the node anew with the new one"
+
+
 class MembershipTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
     """`[membership]`: its presence switches the part on."""
 
@@ -52,14 +67,16 @@
     try:
         out = msgspec.convert(tomllib.loads(path.read_text("utf-8")), FleetFile)
     except (OSError, UnicodeDecodeError) as err:
-        raise ConfigError(f"{VARIABLE} cannot be read: {err}") from None
+        raise FleetFileError(f"{VARIABLE} cannot be read: {err}") from None
     except tomllib.TOMLDecodeError as err:
-        raise ConfigError(f"{VARIABLE} is not TOML: {err}") from None
+        raise FleetFileError(f"{VARIABLE} is not TOML: {err}") from None
     except msgspec.ValidationError as err:
         text, _, where = str(err).partition(" - at `$.")
-        raise ConfigError(f"{VARIABLE}: {where.rstrip('`') or 'the file'}: {text}") from None
+        raise FleetFileError(f"{VARIABLE}: {where.rstrip('`') or 'the file'}: {text}") from None
     if out.membership is not None and not 50 <= out.membership.period_ms <= 60_000:
-        raise ConfigError(f"{VARIABLE}: membership.period-ms makes no sense: {out.membership.period_ms!r}")
+        raise FleetFileError(
+            f"{VARIABLE}: membership.period-ms makes no sense: {out.membership.period_ms!r}"
+        )
     return out
 
 
@@ -102,17 +119,20 @@
             from dillport.net.keeping import Keeping
 
             self.keeping = Keeping(Path(table.durable.directory), held.name)
+        self.port: Port | None = None
         self.membership: MembershipShell | None = None
         self._opening: asyncio.Task[None] | None = None
         if table.membership is not None:
             listen, peers, everybody = _peers(config.read(env))
             me = held.settings.me
             _numbered(me, peers)
+            from dillport.membership.port import Port
             from dillport.membership.shell import MembershipShell, scaled
 
             times = scaled(table.membership.period_ms)
             least = self.keeping.kept.life + 1 if self.keeping is not None else 1
-            self.membership = MembershipShell(times, me, listen, peers, everybody, held.seed, least)
+            self.port = Port(listen, peers, everybody)
+            self.membership = MembershipShell(times, me, self.port, held.seed, least)
 
     def take_over(self) -> None:
         """Keep the node's state from here on: before a successor is ready, or when it has ended by itself."""
@@ -148,27 +168,34 @@
 
     def start(self) -> None:
         """Be present, unless it is so already. A successor calls this when its predecessor has ended."""
-        if self.membership is not None and self._opening is None:
-            self._opening = asyncio.get_running_loop().create_task(self._open(self.membership))
+        if self.port is not None and self._opening is None:
+            self._opening = asyncio.get_running_loop().create_task(self._open(self.port))
 
     def checked(self, env: Mapping[str, str], new: config.Config) -> Callable[[], None]:
         """What a replaced file brings for the rooms: a call that takes it over. Raises ConfigError."""
-        shell = self.membership
-        if shell is None:
+        port, shell = self.port, self.membership
+        if port is None or shell is None:
             return lambda: None
         listen, peers, everybody = _peers(config.read(env))
         if new.settings.me != shell.me:
-            raise ConfigError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
+            raise FixedError(f"settings: me cannot change from {shell.me} to {new.settings.me} in one life")
         _numbered(shell.me, peers)
-        if listen != shell.listen:
-            raise ConfigError("peer_listen cannot change in one life")
-        return partial(shell.move, peers, everybody)
+        if listen != port.listen:
+            raise FixedError("peer_listen cannot change in one life")
+        return partial(self._move, port, peers, everybody)
 
-    async def _open(self, shell: MembershipShell) -> None:
+    def _move(self, port: Port, peers: list[Address], everybody: Address) -> None:
+        if (moved := port.move(peers, everybody)) is not None and self.membership is not None:
+            self.membership.moved(moved)
+
+    async def _open(self, port: Port) -> None:
         try:
-            await shell.open()
+            await port.bind()
         except OSError as err:  # the node serves without: alone, as without the file
-            log.warning("membership: %s:%d: %s; the node goes on alone", *shell.listen, err)
+            log.warning("membership: %s:%d: %s; the node goes on alone", *port.listen, err)
+            return
+        if self.membership is not None:
+            self.membership.begin()
 
     def leave(self) -> None:
         """The node ends, and nobody takes its place."""
@@ -181,6 +208,8 @@
             self._opening.cancel()
         if self.membership is not None:
             self.membership.close()
+        if self.port is not None:
+            self.port.close()
         if self.keeping is not None:
             self.keeping.durable.close()
 
@@ -189,6 +218,8 @@
         out: dict[str, object] = {}
         if self.membership is not None:
             out["membership"] = self.membership.stats()
+        if self.port is not None:
+            out["port"] = self.port.stats()
         if self.keeping is not None:
             out["durable"] = self.keeping.durable.stats()
         return out
--- a/dillport/net/objects.py
+++ b/dillport/net/objects.py
@@ -5,6 +5,8 @@
 import re
 from collections.abc import Iterator
 
+from dillport.errors import DillportError
+
 BLANK = b" \t\r\n"
 NOTHING = b""  # an empty line between objects
 QUOTE, BACKSLASH, COMMA, BRACE, BRACKET = b'"\\,{['
@@ -23,8 +25,11 @@
 GAP = re.compile(rb"[ \t\r\n]*+")
 
 
-class BrokenObject(ValueError):
-    """What came is no JSON object, or too long a one; nothing after it can be told apart."""
+class BrokenObject(DillportError):
+    """What discovery says is no JSON object, breaks off, or is too long; the rest cannot be told apart."""
+
+    code = "LST02"
+    remedy = "look at discovery, and at what stands before it and may spoil its answers"
 
 
 class Objects:
