Discovery: a call given up while its connection comes up does not go on

close() marks a call as over, and a call that is over reads nothing: one that was stopped and wanted again before its connection was up would have asked and then not listened. It ends now, and the next one begins.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -45,7 +45,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask, unless discovery moved or the watch was given up while the connection came up."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        if self.watch and not (self.owner.wanted and self.owner.call is self):
+        if self.over or (self.watch and not (self.owner.wanted and self.owner.call is self)):
             self.close()
             return
         host, port = self.owner.address
