--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from dillport import interface as api
+from dillport.errors import DillportError
 from dillport.net import config
 from dillport.net.config import Address, ConfigError, address, address_at
 
@@ -162,7 +163,7 @@
             self.keeping.learned(what, now)
 
     async def banned(self, backend: str, out: bool, at: float) -> None:
-        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises BansError."""
+        """Returns once a ban or a return will outlast a crash, where that is wanted. Raises DillportError."""
         if self.keeping is not None:
             await self.keeping.banned(backend, out, at)
 
@@ -191,8 +192,8 @@
     async def _open(self, port: Port) -> None:
         try:
             await port.bind()
-        except OSError as err:  # the node serves without: alone, as without the file
-            log.warning("membership: %s:%d: %s; the node goes on alone", *port.listen, err)
+        except DillportError as err:  # the node serves without: alone, as without the file
+            log.warning("membership: %s; the node goes on alone", err.line)
             return
         if self.membership is not None:
             self.membership.begin()
