Errors: results that cannot be written are LAB06 from the rig's processes, too; missing libraries have a test

A process of the rig that could not write its records was reported as a run that broke off, with the advice to play it again on a machine at rest, where the disk was full.

--- a/dillport/lab/run.py
+++ b/dillport/lab/run.py
@@ -87,7 +87,7 @@
     done: asyncio.Event = field(default_factory=asyncio.Event)
     written: asyncio.Event = field(default_factory=asyncio.Event)
     live: dict[str, Any] = field(default_factory=dict)
-    error: str = ""
+    error: DillportError | None = None
 
     def say(self, line: bytes) -> None:
         """One line of its input."""
@@ -135,13 +135,14 @@
                 for zone in said.get("clients", {}).values():
                     self.recent.extend(zone["recent"])
             elif "error" in said:
-                rig.error = said["error"]
+                rig.error = (ResultsError if said.get("results") else LabError)(said["error"])
             for name in ("ready", "done", "written"):
                 if said.get(name):
                     getattr(rig, name).set()
         code = await rig.process.wait()
         if not rig.written.is_set() and not self.failed.done():
-            self.failed.set_exception(LabError(rig.error or f"the rig's {rig.role} ended with code {code}"))
+            why = rig.error or LabError(f"the rig's {rig.role} ended with code {code}")
+            self.failed.set_exception(why)
 
     async def _or_failed(self, work: Any, wait: float, what: str) -> None:
         """Wait for it, but not past a failure of the rig."""
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -269,7 +269,7 @@
     try:
         records.write(worker.seen, Path(worker.plan.records))
     except OSError as err:
-        _say(error=f"results cannot be written: {err}")
+        _say(error=f"results cannot be written: {err}", results=True)
         return 1
     _say(written=True)
     return 0
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import importlib
+import json
 import os
 import pkgutil
 import re
@@ -16,6 +17,7 @@
 import dillport
 from dillport.cli.app import app
 from dillport.errors import DillportError
+from tests.sockets import configuration
 
 ROOT = Path(__file__).parents[1]
 CODE = re.compile(r"[A-Z]{3}[0-9]{2}")
@@ -79,6 +81,18 @@
     assert got.returncode == 2 and text.startswith(start) and text.count("\n") == 1
 
 
+def test_libraries_that_are_not_there_are_said(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text(json.dumps(configuration([], 1)))
+    (tmp_path / "fleet.toml").write_text(f'[durable]\ndirectory = "{tmp_path}/state"\n')
+    (tmp_path / "google_crc32c.py").write_text("raise ModuleNotFoundError('No module named google_crc32c')")
+    more = {"PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_FLEET": str(tmp_path / "fleet.toml"),
+            "PYTHONPATH": str(tmp_path), "TMPDIR": str(tmp_path)}  # fmt: skip
+    got = subprocess.run([sys.executable, "-m", "dillport"], cwd=ROOT, env=os.environ | more,
+                         capture_output=True, text=True)  # fmt: skip
+    assert got.returncode == 2 and got.stderr.count("\n") == 1
+    assert got.stderr.startswith("dillport: NOD03: ") and "requirements-fleet.txt" in got.stderr
+
+
 @pytest.mark.parametrize(
     ("args", "code"),
     [
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -178,7 +178,8 @@
     done = lab(
         "run", file(tmp_path, CALM), "--out", str(tmp_path / "out"), "--set", "seconds=2.0", preexec_fn=full
     )
-    assert done.returncode == 2 and "File too large" in done.stderr.splitlines()[-2]
+    assert done.returncode == 2 and done.stderr.splitlines()[-2].startswith("dillport: LAB06: ")
+    assert "File too large" in done.stderr
     assert not (tmp_path / "out" / "records.msgpack").exists()
 
 
