Command line: fleet recovery shows how far a node's return is, and what it waits for

Operators had the phase in the log alone. The command reads fleet.recovery of /stats: phase and until when, path, what of the disk was trusted, who was asked and is waited for, register and list. Exit code 0: the return is over, 1: not yet, 2: no answer.

--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -18,7 +18,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from dillport.cli import fleet, state
+from dillport.cli import fleet, returning, state
 from dillport.cli.output import Exit, stop
 from dillport.lab import records
 from dillport.lab.figures import FEWEST, JUDGED, summary
@@ -35,6 +35,7 @@
     help="Experiments: real nodes, stand-ins round them, faults between them.", no_args_is_help=True
 )
 app.add_typer(lab, name="lab")
+fleet.app.command()(returning.recovery)
 app.add_typer(fleet.app, name="fleet")
 app.add_typer(state.app, name="state")
 console = Console(stderr=True)
--- a/dillport/cli/fleet.py
+++ b/dillport/cli/fleet.py
@@ -10,7 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 import rich.live
@@ -26,8 +26,11 @@
 EVERY = 1.0  # s between two looks of --watch
 COLOURS = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim", "unknown": "dim"}
 
+Shown = TypeVar("Shown")
+
 app = typer.Typer(
-    help="The tier as one node sees it: who is present, and whether the others agree.", no_args_is_help=True
+    help="The tier as one node sees it: who is present, whether the others agree, how far its return is.",
+    no_args_is_help=True,
 )
 
 At = Annotated[str, typer.Option("--console", help="HOST:PORT of a node's console.")]
@@ -63,6 +66,7 @@
     """The `fleet` object."""
 
     membership: Membership | None = None
+    recovery: dict[str, Any] | None = None
 
 
 class Stats(msgspec.Struct):
@@ -71,7 +75,7 @@
     fleet: Rooms | None = None
 
 
-def look(console: str) -> Membership:
+def rooms(console: str) -> Rooms:
     """What the console says now; raises typer.Exit with one line where it says nothing of use."""
     import httpx  # some 50 ms that the other commands need not wait
 
@@ -90,11 +94,17 @@
         stats = msgspec.json.decode(answer.content, type=Stats)
     except msgspec.MsgspecError as err:
         raise stop(f"{console} gives no figures of a node: {err}") from None
-    if stats.fleet is None or stats.fleet.membership is None:
+    return stats.fleet or Rooms()
+
+
+def look(console: str) -> Membership:
+    """The membership; raises typer.Exit with one line where there is none."""
+    found = rooms(console).membership
+    if found is None:
         raise stop(f"{console}: membership is off there (PROXY_FLEET names no file with [membership])")
-    if not stats.fleet.membership.present:
+    if not found.present:
         raise stop(f"{console}: the node takes no part: its socket could not be had, or it has ended")
-    return stats.fleet.membership
+    return found
 
 
 def ago(ms: float) -> str:
@@ -166,8 +176,8 @@
 
 
 def show(
-    at: str, as_json: bool, watch: bool, data: Callable[[Membership], Any],
-    draw: Callable[[Membership], RenderableType], held: Callable[[Membership], bool],
+    at: str, as_json: bool, watch: bool, look: Callable[[str], Shown], data: Callable[[Shown], Any],
+    draw: Callable[[Shown], RenderableType], held: Callable[[Shown], bool],
 ) -> typer.Exit:  # fmt: skip
     """Look once, or again and again; the exit code is that of the last look."""
     seen = look(at)
@@ -194,10 +204,10 @@
 @app.command()
 def members(console: At, as_json: AsJson = False, watch: Watch = False) -> None:
     """Every member, its state and life. Exit code 0: all present; 1: some are not; 2: no answer."""
-    raise show(console, as_json, watch, Membership.rows, table_of, members_held)
+    raise show(console, as_json, watch, look, Membership.rows, table_of, members_held)
 
 
 @app.command()
 def view(console: At, as_json: AsJson = False, watch: Watch = False) -> None:
     """Whether the tier agrees. Exit code 0: a majority that agrees; 1: not; 2: no answer."""
-    raise show(console, as_json, watch, summary, view_of, view_held)
+    raise show(console, as_json, watch, look, summary, view_of, view_held)
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -13,7 +13,9 @@
 from typing import Any
 
 import pytest
+from typer.testing import CliRunner
 
+from dillport.cli.app import app
 from dillport.lab.places import Block, text
 from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, spawn, started
 from tests.test_console import CONSOLE
@@ -138,6 +140,14 @@
     return out
 
 
+async def fleet_recovery(rig: Rig) -> tuple[int, dict[str, Any]]:
+    """The same by the command: its exit code and what it prints."""
+    line = ["fleet", "recovery", "--console", f"127.0.0.1:{rig.console_port}"]
+    assert "phase" in (await asyncio.to_thread(CliRunner().invoke, app, line)).stdout
+    done = await asyncio.to_thread(CliRunner().invoke, app, [*line, "--json"])
+    return done.exit_code, json.loads(done.stdout)
+
+
 async def served(rig: Rig, requests: int = 24) -> set[str]:
     """The backends that answer a client of the node."""
     client = await rig.client()
@@ -196,9 +206,12 @@
 
 async def test_one_crash_among_live_peers_is_told_and_leaves_no_phase_to_wait_in(tmp_path: Path) -> None:
     async with tier(tmp_path) as one, one.powered() as rigs:
+        assert (await fleet_recovery(rigs[0]))[0] == 1
         for node, rig in enumerate(rigs):
             await one.tell(node)
             await rig.logged("phase full")
+        code, told = await fleet_recovery(rigs[0])
+        assert code == 0 and told["list"]["fresh"] and told["heard"] == told["asked"] == 2
         await ban(rigs[0], "b2")
         rigs[2].process.kill()
         async with one.up(2) as again:
