Recovery: an empty line of discovery says that the saved list holds, and ends the phase listed

A watch from the saved revision on which nothing has changed brings no list: the node stayed in the phase listed until it took discovery for silent (12 s). What discovery says before any news now counts as the list told.

--- a/dillport/cli/returning.py
+++ b/dillport/cli/returning.py
@@ -29,7 +29,7 @@
     bans: int = 0
     rows: int = 0
     register: str = ""
-    list: dict[str, Any] = {}
+    listed: dict[str, Any] = msgspec.field(default_factory=dict, name="list")
     counts: dict[str, int] = {}
     failed: bool = False
 
@@ -50,14 +50,14 @@
     more = f" and {len(seen.waits_for) - 20} more" if len(seen.waits_for) > 20 else ""
     used = [f"{kind} ({word})" for kind, word in seen.trusted.items() if word != "no"]
     unused = [kind for kind, word in seen.trusted.items() if word == "no"]
-    told = "told by discovery" if seen.list.get("fresh") else "as it was kept"
+    told = "told by discovery" if seen.listed.get("fresh") else "as it was kept"
     lines = [
         f"phase [{colour}]{seen.phase}[/] for {ago(seen.since_ms)}{until}, path {seen.path}",
         f"heard {seen.heard} of {seen.asked} asked; waits for {named}{more}",
         f"of what was kept: used {', '.join(used) or 'nothing'}; not used {', '.join(unused) or 'nothing'}",
         f"{seen.bans} bans in {seen.rows} rows, register {seen.register}",
-        f"list of revision {seen.list.get('revision', 0)} {told}, {seen.list.get('restricted', 0)} avoided; "
-        f"share of the work on cold backends {seen.share:.1%}",
+        f"list of revision {seen.listed.get('revision', 0)} {told}, "
+        f"{seen.listed.get('restricted', 0)} avoided; share of the work on cold backends {seen.share:.1%}",
         f"counts: {', '.join(f'{name} {count}' for name, count in sorted(seen.counts.items())) or 'none'}",
     ]
     if seen.failed:
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -94,7 +94,7 @@
             if self.told_at is None:
                 self.told_at = now
             if update is None:
-                self.owner.node.fresh.set()  # nothing has changed, which is news too
+                self.owner.node.unchanged()
             else:
                 self.done = not self.watch
                 self.owner.news(update)
--- a/dillport/net/fleet.py
+++ b/dillport/net/fleet.py
@@ -209,6 +209,11 @@
         if self.returning is not None:
             self.returning.listed(news, kind)
 
+    def unchanged(self) -> None:
+        """Discovery has said, before any news, that the list in force is the one that it has."""
+        if self.returning is not None:
+            self.returning.unchanged()
+
     def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
         """What the module has learned may be had."""
         rate = self.returning.pulse() if self.returning is not None else 0.0
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -59,6 +59,9 @@
     def listed(self, news: News, kind: api.ListKind) -> None:
         """Discovery has told the list, or a change of it."""
 
+    def unchanged(self) -> None:
+        """Discovery has said, before any news, that the list in force is the one that it has."""
+
     def learned(self, what: Callable[[float], api.Learned], now: float) -> None:
         """What the module has learned may be had; asked for now and then."""
 
@@ -326,6 +329,12 @@
                 self.fleet.listed(news, kind)
         self.ready = self.ready or any(host.listed for host in self.pool.hosts.values())
 
+    def unchanged(self) -> None:
+        """Discovery says that nothing has changed, which is news too."""
+        if not self.fresh.is_set() and self.fleet is not None:
+            self.fleet.unchanged()
+        self.fresh.set()
+
     def maintain(self, backend: str, out: bool, since: float) -> None:
         """The operators take a backend out, or have put it back at the time `since`."""
         log.info("maintenance: %s %s", backend, "is out" if out else "is back")
--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -181,6 +181,10 @@
         starts = tuple(entry.started_at for entry in up)
         self.shell.tell(events.Listed(news.revision, starts, tuple(entry.backend for entry in up)))
 
+    def unchanged(self) -> None:
+        """Discovery has told by a word that the saved list holds."""
+        self.listed(News(self._saved.revision, False, ()), api.ListKind.CHANGES)
+
     # --- for the operators
 
     async def banned(self, backend: str, out: bool) -> None:
