--- a/dillport/cli/returning.py
+++ b/dillport/cli/returning.py
@@ -8,7 +8,7 @@
 from rich.console import Group, RenderableType
 from rich.text import Text
 
-from dillport.cli.fleet import AsJson, At, Watch, ago, rooms, show
+from dillport.cli.fleet import AbsentError, AsJson, At, Watch, ago, rooms, show
 from dillport.cli.output import stop
 
 COLOURS = {"verify": "red", "ask": "red", "listed": "yellow", "warming": "yellow", "full": "green"}
@@ -38,7 +38,7 @@
     """What the console says now; raises typer.Exit with one line where it says nothing of use."""
     found = rooms(console).recovery
     if found is None:
-        raise stop(f"{console}: recovery is off there (PROXY_FLEET names no file with [recovery])")
+        raise stop(AbsentError(f"{console}: recovery is off there (PROXY_FLEET names no file with [recovery])"))
     return msgspec.convert(found, Recovery)
 
 
