Simulation: a node's clock is its own, actions and ticks of a core have one place each

World._handle is split into what is done for an action, when the next tick is due and how a datagram goes out, so that a tier with more rooms adds to it.

--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -42,6 +42,7 @@
     stalled_until: float = 0.0
     inbox: list[tuple[int, bytes]] = field(default_factory=list)
     tick_at: float = float("inf")
+    shift: float = 0.0  # of its monotonic clock against the world's: no core may compare two nodes' clocks
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,13 +81,14 @@
             call()
         self.now = until
 
-    def start(self, node: int) -> None:
-        """A node comes up with a new life."""
+    def start(self, node: int, life: int | None = None) -> None:
+        """A node comes up with a new life, by the time unless another is given."""
         host = self.hosts[node]
         host.number += 1
         host.stalled_until, host.inbox, host.tick_at = 0.0, [], float("inf")
-        life = int(self.now / LIFE_UNIT)
-        host.core = Membership(self.config, node, self.count, life, self.seeds.getrandbits(64), self.now)
+        life = int(self.now / LIFE_UNIT) if life is None else life
+        seed = self.seeds.getrandbits(64)
+        host.core = Membership(self.config, node, self.count, life, seed, self.now + host.shift)
         self._handle(node, Tick())
 
     def kill(self, node: int) -> None:
@@ -149,27 +151,36 @@
         host = self.hosts[node]
         if host.core is None:
             return
-        for action in host.core.handle(self.now, event):
-            if isinstance(action, Changed):
-                self.seen.append(Seen(self.now, node, action))
-            if not isinstance(action, Tell):
-                continue
-            self.sent[node] += 1
-            self.per_second[int(self.now / 1000)] += 1
-            targets = range(self.count) if action.node is None else (action.node,)
-            for target in targets:
-                if target != node:
-                    self._send(node, target, action)
-        due = host.core.due
+        for action in host.core.handle(self.now + host.shift, event):
+            self._act(node, action)
+        self._plan(node, host.core.due)
+
+    def _act(self, node: int, action: Action) -> None:
+        if isinstance(action, Changed):
+            self.seen.append(Seen(self.now, node, action))
+        if isinstance(action, Tell):
+            self._tell(node, action.node, action.data)
+
+    def _plan(self, node: int, due: float) -> None:
+        """A tick at `due` by the node's own clock, if none comes sooner."""
+        host = self.hosts[node]
+        due -= host.shift
         if due < host.tick_at:
             host.tick_at = due
             self.at(max(due, self.now), partial(self._tick, node, host.number))
 
-    def _send(self, source: int, target: int, action: Tell) -> None:
+    def _tell(self, node: int, to: int | None, data: bytes) -> None:
+        """To one, or to all where `to` is None."""
+        self.sent[node] += 1
+        self.per_second[int(self.now / 1000)] += 1
+        for target in range(self.count) if to is None else (to,):
+            if target != node:
+                self._send(node, target, data)
+
+    def _send(self, source: int, target: int, data: bytes) -> None:
         net, dice = self.net, self.random
         if net.cut(source, target) or (net.loss and dice.random() < net.loss):
             return
-        data = action.data
         if net.corrupt and dice.random() < net.corrupt:
             spot = dice.randrange(len(data))
             data = data[:spot] + bytes([data[spot] ^ 1 << dice.randrange(8)]) + data[spot + 1 :]
