--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from dillport.membership.core import Changed, Config, Event, Leave, Membership, Received, Tell, Tick
+from dillport.membership.core import Action, Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
 
 LIFE_UNIT = 256.0  # ms of the start's time that one life number stands for
--- a/dillport/sim/recovery_outside.py
+++ b/dillport/sim/recovery_outside.py
@@ -1,7 +1,8 @@
-"""What stands around a tier in the simulation: discovery that answers calls in turn, backends that can topple.
+"""What stands around a tier in the simulation: discovery that answers in turn, backends that can topple.
 
-Sources: the platform's rules for cold backends (`rules.cold-share`, `ramp-time`, `fall`, `fall-multiple`): one
-that is sent more than the multiple of what it can do at that moment, over any window of that length, topples.
+Sources: the platform's rules for cold backends (`rules.cold-share`, `ramp-time`, `fall`, `fall-multiple`):
+one that is sent more than the multiple of what it can do at that moment, over any window of that length,
+topples.
 """
 
 from __future__ import annotations
@@ -62,7 +63,7 @@
 
 @dataclass
 class Discovery:
-    """Answers calls one by one, `serve_ms` each; a caller gives up after a second, its call is worked off anyway."""
+    """Answers calls one by one, `serve_ms` each. Who waits for a second gives up, and is worked off anyway."""
 
     plan: Plan
     clock: Callable[[], float]
