Simulation: a tier's return from a power loss under virtual time, with an outside observer

The cores of membership and recovery run on the same nodes: disks in seven conditions, discovery that answers in turn, backends that topple, operators' calls, wall clocks minutes off, partitions. The observer holds bans, what is known, budgets, phases, lists, and the end against it. Schedules are drawn from a seed and shrink to a readable log.

--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -17,6 +17,7 @@
 from dillport.membership.core import Action, Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
 
+ROUNDING = 1e-6  # ms later than due a tick comes: between two clocks it must not be early by a rounding
 LIFE_UNIT = 256.0  # ms of the start's time that one life number stands for
 
 
@@ -164,7 +165,7 @@
     def _plan(self, node: int, due: float) -> None:
         """A tick at `due` by the node's own clock, if none comes sooner."""
         host = self.hosts[node]
-        due -= host.shift
+        due -= host.shift - ROUNDING
         if due < host.tick_at:
             host.tick_at = due
             self.at(max(due, self.now), partial(self._tick, node, host.number))
--- a/dillport/sim/recovery_outside.py
+++ b/dillport/sim/recovery_outside.py
@@ -63,7 +63,7 @@
 
 @dataclass
 class Discovery:
-    """Answers calls one by one, `serve_ms` each. Who waits for a second gives up, and is worked off anyway."""
+    """Answers calls one by one, `serve_ms` each. Who waits for a second gives up; it is worked off anyway."""
 
     plan: Plan
     clock: Callable[[], float]
--- /dev/null
+++ b/dillport/sim/recovery_schedule.py
@@ -0,0 +1,296 @@
+"""Seeded schedules of power cuts and their like, how they are played, and how a failed one is made small.
+
+One by hand, with the log of what happened:
+
+    python -c "from dillport.sim.recovery_schedule import draw, play; print(play(draw(17)))"
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from dillport.recovery.core import Config, Recovery
+from dillport.sim.members import Net
+from dillport.sim.recovery_disks import Condition
+from dillport.sim.recovery_observer import Breach, Observer
+from dillport.sim.recovery_world import Make, Partition, Tier
+
+BACKENDS = tuple(f"b{i}" for i in range(6))
+COUNTS = (3, 3, 4, 5, 6, 8, 12, 16)  # nodes
+SPREADS = (500.0, 5_000.0, 20_000.0)  # ms over which nodes return
+SETTLE_MS = 500.0
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """What happens, `at` ms after the start: `what` is a name in `STEPS`."""
+
+    at: float
+    what: str
+    node: int = -1
+    arg: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Schedule:
+    """All that happens to a tier; times in ms after its start."""
+
+    seed: int
+    count: int
+    steps: tuple[Step, ...]
+    partitions: tuple[tuple[float, float, frozenset[int]], ...] = ()
+    down: tuple[tuple[float, float], ...] = ()  # discovery
+    serve_ms: float = 4.0
+    loss: float = 0.0
+    duplicate: float = 0.0
+    late: float = 0.0
+    wall_ms: float = 0.0  # by which wall clocks are off at most, another figure at each start
+    window: float = 60_000.0
+    sync_fails: float = 0.0
+
+    @property
+    def last_fault(self) -> float:
+        """When nothing more goes wrong."""
+        ends = [s.at for s in self.steps] + [p[1] for p in self.partitions] + [d[1] for d in self.down]
+        return max(ends, default=0.0)
+
+
+@dataclass
+class Played:
+    """What came of a schedule."""
+
+    schedule: Schedule
+    breaches: list[Breach]
+    log: list[tuple[float, str]]
+    begun: float
+    full_ms: float  # from the last fault until all were full and agreed; infinity if they were not
+    datagrams_worst: float  # a node in the worst second
+    calls_worst: int  # of discovery in the worst second
+    yes: int
+    budget_worst: float  # part of its budget that a cold backend was sent at the most
+
+    def __str__(self) -> str:
+        lines = [f"seed {self.schedule.seed}: {self.schedule.count} nodes, loss {self.schedule.loss}"]
+        lines += [f"{at - self.begun:9.0f}  {text}" for at, text in self.log]
+        return "\n".join(lines)
+
+
+STEPS: dict[str, Callable[[Tier, Step], None]] = {
+    "boot": lambda tier, step: tier.boot(step.node, Condition(step.arg)),
+    "cut": lambda tier, step: tier.cut(list(range(tier.count))),
+    "kill": lambda tier, step: tier.kill(step.node),
+    "quit": lambda tier, step: tier.quit(step.node),
+    "succeed": lambda tier, step: tier.succeed(step.node),
+    "out": lambda tier, step: tier.call(step.node, step.arg, True),
+    "in": lambda tier, step: tier.call(step.node, step.arg, False),
+    "backend": lambda tier, step: tier.restart_backend(step.arg),
+    "image": lambda tier, step: tier.disks[step.node].photograph(),
+}
+
+
+# --- drawn by a seed
+
+
+def draw(seed: int, counts: Iterable[int] = COUNTS) -> Schedule:
+    """A schedule: three in four lose power as a whole, in the others single nodes have their own troubles."""
+    dice = random.Random(f"schedule {seed}")
+    count = dice.choice(tuple(counts))
+    plain = Schedule(
+        seed,
+        count,
+        tuple(Step(dice.uniform(0, 1_500), "boot", node, Condition.SOUND.value) for node in range(count)),
+        loss=dice.choice((0.0, 0.0, 0.0, 0.05, 0.1, 0.3)),
+        duplicate=dice.choice((0.0, 0.1)),
+        late=dice.choice((0.0, 0.0, 0.02)),
+        wall_ms=dice.choice((0.0, 600_000.0)),
+        sync_fails=dice.choice((0.0, 0.0, 0.1)),
+    )
+    full = _power(dice, plain) if dice.random() < 0.75 else _single(dice, plain)
+    return dataclasses.replace(full, steps=tuple(sorted(full.steps, key=lambda step: step.at)))
+
+
+def _calls(dice: random.Random, count: int, begin: float, until: float, most: int) -> Iterator[Step]:
+    for _ in range(dice.randint(0, most)):
+        what = "out" if dice.random() < 0.6 else "in"
+        yield Step(dice.uniform(begin, until), what, dice.randrange(count), dice.choice(BACKENDS[:3]))
+
+
+def _power(dice: random.Random, plain: Schedule) -> Schedule:
+    """All lose power, once or twice, and most of them return."""
+    count = plain.count
+    cut = dice.uniform(3_500, 9_000)
+    image = dice.uniform(3_000, cut)
+    steps = [Step(image, "image", node) for node in range(count)]
+    steps += _calls(dice, count, 2_500, cut, 8)
+    cuts = [cut]
+    if dice.random() < 0.25:
+        cuts.append(cut + dice.uniform(600, 12_000))
+    spread = dice.choice(SPREADS)
+    never = dice.randrange(count) if dice.random() < 0.2 else -1
+    states = _disks(dice, count)
+    for index, at in enumerate(cuts):
+        steps.append(Step(at, "cut"))
+        steps += [Step(at + dice.uniform(10, 900), "backend", arg=name) for name in BACKENDS]
+        for node in range(count):
+            late = 20_000.0 if dice.random() < 0.07 else 0.0
+            back = at + 500 + dice.uniform(0, spread) + late
+            if node == never or any(at < other <= back for other in cuts):
+                continue
+            state = states[node] if index == 0 or dice.random() < 0.3 else Condition.SOUND
+            steps.append(Step(back, "boot", node, state.value))
+    end = cuts[-1] + spread + 2_000
+    steps += _calls(dice, count, cut + 1_000, end + 4_000, 4)
+    if dice.random() < 0.2:
+        node, at = dice.randrange(count), dice.uniform(cuts[-1] + 1_000, end + 3_000)
+        steps.append(Step(at, "quit", node))
+        steps.append(Step(at + dice.uniform(900, 4_000), "boot", node, Condition.SOUND.value))
+    if dice.random() < 0.2:
+        steps.append(Step(dice.uniform(cuts[-1] + 1_000, end + 4_000), "succeed", dice.randrange(count)))
+    parted: tuple[tuple[float, float, frozenset[int]], ...] = ()
+    if dice.random() < 0.35:
+        side = frozenset(dice.sample(range(count), max(1, count // dice.choice((2, 2, 3)))))
+        parted = ((cut, cuts[-1] + dice.uniform(2_000, 15_000), side),)
+    down = ((cut, cuts[-1] + 8_000.0),) if dice.random() < 0.25 else ()
+    steps += plain.steps
+    serve = dice.choice((4.0, 4.0, 4.0, 60.0))
+    return dataclasses.replace(plain, steps=tuple(steps), partitions=parted, down=down, serve_ms=serve)
+
+
+def _disks(dice: random.Random, count: int) -> list[Condition]:
+    """What the cut leaves of each node's disk."""
+    states = [Condition.SOUND] * count
+    hurt = dice.sample(range(count), count)
+    match dice.choice(("sound", "third", "month", "swapped", "most", "older", "mixed")):
+        case "third":
+            for node in hurt[: max(1, count // 3)]:
+                states[node] = Condition.LOST
+        case "month":
+            states[hurt[0]] = Condition.MONTH
+        case "swapped":
+            states[hurt[0]] = states[hurt[1]] = Condition.SWAPPED
+        case "most":
+            for node in hurt[: count // 2 + 1]:
+                states[node] = Condition.DAMAGED
+        case "older":
+            for node in hurt[: max(1, count // 2)]:
+                states[node] = Condition.OLDER
+        case "mixed":
+            states = [dice.choice(tuple(Condition)) for _ in range(count)]
+    return states
+
+
+def _single(dice: random.Random, plain: Schedule) -> Schedule:
+    """Troubles of single nodes in a tier that has run for longer than the window."""
+    count = plain.count
+    steps = list(_calls(dice, count, 2_500, 30_000, 8))
+    steps += [Step(dice.uniform(4_000, 14_000), "image", node) for node in range(count)]
+    at = 15_000.0
+    for _ in range(dice.randint(1, 3)):
+        at += dice.uniform(500, 6_000)
+        node, what = dice.randrange(count), dice.choice(("kill", "kill", "quit", "succeed", "backend"))
+        if what == "backend":
+            steps.append(Step(at, what, arg=dice.choice(BACKENDS)))
+            continue
+        steps.append(Step(at, what, node))
+        if what != "succeed":
+            state = dice.choice((Condition.SOUND, Condition.SOUND, *Condition))
+            steps.append(Step(at + dice.uniform(900, 4_000), "boot", node, state.value))
+    return dataclasses.replace(plain, steps=(*plain.steps, *steps), window=12_000.0)
+
+
+# --- played
+
+
+def bounds(schedule: Schedule, config: Config) -> tuple[float, float]:
+    """Stated times in ms: until a ban is known to all in touch; from the last fault until all are full."""
+    slow = 1.0 / (1.0 - schedule.loss) ** 2
+    learn = 3_000.0 * slow + (10_000.0 if schedule.late else 0.0)
+    turns = max(1_000.0, schedule.count * config.slot) * 4 + 3 * schedule.count * schedule.serve_ms
+    return learn, config.ask_most + turns + config.warming_most + 2 * learn + 3_000.0
+
+
+def play(schedule: Schedule, make: Make = Recovery, quiet: bool = True) -> Played:
+    """Let a schedule happen; stops soon after the last fault where all is well."""
+    config = Config(window=schedule.window)
+    net = Net(loss=schedule.loss, duplicate=schedule.duplicate, late=schedule.late)
+    begun = 1e6
+    parted = tuple(Partition(begun + a, begun + b, side) for a, b, side in schedule.partitions)
+    tier = Tier(schedule.count, schedule.seed, net, config, make, BACKENDS, parted)
+    tier.discovery.serve_ms, tier.sync_fails = schedule.serve_ms, schedule.sync_fails
+    tier.discovery.down = tuple((begun + a, begun + b) for a, b in schedule.down)
+    tier.wall_ms = schedule.wall_ms
+    learn, most = bounds(schedule, config)
+    observer = Observer(tier, learn)
+    for step in schedule.steps:
+        tier.at(begun + step.at, lambda step=step: STEPS[step.what](tier, step))  # type: ignore[misc]
+    last = begun + schedule.last_fault
+    tier.run(last)
+    while tier.now < last + most and not observer.breaches:
+        if tier.now > last + learn and observer.ends():
+            break
+        tier.run(tier.now + SETTLE_MS)
+    full = tier.now - last if observer.ends() else float("inf")
+    if not observer.breaches:
+        observer.judge_end()
+    datagrams = max(tier.per_second.values(), default=0) / schedule.count
+    calls = max(tier.discovery.per_second.values(), default=0)
+    budget = max(backend.worst for backend in tier.backends.values())
+    return Played(schedule, observer.breaches, tier.log, begun, full, datagrams, calls, observer.yes, budget)
+
+
+@dataclass
+class Explored:
+    """What many schedules came to."""
+
+    schedules: int = 0
+    yes: int = 0
+    failures: list[Played] = field(default_factory=list)
+    worst_budget: float = 0.0
+    full_ms: list[float] = field(default_factory=list)
+
+    def first(self) -> Breach | None:
+        """The first thing that must not be."""
+        return self.failures[0].breaches[0] if self.failures else None
+
+
+def explore(seeds: Iterable[int], counts: Iterable[int] = COUNTS, make: Make = Recovery,
+            stop: int = 5) -> Explored:  # fmt: skip
+    """Play a schedule of each seed until `stop` have failed."""
+    out, sizes = Explored(), tuple(counts)
+    for seed in seeds:
+        played = play(draw(seed, sizes), make)
+        out.schedules += 1
+        out.yes += played.yes
+        out.worst_budget = max(out.worst_budget, played.budget_worst)
+        out.full_ms.append(played.full_ms)
+        if played.breaches:
+            out.failures.append(played)
+            if len(out.failures) >= stop:
+                break
+    return out
+
+
+def shrink(failed: Played, make: Make = Recovery) -> Played:
+    """The same breach with less: steps and troubles are taken away as long as it stays."""
+    invariant, best = failed.breaches[0].invariant, failed
+    changed = True
+    while changed:
+        changed = False
+        for smaller in _smaller(best.schedule):
+            played = play(smaller, make)
+            if any(breach.invariant == invariant for breach in played.breaches):
+                best, changed = played, True
+                break
+    return best
+
+
+def _smaller(schedule: Schedule) -> Iterator[Schedule]:
+    plain = Schedule(schedule.seed, schedule.count, schedule.steps, window=schedule.window)
+    for name in ("partitions", "down", "loss", "late", "duplicate", "sync_fails", "serve_ms", "wall_ms"):
+        if getattr(schedule, name) != getattr(plain, name):
+            yield dataclasses.replace(schedule, **{name: getattr(plain, name)})
+    for index in range(len(schedule.steps)):
+        yield dataclasses.replace(schedule, steps=schedule.steps[:index] + schedule.steps[index + 1 :])
