--- a/dillport/lab/figures.py
+++ b/dillport/lab/figures.py
@@ -15,10 +15,13 @@
 from dillport.lab import records
 from dillport.lab.judge import RULES, Judgement
 from dillport.lab.model.client import End
-from dillport.lab.spec import Expect, Experiment, Link, Stall, choose
+from dillport.lab.returning import forgotten, returning
+from dillport.lab.spec import Expect, Experiment, Link, Power, Stall, choose
 from dillport.lab.timeline import over
 
 LATE_RIG = 5.0  # ms: the p99 of the rig's own lateness from which a run is void
+STARVED = 1.0  # s within STRETCH that a node that runs could not run, from which on a run is void
+STRETCH, SETTLED = 2.0, 3.0  # s; from a process's start until it is looked at: many start at once
 HIGHEST = 60_000_000  # us that a latency can have in the histogram
 RECOVERED = 0.95  # of the goodput before the first fault
 KNOWN_BY = 10_000.0  # ms within which a death has to be known
@@ -129,7 +132,7 @@
     return -1.0
 
 
-def figures(spec: Experiment, seen: records.Seen, judged: Judgement) -> dict[str, float]:
+def figures(spec: Experiment, seed: int, seen: records.Seen, judged: Judgement) -> dict[str, float]:
     """All figures of a run by name; shares are of 1, times in ms unless the name says otherwise."""
     done = wishes(spec, seen)
     counted = [w for w in done if w.intended >= spec.warmup * 1000]
@@ -175,6 +178,10 @@
         out |= membership(spec, seen)
         if (agreed_s := agreed(spec, seen)) is not None:
             out["member_agreed_s"] = agreed_s
+    if any(isinstance(f, Power) for f in spec.faults):
+        out |= returning(spec, seed, seen, [(w.intended, w.worth, w.got) for w in done])
+    if seen.bans:
+        out["forgotten_bans"] = float(forgotten(spec, seen))
     recovery = _recovery(spec, line)
     if recovery is not None:
         out["recovery_s"] = recovery
@@ -229,10 +236,25 @@
         "node_cpu_us_per_try": 1e6 * spent / (len(seen.tries) or 1),
         "node_rss_mb_max": max((s.rss_mb for s in seen.samples), default=0.0),
         "node_descriptors_max": float(max((s.descriptors for s in seen.samples), default=0)),
+        "node_waited_s_max": waited(seen),
         "node_ready_ms_max": max((x.ready - x.started for x in seen.lives if x.ready), default=0.0),
     }
 
 
+def waited(seen: records.Seen) -> float:
+    """The most seconds within `STRETCH` that a process of a node could have run and had no core."""
+    by_process: dict[tuple[int, int], list[records.Sample]] = defaultdict(list)
+    for sample in sorted(seen.samples, key=lambda s: s.at):
+        by_process[sample.node, sample.process].append(sample)
+    most = 0.0
+    for life in seen.lives:
+        held = [s for s in by_process[life.node, life.process] if s.at >= life.started + SETTLED * 1000]
+        for first in held:
+            last = [s for s in held if first.at <= s.at <= first.at + STRETCH * 1000][-1]
+            most = max(most, last.waited_s - first.waited_s)
+    return most
+
+
 def flaky(spec: Experiment) -> set[int]:
     """Nodes that stall, or that lose half or more of what they say to all: no healthy ones."""
     out: set[int] = set()
@@ -326,14 +348,14 @@
     spec: Experiment, seed: int, program: str, seen: records.Seen, judged: Judgement
 ) -> dict[str, Any]:
     """What `summary.json` holds."""
-    values = figures(spec, seen, judged)
+    values = figures(spec, seed, seen, judged)
     return {
         "version": 1,
         "experiment": spec.name,
         "seed": seed,
         "program": program,
         "seconds": spec.seconds,
-        "void": values["rig_late_p99_ms"] > LATE_RIG,
+        "void": values["rig_late_p99_ms"] > LATE_RIG or values["node_waited_s_max"] > STARVED,
         "figures": values,
         "expectations": [
             {
