--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,68 @@
+"""Lists as discovery tells them: what is taken, what is not, and what is said then."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from dillport import interface as api
+from dillport.net.config import ListError, News, address, news, news_of
+
+ROW = {"id": "a", "host_port": "10.0.0.1:80", "phase": "in_service"}
+
+
+def told(**over: Any) -> bytes:
+    """A list of one entry as bytes."""
+    return json.dumps({"revision": 7, "members": [ROW | over]}).encode()
+
+
+@pytest.mark.parametrize("text", [
+    told(locality="z", cell=3, size=2, up_since_ms=9),
+    told(locality="z", cell="3", size=2.0, up_since_ms=9.0, new={"x": [1]}),
+    told(locality="z", cell=3.5, size=2, up_since_ms=9, new=float("nan")),  # NaN is no JSON
+    told(locality="z", cell=3, size=2, up_since_ms=9).replace(b'"size"', b'"size": "x", "size"'),
+    told(locality="z", cell=3, size=2, up_since_ms=9, new="\ud800"),
+])  # fmt: skip
+def test_what_is_odd_but_clear_is_taken(text: bytes) -> None:
+    entry = api.Entry("a", "z", 3, 2.0, api.Phase.UP, 9.0, "")
+    got = news_of(text)
+    assert (got.revision, got.complete) == (7, False)
+    assert [(m.entry, m.address) for m in got.members] == [(entry, ("10.0.0.1", 80))]
+    assert news(json.loads(text)) == got
+
+
+@pytest.mark.parametrize(("over", "line"), [
+    ({"id": ""}, "members[0].id makes no sense: '', expected `str` of length >= 1"),
+    ({"size": -1}, "members[0].size makes no sense: -1, expected `float` >= 0.0"),
+    ({"size": float("nan")}, "members[0].size makes no sense: nan, expected `float` >= 0.0"),
+    ({"up_since_ms": True}, "members[0].up_since_ms makes no sense: True, expected `float`, got `bool`"),
+    ({"phase": "up"}, "members[0].phase makes no sense: 'up', invalid enum value 'up'"),
+    ({"cell": None}, "members[0].cell makes no sense: None"),
+    ({"cell": float("inf")}, "members[0].cell makes no sense: inf"),
+    ({"host_port": "b.example:80"}, "members[0].host_port makes no sense: 'b.example:80'"),
+])  # fmt: skip
+def test_one_senseless_entry_is_named_and_spoils_the_list(over: dict[str, Any], line: str) -> None:
+    with pytest.raises(ListError) as err:
+        news_of(told(**over))
+    assert str(err.value) == line
+
+
+@pytest.mark.parametrize(("text", "line"), [
+    (b'{"revision": 1, "members": [{}]}', "members[0].id is missing"),
+    (b'{"members": []}', "revision is missing"),
+    (b"[]", "the whole makes no sense: [], expected `object`, got `array`"),
+])  # fmt: skip
+def test_what_is_no_list_is_said(text: bytes, line: str) -> None:
+    with pytest.raises(ListError) as err:
+        news_of(text)
+    assert str(err.value) == line
+
+
+def test_a_host_is_an_address_of_either_kind_and_never_a_name() -> None:
+    assert address("[::1]:9") == ("::1", 9) and address("10.0.0.1:0") == ("10.0.0.1", 0)
+    for wrong in ("localhost:80", "010.0.0.1:80", "10.0.0.1", "10.0.0.1:65536", "10.0.0.1:+1", " 10.0.0.1:1"):
+        with pytest.raises(ValueError):
+            address(wrong)
+    assert news_of(b'{"revision": 0, "complete": true, "members": []}') == News(0, True, ())
