--- a/dillport/lab/report.py
+++ b/dillport/lab/report.py
@@ -6,6 +6,7 @@
 import html
 import io
 from collections.abc import Iterable, Sequence
+from itertools import pairwise
 from typing import Any
 
 import matplotlib
@@ -102,7 +103,7 @@
         end = min(life.ended / 1000 if life.ended else spec.seconds, spec.seconds)
         inside = [p for p in seen.phases if life.started <= p.at and not 0 < life.ended < p.at]
         mine = sorted((p.at / 1000, p.phase) for p in inside if p.node == life.node)
-        for (begin, phase), (until, _) in zip(mine, [*mine[1:], (end, "")], strict=True):
+        for (begin, phase), (until, _) in pairwise([*mine, (end, "")]):
             begin, until = max(0.0, begin), min(end, until)
             if begin < until:
                 ax.plot([begin, until], [life.node] * 2, color=shades.get(phase, INK), lw=4,
--- a/dillport/lab/wires.py
+++ b/dillport/lab/wires.py
@@ -81,6 +81,8 @@
         """Break the connection now."""
         if self.transport is not None and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
+            if sock is None:  # the loop has closed it, and is yet to say so
+                return
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             self.transport.abort()
