Durable state: a process that takes over again finds out by itself that it had been fenced

After a successor that was killed at once the old process said 503 to every maint and ready for good: it had written nothing meanwhile, so its store did not know of the fence until the first record after it had taken over, and that record's Fenced was final. The store now looks at the fence when it is asked to take over. Found by a test in which an operator calls the successor, that is killed, and the old process has to know of the call and of its return.

--- a/dillport/durable/shell.py
+++ b/dillport/durable/shell.py
@@ -240,7 +240,11 @@
     def _opened(self) -> Store | None:
         """The store, opened anew a while after a failure or once another process has given it up."""
         if self.store is not None and not self.store.broken:
-            return self.store
+            # Who takes over may have had nothing to write while the other process had the directory.
+            if not (self._asked and self.store.superseded()):
+                self._asked = False
+                return self.store
+            self.store.broken = True
         if time.monotonic() - self._tried < TRY_AGAIN:
             return None
         self._tried = time.monotonic()
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -17,7 +17,7 @@
 
 from dillport.cli.app import app
 from dillport.lab.places import Block, text
-from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, spawn, started
+from tests.sockets import WAIT, Backend, FakeDiscovery, Rig, configuration, happens, spawn, started
 from tests.test_console import CONSOLE
 
 BACKENDS = ["b0", "b1", "b2", "b3"]
@@ -223,6 +223,15 @@
             assert "b2" not in await served(again)
 
 
+@contextlib.asynccontextmanager
+async def successor(one: Tier) -> AsyncIterator[Rig]:
+    """A second process of node 0 beside its first one, once discovery has answered it."""
+    answer = asyncio.create_task(one.tell(0))
+    async with one.up(0, fresh_tmp=False) as new:
+        await answer
+        yield new
+
+
 async def test_an_end_and_a_successor_in_the_midst_of_a_return(tmp_path: Path) -> None:
     async with tier(tmp_path, 2) as one:
         process = await spawn(one.home(0) / "config.json", **one.env(0))
@@ -234,11 +243,21 @@
             await ban(old)
             assert (await recovery(old))["phase"] == "listed"
             await one.discovery[0].asked.get()
-            answer = asyncio.create_task(one.tell(0))
-            async with one.up(0, fresh_tmp=False) as new:
-                await answer
-                lines = "".join(new.log)
-                assert "phase listed, path upgrade" in lines and (await recovery(new))["bans"] == 1
+            async with successor(one) as new:
+                await ban(new, "b2")
+                new.process.kill()
+
+            async def learned() -> bool:
+                return bool((await recovery(old))["bans"] == 2)
+
+            async def returned() -> bool:
+                return (await old.call("/backends/b2/ready", "POST")).code == 200
+
+            await happens(learned)  # of a call that only the process that came to nothing had
+            await happens(returned)
+            async with successor(one) as new:
+                assert "phase listed, path upgrade" in "".join(new.log)
+                assert (await recovery(new))["bans"] == 1
                 old.terminate()
                 assert await old.end() == 0
                 await new.logged("membership: node 0")
