Recovery: a ban called twice stands where the second call's sync fails

Bans._undo wrote the second call's row as cleared, above the first one's counter. A row that was live stays so: the operator was told yes once.

--- a/dillport/recovery/bans.py
+++ b/dillport/recovery/bans.py
@@ -69,7 +69,10 @@
         """What may have got to the disk all the same, of a call that failed, must not come back."""
         self.counts["calls_failed"] += 1
         undo: list[Row] = []
-        if called.out:
+        own = self.register.get(called.backend, self.register.me)
+        if called.out and own is not None and own.live:
+            undo = rows  # it was out by a call before, which goes on
+        elif called.out:
             undo = [row._replace(live=False, at=-math.inf) for row in rows]
         elif rows and self.register.banned(called.backend):
             undo = [self.register.ban(called.backend, self.register.since(called.backend))]
