--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -53,9 +53,9 @@
             Config(ramp_time=settings.ramp_time), settings.me, life, node.config.seed, port, self, disk
         )
         self.rate = self.kept.sampled.rate if self.kept.sampled is not None else 0.0
-        self._completed: int | None = None
+        self._pulsed: tuple[float, int, int] | None = None  # when, what had come, and was completed
         self._turn = False  # it may call discovery
-        self._wanted, self._whole = False, False  # what the module wants of it
+        self._whole = False  # the module wants the whole list
         self._fresh = False  # discovery has told the list
         self._saved = replace(known, members=tuple(map(_copy, known.members)))
         self._list = {m.entry.backend: m for m in self._saved.members}
@@ -127,10 +127,9 @@
         self.admitted = phase, admit
 
     def ask(self) -> None:
-        """Discovery may be called."""
+        """Discovery may be called: at once, whenever the module asks, as the turns have spread the calls."""
         self._turn = True
-        if self._wanted:
-            self.watcher.watch(True)
+        self.watcher.watch(True)
         if self._whole:
             self._whole = False
             self.watcher.fetch()
@@ -151,7 +150,6 @@
 
     def watch(self, on: bool) -> None:
         """The module wants the watch, or no more of it: it is held until this node's turn."""
-        self._wanted = on
         if self._turn or not on:
             self.watcher.watch(on)
 
@@ -198,10 +196,16 @@
 
     def pulse(self) -> float:
         """Once a second: the requests a second that it carries when warm; 0: not known."""
-        total = self.node.figures.ends[End.COMPLETED].total()
-        before, self._completed = self._completed, total
-        if before is not None and self.shell.core.phase is Phase.FULL:
-            self.rate += SMOOTH * (total - before - self.rate)
+        ends, now = self.node.figures.ends, self.node.loop.time()
+        pending = sum(not request.answered for request in self.node.open.values())
+        came = sum(counts.total() for counts in ends.values()) + pending
+        before, self._pulsed = self._pulsed, (now, came, ends[End.COMPLETED].total())
+        if before is None or now <= before[0]:
+            return self.rate
+        since = now - before[0]
+        each = [(b - a) / since for a, b in zip(before[1:], self._pulsed[1:], strict=True)]
+        if self.shell.core.phase is Phase.FULL:
+            self.rate += SMOOTH * (each[1] - self.rate)
         return self.rate
 
 
--- /dev/null
+++ b/tests/test_returning.py
@@ -0,0 +1,103 @@
+"""What the room of a return does with the node's list and with discovery's calls, without sockets."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from dillport import interface as api
+from dillport.membership.port import Port
+from dillport.net.config import Member, News
+from dillport.net.node import Node
+from dillport.net.returning import Returning
+from dillport.recovery.phases import Phase
+from dillport.recovery.shell import CallError
+from tests.helpers import BASE, entry
+
+HERE = ("127.0.0.1", 1)
+
+
+class Watcher:
+    """Takes note of what is asked of discovery."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def watch(self, on: bool) -> None:
+        """The watch."""
+        self.calls.append(f"watch {on}")
+
+    def fetch(self) -> None:
+        """The whole list."""
+        self.calls.append("fetch")
+
+
+Told = list[tuple[api.ListKind, dict[str, api.Phase]]]
+
+
+def news(revision: int, *names: str) -> News:
+    """A list of backends that are in service."""
+    return News(revision, True, tuple(Member(entry(name), HERE) for name in names))
+
+
+@contextlib.asynccontextmanager
+async def returning(*names: str) -> AsyncIterator[tuple[Returning, Watcher, Told]]:
+    """The return of a tier's only node, with a saved list; and what its node was told of lists."""
+    told: Told = []
+
+    def take(update: News, kind: api.ListKind) -> None:
+        told.append((kind, {m.entry.backend: m.entry.phase for m in update.members}))
+
+    one: Any = SimpleNamespace(
+        settings=BASE, config=SimpleNamespace(seed=1), now=lambda: 1000.0, list=take, event=lambda event: None
+    )
+    watcher = Watcher()
+    out = Returning(cast(Node, one), watcher, news(41, *names), Port(HERE, [HERE], HERE), 1, None)
+    try:
+        yield out, watcher, told
+    finally:
+        out.shell.close()
+
+
+async def test_discovery_is_called_at_the_turn_and_after_a_failure_at_the_next_one() -> None:
+    async with returning("a") as (one, watcher, _):
+        one.watch(True)
+        one.fetch()
+        assert watcher.calls == []
+        one.shell.begin(one.kept)
+        assert one.shell.core.phase is Phase.LISTED and watcher.calls == ["watch True", "fetch"]
+        one.list_failed()
+        one.watch(True)
+        assert watcher.calls[2:] == ["watch False"] and one.shell.core.counts["list_failed"] == 1
+        one.ask()
+        one.listed(news(42, "a"), api.ListKind.FULL)
+        one.list_failed()  # what is lost once the list was told is the node's own affair
+        assert watcher.calls[3:] == ["watch True"]
+
+
+async def test_a_restriction_only_takes_away_and_ends_with_the_list_that_discovery_tells() -> None:
+    async with returning("a", "b", "c") as (one, _, told):
+        up, leaving = api.Phase.UP, api.Phase.DRAINING
+        one.restrict(frozenset({"a", "b", "x"}))
+        assert told == [(api.ListKind.SAVED, {"a": leaving, "b": leaving, "c": up})]
+        one.listed(News(42, False, (Member(entry("a", phase=api.Phase.GONE), HERE),)), api.ListKind.CHANGES)
+        one.restrict(frozenset())
+        assert told[1:] == [(api.ListKind.CHANGES, {"b": up})]
+
+
+async def test_a_defect_of_the_room_leaves_a_node_that_serves() -> None:
+    async with returning("a") as (one, watcher, _):
+
+        def broken(now: float, event: object) -> list[Any]:
+            raise ZeroDivisionError
+
+        one.shell.core.handle = broken  # type: ignore[method-assign]
+        one.shell.begin(one.kept)
+        await one.shell.served()
+        assert one.shell.failed and watcher.calls == ["watch True"]
+        with pytest.raises(CallError, match="failed"):
+            await one.banned("a", True)
