--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -16,14 +16,26 @@
 from pathlib import Path
 from typing import Any
 
+from dillport.errors import DillportError
+
 log = logging.getLogger(__name__)
 
 LOOK = 0.1  # s between two looks whether the other process has changed the file
 LOCK_WAIT, LOCK_TRY = 0.6, 0.005  # s to wait for the lock, of the 1 s that a caller waits; between tries
 
 
-class BansError(Exception):
-    """The file could not be changed, so nothing is."""
+class BansError(DillportError):
+    """The file of bans could not be changed, so nothing is."""
+
+    code = "BAN01"
+    remedy = "see that $TMPDIR can be written and has room, then call again"
+
+
+class BansFileError(DillportError):
+    """The file of bans is not what it should be; what was known of it stays in force."""
+
+    code = "BAN02"
+    remedy = "see that $TMPDIR can be written; the next maint or ready writes the file anew"
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,17 +125,29 @@
         try:
             async with self._locked():
                 self._refresh()  # the other process may have written since the last look
-                held = self.record
-                if out == (backend in held.out):
+                if out == (backend in self.record.out):
                     return
-                back = {k: t for k, t in held.back.items() if now - t < keep and k != backend}
-                fresh = Record(held.out | {backend}, back) if out else Record(
-                    held.out - {backend}, back | {backend: now})  # fmt: skip
+                fresh = self._changed(backend, out, now, keep)
                 self._write(fresh)
                 self._take(fresh)
         except OSError as err:
             raise BansError(str(err)) from None
 
+    async def follow(self, backend: str, out: bool, since: float, keep: float) -> None:
+        """The same on the word of the tier: where the file cannot be written it holds in this process."""
+        try:
+            await self.change(backend, out, since, keep)
+        except BansError as err:
+            self._fault(f"cannot be written: {err}")
+            self._take(self._changed(backend, out, since, keep))
+
+    def _changed(self, backend: str, out: bool, now: float, keep: float) -> Record:
+        held = self.record
+        back = {k: t for k, t in held.back.items() if now - t < keep and k != backend}
+        if out:
+            return Record(held.out | {backend}, back)
+        return Record(held.out - {backend}, back | {backend: now})
+
     @contextlib.asynccontextmanager
     async def _locked(self) -> AsyncIterator[None]:
         fd = os.open(self.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -172,7 +196,7 @@
     def _fault(self, what: str) -> None:
         """One warning; what was known stays in force, and the next call writes the file anew."""
         if not self.faulty:
-            log.warning("bans: %s %.200s", self.path.name, what)
+            log.warning("bans: %s", BansFileError(f"{self.path.name} {what:.200}").line)
         self.faulty = True
 
     def _take(self, fresh: Record) -> None:
