--- /dev/null
+++ b/tests/test_recovery_sim.py
@@ -0,0 +1,89 @@
+"""A tier's return in the simulation: small schedules hold, planted faults do not, failures can be read."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from dillport.recovery.register import Row
+from dillport.sim.recovery_disks import Condition, Disk
+from dillport.sim.recovery_faults import FAULTS
+from dillport.sim.recovery_figures import calls_without, mass_return
+from dillport.sim.recovery_outside import Backend, Discovery, warmth
+from dillport.sim.recovery_schedule import draw, explore, play, shrink
+
+SMALL = (3, 4, 5)
+
+
+def test_small_tiers_return_as_they_must() -> None:
+    found = explore(range(50), SMALL, stop=1)
+    assert not found.failures, str(shrink(found.failures[0]))
+    assert found.yes > 100
+
+
+@pytest.mark.parametrize("name", [
+    "a return wins over a ban at the same time", "returns are dropped at a restart",
+    "a phase is entered again", "yes is said before the sync", "a peer's filter restricts everything",
+    "bans heard while serving are not applied", "digests are not answered",
+])  # fmt: skip
+def test_planted_faults_are_found(name: str) -> None:
+    fault = FAULTS[name]
+    breach = explore(range(40), fault.counts, fault.make, stop=1).first()
+    assert breach is not None and breach.invariant in fault.found_by
+
+
+def test_a_failure_shrinks_to_what_it_needs() -> None:
+    make = FAULTS["returns are dropped at a restart"].make
+    failed = explore(range(40), (3,), make, stop=1).failures[0]
+    small = shrink(failed, make)
+    assert len(small.schedule.steps) < len(failed.schedule.steps) / 2
+    assert small.breaches[0].invariant == failed.breaches[0].invariant
+    assert f"seed {failed.schedule.seed}" in str(small) and "BREACH" in str(small)
+
+
+def test_a_seed_plays_the_same_twice() -> None:
+    assert play(draw(5, SMALL)).log == play(draw(5, SMALL)).log
+
+
+def test_turns_spare_discovery() -> None:
+    room = mass_return(24, 1, spread=300.0)
+    assert not room.breaches
+    assert room.calls <= 24 < calls_without(24, 1, spread=300.0, down=8_000.0)
+
+
+def test_discovery_answers_one_by_one() -> None:
+    ends: list[str] = []
+    times: list[float] = []
+
+    def plan(at: float, call: Callable[[], None]) -> None:
+        times.append(at)
+        call()
+
+    discovery = Discovery(plan, lambda: 0.0, serve_ms=400.0)
+    for _ in range(4):
+        discovery.call(lambda: ends.append("answered"), lambda: ends.append("failed"))
+    assert ends == ["answered", "answered", "failed", "failed"]
+    assert times == [400.0, 800.0, 1000.0, 1000.0]
+
+
+def test_a_backend_topples_over_its_budget_and_not_below() -> None:
+    for part, falls in ((0.98, False), (1.5, True)):
+        backend = Backend(start=0.0)
+        toppled = [backend.offer(now, part * 3.0 * warmth(now) * 100.0) for now in range(0, 8_000, 100)]
+        assert any(toppled) is falls
+
+
+@pytest.mark.parametrize(("condition", "kept", "sound"), [
+    (Condition.SOUND, 3, True), (Condition.LOST, 0, True), (Condition.DAMAGED, 0, False),
+    (Condition.SWAPPED, 0, False), (Condition.MONTH, 1, True),
+])  # fmt: skip
+def test_what_a_start_finds(condition: Condition, kept: int, sound: bool) -> None:
+    rows = [Row(f"b{i}", 0, 1, i, True, 0.0) for i in range(3)]
+    disk = Disk(rows=[(rows[0],)], used=True)
+    disk.photograph()
+    disk.rows += [(rows[1],), (rows[2],)]
+    found = disk.read(condition, 1_000.0, random.Random(1))
+    assert (len(found.rows), found.sound) == (kept, sound)
+    assert disk.epoch == (condition is not Condition.SOUND)
