--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -14,11 +14,17 @@
 import msgspec
 from msgspec import field
 
+from dillport.errors import DillportError
+
 ZONES = ("a", "b", "c")
+MOST_LATE = 0.45  # of the time: `model/late.py` has spells of 0.9 s and 1.1 s between them at least
+
 
+class SpecError(DillportError):
+    """An experiment makes no sense; the text names the dotted field."""
 
-class SpecError(ValueError):
-    """The experiment makes no sense; the text names the dotted field."""
+    code = "LAB01"
+    remedy = "correct the field that is named, in the file or after --set; lab list has the names there are"
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, rename="kebab"):
@@ -69,6 +75,7 @@
     spread_ms: float = 50.0  # until a watch is told, at most
     call_ms: float = 4.0  # work of one call; calls are handled in turn
     timeout_ms: float = 1000.0  # a call that has to wait longer fails
+    indented: bool = False  # lists come over many lines
 
 
 class Network(Table, frozen=True):
@@ -315,6 +322,20 @@
     by_ms: float = 2000.0
 
 
+class WatchSilent(Fault, frozen=True, tag="watch-silent"):
+    """The watches that nodes have open then say nothing more and stay open; new ones are sound."""
+
+    what: str = "nodes"
+
+
+class LateConnect(Fault, frozen=True, tag="late-connect"):
+    """New connections to backends come up a second late in a `share` of the time, by node and backend."""
+
+    what: str
+    for_: float = field(name="for")
+    share: float = 0.2
+
+
 class Surge(Fault, frozen=True, tag="surge"):
     """The clients' rate is `times` as high, in one zone or in all."""
 
@@ -324,7 +345,7 @@
 
 
 AnyFault = (Kill | Terminate | Stall | Upgrade | Reload | Disk | Power | Drain | Maint | Gray | Slow | Resets
-            | Link | DiscoveryDown | DiscoveryLate | Surge)  # fmt: skip
+            | Link | DiscoveryDown | DiscoveryLate | WatchSilent | LateConnect | Surge)  # fmt: skip
 
 
 class Expect(Table, frozen=True):
@@ -387,7 +408,7 @@
     """The parties that a selector names, in a fixed order.
 
     `KIND` or `KIND:WHICH`; kinds: nodes, backends, clients, discovery; WHICH: `3`, `0-2`, `70%`, `zone=a` or
-    `zone!=a`. A share is spread evenly over the numbers. Raises ValueError.
+    `zone!=a`. A share is spread evenly over the numbers. Raises SpecError.
     """
     kind, _, which = selector.partition(":")
     everyone = {
@@ -395,14 +416,14 @@
         "clients": [f"c-{zone}" for zone in spec.fleet.zones],
     }  # fmt: skip
     if kind not in everyone:
-        raise ValueError(f"{selector!r} names none of {', '.join(everyone)}")
+        raise SpecError(f"{selector!r} names none of {', '.join(everyone)}")
     names = everyone[kind]
     if not which:
         return names
     if "zone" in which:
         left, _, zone = which.rpartition("=")
         if zone not in spec.fleet.zones or left not in ("zone", "zone!"):
-            raise ValueError(f"{selector!r} names no zone of the fleet")
+            raise SpecError(f"{selector!r} names no zone of the fleet")
         return [n for n in names if (spec.zone_of(n) == zone) == (left == "zone")]
     if which.endswith("%") and which[:-1].isdecimal() and 0 < int(which[:-1]) <= 100:
         count = max(1, round(len(names) * int(which[:-1]) / 100))
@@ -410,11 +431,11 @@
     first, _, last = which.partition("-")
     if first.isdecimal() and (last or first).isdecimal() and int(first) <= int(last or first) < len(names):
         return names[int(first) : int(last or first) + 1]
-    raise ValueError(f"{selector!r} names nothing here: there are {len(names)} {kind}")
+    raise SpecError(f"{selector!r} names nothing here: there are {len(names)} {kind}")
 
 
 def parties(spec: Experiment, fault: Fault) -> list[str]:
-    """The parties that a fault strikes; none for one that strikes a way or a service. Raises ValueError."""
+    """The parties that a fault strikes; none for one that strikes a way or a service. Raises SpecError."""
     what = getattr(fault, "what", ())
     selectors = (what,) if isinstance(what, str) else what
     return list(dict.fromkeys(name for one in selectors for name in choose(spec, one)))
@@ -484,6 +505,8 @@
     for index, fault in enumerate(spec.faults):
         if not (0 <= fault.at < spec.seconds and fault.until <= spec.seconds):
             raise SpecError(f"faults[{index}].at is not within the run's {spec.seconds:g} s")
+        if isinstance(fault, LateConnect) and not 0 < fault.share <= MOST_LATE:
+            raise SpecError(f"faults[{index}].share makes no sense: {fault.share!r:.80}")
         if isinstance(fault, Power):
             for name in ("restart_after", "return_over", "discovery_after"):
                 if getattr(fault, name) < 0:
@@ -491,7 +514,7 @@
         for name, selector, kinds in _selectors(fault):
             try:
                 chosen = choose(spec, selector)
-            except ValueError as err:
+            except SpecError as err:
                 raise SpecError(f"faults[{index}].{name}: {err}") from None
             if not all(n[0] in kinds for n in chosen):
                 raise SpecError(f"faults[{index}].{name}: {selector!r} cannot have a {tag(fault)}")
@@ -530,11 +553,11 @@
         return "ns"
     if isinstance(fault, Power):
         return "nsd"
-    return "n" if isinstance(fault, (Terminate, Upgrade, Reload, Disk)) else "s"
+    return "n" if isinstance(fault, (Terminate, Upgrade, Reload, Disk, WatchSilent)) else "s"
 
 
 def load(path: Path, sets: Iterable[str] = ()) -> Experiment:
-    """The experiment in a file, with `--set` fields; raises SpecError with one line."""
+    """The experiment in a file, with `--set` fields; raises SpecError."""
     try:
         raw = tomllib.loads(path.read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as err:
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -32,11 +32,13 @@
     Experiment,
     Gray,
     Kill,
+    LateConnect,
     Link,
     Power,
     Resets,
     Slow,
     Stall,
+    WatchSilent,
 )
 from dillport.lab.streams import stream
 from dillport.lab.timeline import Moment, Step, timeline
@@ -149,6 +151,8 @@
             directory.fail(moment.step is Step.BEGIN)
         elif isinstance(fault, DiscoveryLate):
             directory.late_ms = fault.by_ms if moment.step is Step.BEGIN else 0.0
+        elif isinstance(fault, WatchSilent):
+            directory.silence(moment.names)
         elif isinstance(fault, Power):
             self._outage(directory, moment)
         elif isinstance(fault, (Kill, Drain)):
@@ -219,6 +223,8 @@
             trouble.slow = fault.times if on else 1.0
         case Resets():
             trouble.resets = fault.share if on else 0.0
+        case LateConnect() if on:
+            host.late(fault)
 
 
 def _say(**table: Any) -> None:
@@ -263,7 +269,7 @@
     try:
         records.write(worker.seen, Path(worker.plan.records))
     except OSError as err:
-        _say(error=f"results cannot be written: {err}")
+        _say(error=f"results cannot be written: {err}", results=True)
         return 1
     _say(written=True)
     return 0
