--- a/dillport/net/handover.py
+++ b/dillport/net/handover.py
@@ -1,8 +1,7 @@
 """What a node has learned, from a process to the one that takes its place, by a file in `$TMPDIR`.
 
-The old process writes it when it first sees the other one, the new one takes it away. It needs nothing but
-the standard library, as `run` has no more. Not taken: a socket between the two: the bench's days have no Unix
-sockets, and a file is there already (the bans).
+The old process writes it when it first sees the other one, the new one takes it away. Not taken: a socket
+between the two: the bench's days have no Unix sockets, and a file is there already (the bans).
 """
 
 from __future__ import annotations
