Recovery: the share follows demand; a clock that is off goes by the others; a crash waits for known news

A node whose wall clock was 10 min off found all warm at once, or none until the longest time: starts ahead of the clock are of now, and FULL waits for half of the peers that say whether all is warm.

--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -3,7 +3,8 @@
 What a hostile peer can do at most: ban backends and put them back, as an operator at any node can (who
 relays a row does not matter, so there is no smaller share for one peer); keep this node in ASK until
 `Config.ask_most`; have it avoid half of a saved list until discovery tells its own; two that lie can make its
-return seem a crash, and then it serves as a node without this room does. Nobody can keep it from FULL.
+return seem a crash, and then it serves as a node without this room does; make its share smaller by a demand
+that counts as half of all at most. Nobody can keep it from FULL after the longest time.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 import statistics
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from dillport.recovery.bans import Bans
@@ -22,6 +23,7 @@
     Admit,
     AskList,
     Called,
+    Demand,
     Entered,
     Event,
     Inherited,
@@ -55,6 +57,7 @@
 )
 from dillport.recovery.phases import PATHS, Path, Phase, judge, settled_among
 from dillport.recovery.register import Register, Row
+from dillport.recovery.shares import share_of
 from dillport.recovery.trust import TABLE, Disk, Trust, trusts
 from dillport.recovery.trust import Kind as What
 from dillport.recovery.turns import Turns
@@ -64,6 +67,9 @@
 THROUGH = 4  # peers that have asked all others, from which no more are waited for
 ANSWER_SOON = 150.0  # ms in which a node that is returning itself gathers whom it owes an answer
 LATELY = 10_000.0  # ms for which a peer that was heard counts as present, and as returning
+FRESH = 3000.0  # ms for which a peer's demand, and what it says of warmth, count
+DEMAND_SOON = 300.0  # ms within which a node's demand goes to all
+LOOK = 250.0  # ms between two looks at what peers say
 NOTICEABLE = 0.05  # of a share or a rate
 
 
@@ -135,6 +141,10 @@
         self._saved: tuple[str, ...] = ()
         self._restricted: frozenset[str] = frozenset()
         self._admitted: Admit | None = None
+        self._admit_at = now  # when it is looked at next
+        self._demand = math.inf  # requests in the last second, at this node; infinite: nobody said
+        self._warm = False  # by this node's clock
+        self._look_at = now  # when the others' clocks are asked next
 
     # --- for the node
 
@@ -145,7 +155,9 @@
         if self.phase is Phase.ASK:
             waits = (self.config.roll, self.config.alone_after, self.config.ask_most)
             ends = min((at for w in waits if (at := self._asked_since + w) > self.now), default=self.now)
-        elif Phase.ASK < self.phase < Phase.FULL:
+        elif self.phase is Phase.WARMING:
+            ends = max(self._until(), self._look_at)
+        elif self.phase is Phase.LISTED:
             ends = self._until()
         elif self.phase is Phase.VERIFY:
             return math.inf
@@ -164,6 +176,7 @@
             case Members():
                 self._members = frozenset(m for m in event.lives if 0 <= m < self.count) | {self.me}
                 self._quorum_seen = event.quorum
+                self._admit_at = self.now
             case Listed():
                 self._told(event)
             case ListFailed():
@@ -176,6 +189,8 @@
                 self.bans.called(event, self.now)
             case Synced():
                 self.bans.synced(event, self.now)
+            case Demand():
+                self._demanded(event)
             case Leave():
                 self.exchange.leaving = True
                 self._roll_at = math.inf
@@ -198,8 +213,12 @@
     @property
     def share(self) -> float:
         """What this node may take of a budget that all share: all sides of any partition take 1.5 at most."""
-        present = len(self._present())
-        return 1.0 / (present if 2 * present > self.count else self.count)
+        present = self._present()
+        most = 1.0 if 2 * len(present) > self.count else len(present) / self.count
+        since = self.now - FRESH
+        others = [self._heard[n].state.demand if n in self._heard and self._heard[n].at >= since else math.inf
+                  for n in sorted(present - {self.me})]  # fmt: skip
+        return most * share_of(self._demand, others)
 
     @property
     def rate(self) -> float:
@@ -275,10 +294,9 @@
             self._refine()
         if self.phase is Phase.LISTED:
             self._wait_for_list()
-        if self.phase is Phase.WARMING and self.now >= self._until():
-            late = self.now >= self._listed_since + self.config.warming_most
-            self._enter(Phase.FULL, "the longest time is over" if late else "every listed backend is warm")
-        if self.phase in (Phase.LISTED, Phase.WARMING):
+        if self.phase is Phase.WARMING:
+            self._warm_up()
+        if Phase.LISTED <= self.phase < Phase.FULL and self.now >= self._admit_at:
             self._admit()
         if self.now >= self.turns.due:
             self.turns.taken(self.now, self._turns_among())
@@ -292,6 +310,7 @@
 
     def _enter(self, phase: Phase, reason: str) -> None:
         self.phase, self._since = phase, self.now
+        self._admit_at = self.now
         self._acts.append(Entered(phase, self.path, reason))
         if phase is Phase.FULL:
             self.exchange.owe(None, self.now)
@@ -324,9 +343,10 @@
             return "the tier has no other node"
         if asked >= config.ask_most:
             return "the longest time is over"
-        if path is Path.CRASH:
+        if path is Path.CRASH and not self.exchange.lacking():
             agree = [h.state for node, h in self._heard.items() if self.exchange.agrees(node)]
-            return "they agree" if len(settled_among(agree, self.count)) >= min(2, self.count - 1) else None
+            enough = len(settled_among(agree, self.count)) >= min(2, self.count - 1)
+            return "they agree" if enough else None
         if not self._heard:
             return "nobody answers" if asked >= config.alone_after else None
         if self.exchange.lacking():
@@ -389,7 +409,34 @@
     def _turns_among(self) -> int:
         return len(self._present()) if self._quorum() else self.count
 
+    def _warm_up(self) -> None:
+        """FULL, once all is warm: by this node's clock, and by no fewer than half of those that say anything.
+
+        The starts that discovery tells are wall-clock times: to a clock that is ahead all is warm at once.
+        """
+        if self.now >= self._listed_since + self.config.warming_most:
+            self._enter(Phase.FULL, "the longest time is over")
+        elif self.now >= self._until():
+            if not self._warm:
+                self._warm = True
+                self.exchange.owe(None, self.now, ANSWER_SOON * self.random.random())
+            since = self.now - FRESH
+            told = [h.state for h in self._heard.values() if h.at >= since and h.state.phase >= Phase.LISTED]
+            cold = sum(s.phase < Phase.FULL and Flag.WARM not in s.flags for s in told)
+            if 2 * cold > len(told) > 1:
+                self._look_at = self.now + LOOK
+            else:
+                self._enter(Phase.FULL, "every listed backend is warm")
+
+    def _demanded(self, event: Demand) -> None:
+        """All tell how much comes to them, as the work on cold backends is shared by that."""
+        self._demand = max(0.0, event.per_s)
+        self._admit_at = self.now
+        if Phase.LISTED <= self.phase < Phase.FULL:
+            self.exchange.owe(None, self.now, DEMAND_SOON * self.random.random())
+
     def _admit(self) -> None:
+        self._admit_at = self.now + LOOK
         new, old = Admit(self.share, self.cold_since, self.rate), self._admitted
         same = old is not None and old.cold_since == new.cold_since
         if old is None or not same or _differ(old.share, new.share) or _differ(old.rate, new.rate):
@@ -489,11 +536,12 @@
         flags |= Flag.SOUND if self.disk.sound else Flag(0)
         flags |= Flag.FRESH if self.disk.fresh else Flag(0)
         flags |= Flag.LISTED if self._fresh is not None else Flag(0)
+        flags |= Flag.WARM if self._warm else Flag(0)
         seen = self._present() if self.phase >= Phase.LISTED else {*self._heard, self.me}
         known = self._revision if self._fresh is not None or self.trusts(What.REVISION) else 0
         return State(
             self.register.life, self.now - self.started, self.phase, PATHS.index(self.path), flags, known,
-            self._own_rate(), self._young(), bits_of(seen),
+            self._own_rate(), self._demand, self._young(), bits_of(seen),
         )  # fmt: skip
 
     def _own_rate(self) -> float:
@@ -503,7 +551,8 @@
 
     def _told(self, event: Listed) -> None:
         first = self._fresh is None
-        self._fresh, self._revision = event, event.revision
+        starts = tuple(min(start, self.now) for start in event.starts)  # one ahead of this clock is of now
+        self._fresh, self._revision = replace(event, starts=starts), event.revision
         self.turns.done()
         self.exchange.filter = filter_of(event.ids, event.revision)
         if first:
--- a/dillport/recovery/events.py
+++ b/dillport/recovery/events.py
@@ -92,6 +92,13 @@
     ok: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """So many requests came to this node in the last second; told once a second until it is FULL."""
+
+    per_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Leave:
     """The node is about to end in good order. It goes on answering until it does."""
@@ -106,8 +113,8 @@
 
 
 Event = (
-    Tick | Kept | Inherited | Received | Members | Listed | ListFailed | SavedIds | Called | Synced | Leave
-    | Peers
+    Tick | Kept | Inherited | Received | Members | Listed | ListFailed | SavedIds | Called | Synced | Demand
+    | Leave | Peers
 )  # fmt: skip
 
 # --- actions
--- a/dillport/recovery/messages.py
+++ b/dillport/recovery/messages.py
@@ -5,8 +5,8 @@
 `hash` is of the sender's register. All numbers are big-endian. What a later version adds to a kind comes
 after what is known of it and is skipped; a form that changes gets a kind of its own.
 
-    ROLL, ANSWER  life:u32 running:u32 phase:u8 path:u8 flags:u8 revision:u32 rate:u32 young:u16 length:u8
-                  who is present: a bit for each node, of that many bytes
+    ROLL, ANSWER  life:u32 running:u32 phase:u8 path:u8 flags:u8 revision:u32 rate:u32 demand:u32
+                  young:u16 length:u8, then who is present: a bit for each node, of that many bytes
     DIGEST        16 bucket hashes, u32
     ROWS          of:u32 mask:u16 part:u16 parts:u16 flags:u8 count:u8, then for each row
                   node:u16 life:u32 seq:u32 live:u8 age:u32 length:u8 id
@@ -28,7 +28,7 @@
 MOST = 256  # bytes of a datagram
 FIRST_KIND, LAST_KIND = 16, 31  # of this room
 HEAD = struct.Struct(">IBBHQ")
-STATE = struct.Struct(">IIBBBIIHB")
+STATE = struct.Struct(">IIBBBIIIHB")
 DIGEST = struct.Struct(f">{BUCKETS}I")
 ROWS = struct.Struct(">IHHHBB")
 ROW = struct.Struct(">HIIBIB")
@@ -65,6 +65,7 @@
     FRESH = 2  # nothing was kept on it
     LISTED = 4  # discovery has told the sender its list in this life
     REPLY = 8  # in answer to an answer: none is wanted
+    WARM = 16  # by the sender's clock every listed backend is warm
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,6 +79,7 @@
     flags: Flag
     revision: int  # of the list that it has
     rate: float  # requests a second that it carried when warm; 0: it does not know
+    demand: float  # requests that came to it in the last second; infinite: it does not know
     young: int  # nodes that are returning, of those that it sees
     nodes: int  # bits of those that it has heard, of itself, and once it serves of all that it sees
 
@@ -140,8 +142,9 @@
     match message.body:
         case State() as s:
             running, rate = min(int(s.running), LONG_AGO), min(round(s.rate * 10), LONG_AGO)
+            demand = LONG_AGO if s.demand == math.inf else min(round(s.demand * 10), LONG_AGO - 1)
             body = STATE.pack(s.life, running, s.phase, s.path, s.flags, s.revision & 0xFFFFFFFF, rate,
-                              s.young, 0)  # fmt: skip
+                              demand, s.young, 0)  # fmt: skip
             bits = s.nodes & (1 << MOST_NODES) - 1
             seen = bits.to_bytes((bits.bit_length() + 7) // 8, "big")
             body = body[:-1] + bytes([len(seen)]) + seen
@@ -198,13 +201,14 @@
 
 
 def _state(body: bytes) -> State:
-    life, running, phase, path, flags, revision, rate, young, length = STATE.unpack_from(body)
+    life, running, phase, path, flags, revision, rate, came, young, length = STATE.unpack_from(body)
     seen = body[STATE.size : STATE.size + length]
     if len(seen) < length:
         raise MessageError("cut short")
     nodes = int.from_bytes(seen, "big")
     known = Flag(flags & sum(Flag))
-    return State(life, float(running), phase, path, known, revision, rate / 10, young, nodes)
+    demand = math.inf if came == LONG_AGO else came / 10
+    return State(life, float(running), phase, path, known, revision, rate / 10, demand, young, nodes)
 
 
 def _rows(body: bytes, now: float) -> Rows:
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -22,6 +22,7 @@
     Apply,
     AskList,
     Called,
+    Demand,
     Entered,
     Event,
     Inherited,
@@ -53,6 +54,7 @@
 )
 from dillport.recovery.phases import Path, Phase
 from dillport.recovery.register import BUCKETS, Register, Row
+from dillport.recovery.shares import share_of
 from dillport.recovery.trust import TABLE, Trust, Verdict
 from dillport.recovery.trust import Kind as What
 
@@ -66,7 +68,8 @@
 many = st.lists(rows, max_size=12)
 u8, u16, u32 = st.integers(0, 255), st.integers(0, 2**16 - 1), st.integers(0, 2**32 - 1)
 states = st.builds(
-    State, u32, u32.map(float), u8, u8, st.integers(0, 15).map(Flag), u32, u32.map(lambda v: v / 10), u16,
+    State, u32, u32.map(float), u8, u8, st.integers(0, 31).map(Flag), u32, u32.map(lambda v: v / 10),
+    st.integers(0, 2**32 - 2).map(lambda v: v / 10) | st.just(math.inf), u16,
     st.integers(0, 2**300),
 )  # fmt: skip
 sent = st.builds(
@@ -582,3 +585,45 @@
     tier.run(30_000)
     assert core.phase is Phase.FULL
     assert [e.phase for e in tier.of(0, Entered)] == sorted(e.phase for e in tier.of(0, Entered))
+
+
+def test_the_share_follows_demand_and_no_peer_takes_more_than_half() -> None:
+    tier = returned(4)
+    for demand in (30.0, 30.0):
+        for node in range(4):
+            tier.event(node, Demand(demand if node else 9 * demand))
+        tier.run(1_000)
+    shares = [tier.nodes[node].share for node in range(4)]
+    assert shares == [pytest.approx(0.8 * 9 / 12 + 0.05), *[pytest.approx(0.8 / 6 + 0.05)] * 3]
+    assert tier.of(0, Admit)[-1].share == pytest.approx(shares[0], rel=0.05)
+    assert share_of(1.0, [1e9]) == 0.5 and share_of(0.0, [0.0, 0.0]) == pytest.approx(1 / 3)
+    assert share_of(math.inf, [2.0, math.inf]) == pytest.approx(1 / 3) and share_of(5.0, []) == 1.0
+
+
+def test_a_node_whose_clock_is_off_goes_by_the_others() -> None:
+    tier = returned(5)
+    told = tier.now
+    for node in range(5):
+        tier.event(node, Demand(1.0))
+    tier.run(400)
+    for node, shift in enumerate((0.0, 0.0, 0.0, -600_000.0, 600_000.0)):
+        tier.event(node, Listed(5, (told + shift,)))
+        tier.event(node, Demand(1.0))
+    for _ in range(9):
+        tier.run(1_000)
+        for node in range(5):
+            tier.event(node, Demand(1.0))
+    full = [next(at for at, act in tier.acts[node] if isinstance(act, Entered) and act.phase is Phase.FULL)
+            for node in range(5)]  # fmt: skip
+    assert min(full) >= told + 7_900 and max(full) <= told + 9_500
+
+
+def test_a_crash_waits_for_what_a_peer_is_known_to_know() -> None:
+    tier = settled(6)
+    tier.nodes[1].register.join([OUT])
+    tier.nodes[1].exchange.grown([OUT])
+    core = tier.start(5, 2, fresh_disk=True)
+    tier.run(1_000)
+    (banned,) = [at for at, act in tier.acts[5] if isinstance(act, Apply)]
+    assert core.path is Path.CRASH
+    assert banned <= min(at for at, act in tier.acts[5] if isinstance(act, Entered) and act.phase > Phase.ASK)
