--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -173,7 +173,10 @@
             self._list, self._restricted = {}, frozenset()
         self._fresh = True
         self._saved = replace(self._saved, revision=news.revision)
-        self._list |= {m.entry.backend: _copy(m) for m in news.members}
+        for member in map(_copy, news.members):
+            # Where this node's clock is behind a start lies ahead of it: it was now at the latest.
+            member.entry.started_at = min(member.entry.started_at, self.now())
+            self._list[member.entry.backend] = member
         self._restricted -= {m.entry.backend for m in news.members}
         up = [m.entry for m in self._list.values() if m.entry.phase is api.Phase.UP]
         starts = tuple(entry.started_at for entry in up)
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -57,6 +57,7 @@
         home.mkdir(exist_ok=True)
         table = configuration([b.member() for b in self.backends], self.discovery[node].port,
                               console=CONSOLE, me=node)  # fmt: skip
+        table["settings"]["rules"]["cold-share"] = 1.0  # what cold backends bear is not in question here
         table |= {"name": f"n{node}", "seed": f"{node + 1:016x}", "peer_listen": text(places.peer(node)),
                   "peers": [text(places.relay(node, far)) for far in range(self.count)],
                   "peers_all": text(places.relay(node, node))}  # fmt: skip
