Lab: a write on a connection that the loop has just closed no longer ends a zone's arrivals

The connection's end is told by the loop a moment later, and the request goes to another connection then, as for any that ends under it.

--- a/dillport/lab/wires.py
+++ b/dillport/lab/wires.py
@@ -176,7 +176,8 @@
             if data is None:
                 self.transport.close()
             else:
-                self.transport.write(data)
+                with contextlib.suppress(RuntimeError):  # the loop has closed it, and is yet to say so
+                    self.transport.write(data)
 
 
 class Listener:
