--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -137,6 +137,7 @@
         self._revision = 0  # of the list that is served from
         self._rate = 0.0  # as this node kept it
         self._fresh: Listed | None = None  # what discovery told in this process
+        self._ahead_since = math.inf  # when it first told of a start ahead of this clock
         self._filter: Filter | None = None  # the newest one heard
         self._saved: tuple[str, ...] = ()
         self._restricted: frozenset[str] = frozenset()
@@ -551,7 +552,10 @@
 
     def _told(self, event: Listed) -> None:
         first = self._fresh is None
-        starts = tuple(min(start, self.now) for start in event.starts)  # one ahead of this clock is of now
+        # What is ahead of this clock counts as of now, and goes on counting as of then.
+        if self._ahead_since == math.inf and any(start > self.now for start in event.starts):
+            self._ahead_since = self.now
+        starts = tuple(start if start <= self.now else self._ahead_since for start in event.starts)
         self._fresh, self._revision = replace(event, starts=starts), event.revision
         self.turns.done()
         self.exchange.filter = filter_of(event.ids, event.revision)
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -611,6 +611,7 @@
         tier.event(node, Demand(1.0))
     for _ in range(9):
         tier.run(1_000)
+        tier.event(4, Listed(5, (told + 600_000.0, told)))
         for node in range(5):
             tier.event(node, Demand(1.0))
     full = [next(at for at, act in tier.acts[node] if isinstance(act, Entered) and act.phase is Phase.FULL)
