Recovery: after a lost disk a node counts on in a life above, not in the former one's counters

Register._above took row.counter over; it now takes row.life + 1 and keeps the process's own random sequence. The simulation tells nodes their demand, and list starts by their wall clocks.

--- a/dillport/recovery/register.py
+++ b/dillport/recovery/register.py
@@ -170,8 +170,9 @@
         return out
 
     def _above(self, row: Row) -> None:
+        """Count on in a life above: what follows `row` in its own life the former process may have used."""
         if row.counter > (self.life, self.seq):
-            self.life, self.seq = row.counter
+            self.life = row.life + 1
 
     def _step(self) -> None:
         self.seq += 1
--- a/dillport/sim/recovery_world.py
+++ b/dillport/sim/recovery_world.py
@@ -28,6 +28,7 @@
 KIND_AT = 5  # the byte of a datagram that names its kind
 DAY_MS = 24 * 3600 * 1000.0
 LOOK_MS = 100.0  # between two looks of the observer
+DEMAND_LOOKS = 10  # a second
 
 Make = Callable[[Config, int, int, int, int, float], Recovery]
 
@@ -118,6 +119,7 @@
         self.processes: list[Process | None] = [None] * count
         self.backends = {name: Backend(self.now - DAY_MS) for name in backends}
         self.discovery = Discovery(self.at, lambda: self.now)
+        self.drawn = [1000.0 * self.dice.random() ** 4 for _ in range(count)]  # requests a second
         self.wall_ms = 0.0  # by which a node's wall clock is off at most after a start
         self.walls = [0.0] * count
         self.writes_until = [0.0] * count
@@ -375,7 +377,8 @@
         disk.revision, disk.saved = self.discovery.revision, tuple(self.backends)
         process.told = {name: backend.start for name, backend in self.backends.items()}
         process.restricted = frozenset()
-        starts = tuple(start + shift for start in process.told.values())
+        off = shift + self.walls[node]  # starts are told by the wall clock
+        starts = tuple(start + off for start in process.told.values())
         self.tell(node, room.Listed(self.discovery.revision, starts, tuple(self.backends)))
 
     def _failed(self, node: int, number: int) -> None:
@@ -385,4 +388,13 @@
     def _look(self) -> None:
         if self.watcher is not None:
             self.watcher.look()
+        self._demand()
         self.at(self.now + LOOK_MS, self._look)
+
+    def _demand(self) -> None:
+        """Once a second nodes hear how much comes to them: to a few of them nearly all of it."""
+        if int(self.now / LOOK_MS) % DEMAND_LOOKS:
+            return
+        for node, process in enumerate(self.processes):
+            if process is not None and Phase.LISTED <= process.phase < Phase.FULL:
+                self.tell(node, room.Demand(self.drawn[node] * self.dice.uniform(0.7, 1.4)))
