Recovery: the room is told the requests that come, once a second until the return is over

The share of the work on cold backends follows demand, and the core had none to go by. A start ahead of the node's clock is the core's affair now and no longer changed on the way to it.

--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -173,10 +173,7 @@
             self._list, self._restricted = {}, frozenset()
         self._fresh = True
         self._saved = replace(self._saved, revision=news.revision)
-        for member in map(_copy, news.members):
-            # Where this node's clock is behind a start lies ahead of it: it was now at the latest.
-            member.entry.started_at = min(member.entry.started_at, self.now())
-            self._list[member.entry.backend] = member
+        self._list |= {m.entry.backend: _copy(m) for m in news.members}
         self._restricted -= {m.entry.backend for m in news.members}
         up = [m.entry for m in self._list.values() if m.entry.phase is api.Phase.UP]
         starts = tuple(entry.started_at for entry in up)
@@ -198,7 +195,7 @@
         return f"recovering: {self.shell.core.phase.name.lower()}"
 
     def pulse(self) -> float:
-        """Once a second: the requests a second that it carries when warm; 0: not known."""
+        """Once a second: the room hears what came. The requests a second carried when warm; 0: not known."""
         ends, now = self.node.figures.ends, self.node.loop.time()
         pending = sum(not request.answered for request in self.node.open.values())
         came = sum(counts.total() for counts in ends.values()) + pending
@@ -209,6 +206,8 @@
         each = [(b - a) / since for a, b in zip(before[1:], self._pulsed[1:], strict=True)]
         if self.shell.core.phase is Phase.FULL:
             self.rate += SMOOTH * (each[1] - self.rate)
+        else:
+            self.shell.tell(events.Demand(max(0.0, each[0])))
         return self.rate
 
 
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -208,12 +208,11 @@
 async def test_one_crash_among_live_peers_is_told_and_leaves_no_phase_to_wait_in(tmp_path: Path) -> None:
     async with tier(tmp_path) as one, one.powered() as rigs:
         assert (await fleet_recovery(rigs[0]))[0] == 1
-        for node, rig in enumerate(rigs):
-            if node:
-                await one.tell(node)
-            else:  # an empty line: the list that it was started with holds
-                await asyncio.wait_for(one.discovery[0].asked.get(), WAIT)
-                one.discovery[0].send(b"\n")
+        await one.tell(1)
+        await one.tell(2)
+        await asyncio.wait_for(one.discovery[0].asked.get(), WAIT)
+        one.discovery[0].send(b"\n")  # the list that it was started with holds
+        for rig in rigs:
             await rig.logged("phase full")
         code, told = await fleet_recovery(rigs[0])
         assert code == 0 and told["list"]["fresh"] and told["heard"] == told["asked"] == 2
