Recovery: the module is told the phase and the node's share of the work on cold backends

Until now the room's word on what this node may put on cold backends went nowhere. It goes to the module as Recovering, once the node serves, with each noticeable change, and FULL at the end; after a crash among live peers nothing is said. Once discovery has told its list the starts in it count in place of the node's own.

--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -39,6 +39,9 @@
 OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
 SMOOTH = 0.1  # of the rate, a second
 
+PHASES = {Phase.LISTED: api.RecoveryPhase.LISTED, Phase.WARMING: api.RecoveryPhase.WARMING,
+          Phase.FULL: api.RecoveryPhase.FULL}  # fmt: skip
+
 
 class Returning:
     """The return of one process of a node; to the module it is what brings the list."""
@@ -57,6 +60,7 @@
         self._turn = False  # it may call discovery
         self._whole = False  # the module wants the whole list
         self._fresh = False  # discovery has told the list
+        self._word: tuple[Phase, events.Admit | None] = (Phase.VERIFY, None)  # the module was told last
         self._saved = replace(known, members=tuple(map(_copy, known.members)))
         self._list = {m.entry.backend: m for m in self._saved.members}
         self._restricted: frozenset[str] = frozenset()
@@ -123,8 +127,13 @@
         await self.node.bans.follow(backend, out, since, self.node.settings.ramp_time)
 
     def admit(self, phase: Phase, admit: events.Admit | None) -> None:
-        """Kept for the module until it takes such an event."""
-        self.admitted = phase, admit
+        """Tell the module. What the list says of the backends' starts counts once discovery has told one."""
+        self._word = phase, admit
+        if admit is None:
+            self.node.event(api.Recovering(PHASES[phase], 1.0))
+        else:
+            since = 0.0 if self._fresh else admit.cold_since
+            self.node.event(api.Recovering(PHASES[phase], admit.share, since, admit.rate))
 
     def ask(self) -> None:
         """Discovery may be called: at once, whenever the module asks, as the turns have spread the calls."""
@@ -171,13 +180,15 @@
         """Discovery has told the list, or a change of it."""
         if kind is api.ListKind.FULL:
             self._list, self._restricted = {}, frozenset()
-        self._fresh = True
+        first, self._fresh = not self._fresh, True
         self._saved = replace(self._saved, revision=news.revision)
         self._list |= {m.entry.backend: _copy(m) for m in news.members}
         self._restricted -= {m.entry.backend for m in news.members}
         up = [m.entry for m in self._list.values() if m.entry.phase is api.Phase.UP]
         starts = tuple(entry.started_at for entry in up)
         self.shell.tell(events.Listed(news.revision, starts, tuple(entry.backend for entry in up)))
+        if first and self._word[0] is Phase.WARMING:  # it may have been so while discovery was silent
+            self.admit(*self._word)
 
     def unchanged(self) -> None:
         """Discovery has told by a word that the saved list holds."""
