--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -195,7 +195,7 @@
         return f"recovering: {self.shell.core.phase.name.lower()}"
 
     def pulse(self) -> float:
-        """Once a second: the requests a second that it carries when warm; 0: not known."""
+        """Once a second: the room hears what came. The requests a second carried when warm; 0: not known."""
         ends, now = self.node.figures.ends, self.node.loop.time()
         pending = sum(not request.answered for request in self.node.open.values())
         came = sum(counts.total() for counts in ends.values()) + pending
@@ -206,6 +206,8 @@
         each = [(b - a) / since for a, b in zip(before[1:], self._pulsed[1:], strict=True)]
         if self.shell.core.phase is Phase.FULL:
             self.rate += SMOOTH * (each[1] - self.rate)
+        else:
+            self.shell.tell(events.Demand(max(0.0, each[0])))
         return self.rate
 
 
