--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -21,7 +21,7 @@
 SPREAD = 1.5  # second moment of job sizes over the squared mean (the paper's E[G^2]), allowed for in m
 FEEDERS = 5  # nodes that feed one backend (subsetting)
 SUBSET_MIN = 3  # fewest backends in a node's subset
-NEAR = 1 / 5  # the concurrency limit steers for answers that usually take this part of the tightest aim
+NEAR = 1 / 3  # the concurrency limit steers for answers that usually take this part of the tightest aim
 LIMIT_GAIN = 0.015  # relative step of the limit per answer and unit of error: small, as all nodes act alike
 LIMIT_LEAST = 2.0  # lowest and first limit, for each backend that falls to this node if that is over one
 TRIP_DRIFT = 1.005  # the least answer time of a backend is let rise by this with each answer: routes change
@@ -104,13 +104,13 @@
             self.owed.discard(name)
             if name in before:
                 self.places[name] = self.order.index(name)
-        else:  # it was restarted meanwhile: what was known is void
+        else:  # it was restarted meanwhile
             self.banned.discard(name)
             self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
             if self.now - ev.since < self.cfg.ramp_time:
                 self.owed.add(name)
             if (b := self.backends.get(name)) is not None:
-                b.estimate, b.fails, b.until, b.busy, b.slow, b.trip = b.out, 0, 0.0, 0.0, 1.0, math.inf
+                b.restarted()
         self._refresh()
 
     def learned(self, now: float) -> api.Learned:
@@ -526,16 +526,19 @@
         """The concurrency limit: in proportion to how near answers are to the tightest aim.
 
         The way there and back is left out: no limit shortens it, and with far backends it alone would hold
-        the limit at its lowest.
+        the limit at its lowest. It is that of the backend's zone: a quiet node has few answers of a backend,
+        none of a new one, and the least of those would hold the time in its queue.
         Guards against crowding a fleet until it turns slow, which takes far longer to undo. It rises only
         while it binds: quiet nodes whose limit floats up would flood the fleet when a burst comes.
         """
         if ev.status is api.Status.OK:
             b.trip = min(b.trip * TRIP_DRIFT, ev.duration)
-            took = ev.duration - b.trip
+            zone = [self.backends[x] for x in self.up if self.backends[x].entry.zone == b.entry.zone]
+            took = ev.duration - min([b.trip, *(other.trip for other in zone)])
         else:
             took = cls.cfg.aim
-        cls.strain += EWMA / 2 * (math.log(max(took, 1e-3) / (NEAR * cls.cfg.aim)) - cls.strain)
+        goal = NEAR * cls.cfg.aim  # an answer at once weighs as much as one at the aim: a log has no floor
+        cls.strain += EWMA / 2 * (math.log(max(took, NEAR * goal) / goal) - cls.strain)
         excess = max(c.strain for c in self.classes.values())
         if excess > 0 or self.out >= self.limit - 1.0:
             self.limit *= 1 - LIMIT_GAIN * max(-1.0, min(1.0, excess))
@@ -632,8 +635,8 @@
                 self.backends[name].entry.phase = api.Phase.GONE
         for entry in ev.entries:
             b = self.backends.setdefault(entry.backend, Backend(entry))
-            if entry.started_at > b.entry.started_at:  # restarted: what was known is void
-                b.estimate, b.fails, b.until, b.slow = b.out, 0, 0.0, 1.0
+            if entry.started_at > b.entry.started_at:
+                b.restarted()
             b.entry = entry
         self._refresh()
 
