--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -178,6 +178,26 @@
     assert _limit_after(380.0, 60, b) < grown / 1.5
 
 
+def test_the_first_answers_of_crowded_new_backends_do_not_lift_the_limit() -> None:
+    """Guards against quiet nodes in a release: nearly each answer is the least of its backend so far."""
+    b = node(replace(BASE, classes=(SAFE,), group_size=100), NAMES)
+    _limit_after(20.0, 60, b)
+    b.handle(b.now, api.ListUpdate(api.ListKind.CHANGES, [entry(f"new{i}") for i in range(60)]))
+    b.classes["read"].strain, b.limit, b.order = 0.0, 30.0, b.up
+    _limit_after(380.0, 1, b)
+    assert b.classes["read"].strain > 0.5
+
+
+def test_an_answer_at_once_weighs_no_more_than_one_at_the_aim() -> None:
+    """Guards against a few lucky answers that hide a crowded fleet from the limit."""
+    b = node(replace(BASE, classes=(SAFE,)), NAMES)
+    _limit_after(10.0, 5, b)
+    strain = b.classes["read"].strain
+    for took in (410.0, 410.0, 10.0) * 20:
+        _limit_after(took, 1, b)
+    assert b.classes["read"].strain > max(0.0, strain)
+
+
 def test_breaks_and_backends_without_room_do_not_lower_the_limit_but_time_outs_do() -> None:
     """Guards against a network that breaks one attempt in ten and is taken for a crowded fleet."""
     for status in (api.Status.RESET, api.Status.ERROR, api.Status.CONNECT_FAILED, api.Status.FULL):
@@ -421,6 +441,18 @@
     assert run("read", "a", "t") == run("zzz", "north", "q")
 
 
+def test_a_backend_that_restarted_is_not_left_alone_for_what_its_old_process_refused() -> None:
+    """Guards against a zone that is back and stands idle: ejections after lost connections had doubled."""
+    b = node(replace(BASE, max_attempts=1), ["x"])
+    for i in range(5):
+        (sent,) = sends(_arrive(b, f"r{i}", now := 1000.0 + 20_000.0 * i))
+        b.handle(now + 1.0, _done(sent.request, "x", api.Status.CONNECT_FAILED))
+    x = b.backends["x"]
+    assert x.busy > b.now + 1000.0
+    b.handle(b.now, api.ListUpdate(api.ListKind.CHANGES, [entry("x", started_at=b.now)]))
+    assert max(x.busy, x.until) <= b.now and x.fails == 0
+
+
 def test_idle_signs_are_doubted_once_sends_on_them_fail() -> None:
     """Guards against reports that freeze at nothing in flight and draw every node to the same backends."""
 
