Recovery: a ban from the own disk is not covered by a later-numbered life of a lost disk

Only bans issued by the same process were issued anew. Register.restore takes the disk's rows: own bans among them are issued anew where a row of a life above this process's comes, which this disk cannot have seen. In doubt (an old disk and a clock that is behind) the ban holds. Rows of the disk itself raise the counter without that.

--- a/dillport/recovery/bans.py
+++ b/dillport/recovery/bans.py
@@ -25,9 +25,9 @@
         self._words: dict[str, tuple[bool, float]] = {}  # what was applied last of each backend
         self._pending: dict[int, tuple[Called, list[Row]]] = {}  # calls that wait for the disk
 
-    def restore(self, rows: Iterable[Row], now: float) -> list[Row]:
+    def restore(self, rows: Sequence[Row], now: float) -> list[Row]:
         """Rows of this node's own disk; returns those that were news."""
-        changed = self.register.join(rows)
+        changed = self.register.restore(rows)
         self.exchange.grown(changed)
         self._apply(changed, now)
         return changed
--- a/dillport/recovery/register.py
+++ b/dillport/recovery/register.py
@@ -13,7 +13,7 @@
 import hashlib
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 MOST_ID = 96  # bytes of a backend's id in a datagram
@@ -73,6 +73,7 @@
         self._rows: dict[str, dict[int, Row]] = {}
         self._size = 0
         self._own: set[str] = set()  # backends whose own row this process has issued
+        self._restored: set[str] = set()  # those whose own row, a ban, the disk has brought back
 
     def __len__(self) -> int:
         return self._size
@@ -138,6 +139,19 @@
 
     # --- what others say, and the disk
 
+    def restore(self, rows: Sequence[Row]) -> list[Row]:
+        """Take what this node's own disk has kept; returns the rows that are now another than before.
+
+        Own bans among it are issued anew once a peer tells of a later life of this node than this one: either
+        the disk came after a lost one, by a clock that was behind, or it is an old one. In doubt they hold.
+        """
+        own = [row for row in rows if row.node == self.me and self._possible(row)]
+        for row in own:
+            self._above(row)
+        changed = self.join(rows)
+        self._restored.update(row.backend for row in own if row.live)
+        return changed
+
     def join(self, rows: Iterable[Row]) -> list[Row]:
         """Take what is news; returns the rows that are now another than before, own ones issued anew too."""
         changed: dict[tuple[str, int], Row] = {}
@@ -147,7 +161,10 @@
                 continue
             if known is not None and row.key <= known.key:
                 continue
-            if row.node == self.me and (row.counter > (self.life, self.seq) or row.backend in self._own):
+            ahead = row.counter > (self.life, self.seq)
+            if row.node == self.me and (ahead or row.backend in self._own):
+                if ahead:  # of a life that this disk has not seen: what it holds may come after that one
+                    self._own |= self._restored
                 for again in self._outbid(row):
                     changed[again.backend, self.me] = again
                 known = self.get(row.backend, row.node)
