--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -37,7 +37,8 @@
 SUFFIX = ".return"  # of the file for a successor, beside the others by which a node's processes meet
 LOOK, SOON = 0.02, 0.5  # s between two looks for it, and for which it is looked for
 OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
-SMOOTH = 0.1  # of the rate, a second
+SMOOTH = 0.5  # of the requests a second, a second
+FADES = 0.5 ** (1 / 600)  # of the most that was carried, a second: by half in 10 min
 
 PHASES = {Phase.LISTED: api.RecoveryPhase.LISTED, Phase.WARMING: api.RecoveryPhase.WARMING,
           Phase.FULL: api.RecoveryPhase.FULL}  # fmt: skip
@@ -55,6 +56,7 @@
         self.shell = RecoveryShell(
             Config(ramp_time=settings.ramp_time), settings.me, life, node.config.seed, port, self, disk
         )
+        self._lately = 0.0  # requests a second that were completed
         self.rate = self.kept.sampled.rate if self.kept.sampled is not None else 0.0
         self._pulsed: tuple[float, int, int] | None = None  # when, what had come, and was completed
         self._turn = False  # it may call discovery
@@ -206,7 +208,10 @@
         return f"recovering: {self.shell.core.phase.name.lower()}"
 
     def pulse(self) -> float:
-        """Once a second: the room hears what came. The requests a second carried when warm; 0: not known."""
+        """Once a second: tell the room what came.
+
+        Returns the most requests a second that the node has carried when warm; 0: unknown.
+        """
         ends, now = self.node.figures.ends, self.node.loop.time()
         pending = sum(not request.answered for request in self.node.open.values())
         came = sum(counts.total() for counts in ends.values()) + pending
@@ -216,7 +221,8 @@
         since = now - before[0]
         each = [(b - a) / since for a, b in zip(before[1:], self._pulsed[1:], strict=True)]
         if self.shell.core.phase is Phase.FULL:
-            self.rate += SMOOTH * (each[1] - self.rate)
+            self._lately += SMOOTH * (each[1] - self._lately)
+            self.rate = max(FADES * self.rate, self._lately)
         else:
             self.shell.tell(events.Demand(max(0.0, each[0])))
         return self.rate
