--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -213,7 +213,11 @@
 
     @property
     def share(self) -> float:
-        """What this node may take of a budget that all share: all sides of any partition take 1.5 at most."""
+        """What this node may take of a budget that all share: all sides of any partition take 1.5 at most.
+
+        Where one node has most of the demand the others count it as half, and may take up to 0.4 more
+        together than is theirs: more than comes to them.
+        """
         present = self._present()
         most = 1.0 if 2 * len(present) > self.count else len(present) / self.count
         since = self.now - FRESH
