Limit: a new node takes the fleet as idle until its answers tell

Seen: with readings that no longer err low a busy node's limit climbs later. Cause: the mean reading starts at 0, which is the goal itself, and takes some 20 answers to tell otherwise. Change: it starts at -1, and what was learned fades to that.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -131,7 +131,8 @@
         self.trust, self.lost = 1.0 - keep * (1.0 - was.trust), keep * was.lost
         for name, (usual, dev, strain) in was.classes.items():
             if (c := self.classes.get(name)) is not None:
-                c.usual, c.dev, c.strain = c.usual + keep * (usual - c.usual), keep * dev, keep * strain
+                c.usual, c.dev = c.usual + keep * (usual - c.usual), keep * dev
+                c.strain += keep * (strain - c.strain)
         for name, (started, slow, trip, fails, left) in was.backends.items():
             b = self.backends.get(name)
             if b is None or b.entry.started_at > started or name in self.returned or keep == 0.0:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -49,7 +49,7 @@
     cfg: api.RequestClass
     usual: float  # expected time to serve
     dev: float = 0.0  # and its mean deviation
-    strain: float = 0.0  # mean log of late times over what the limit steers for: tames heavy tails
+    strain: float = -1.0  # mean log of late times over what the limit steers for; idle until answers tell
     allowance: float = 0.0  # the time clients give a first try, by majority vote
     votes: int = 0
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -188,6 +188,12 @@
     assert b.classes["read"].strain > 0.5
 
 
+def test_a_new_node_lifts_its_limit_from_its_first_answers_on() -> None:
+    """Guards against busy nodes that refuse in the seconds after a start, as their limit is slow to grow."""
+    b = node(replace(BASE, classes=(SAFE,), group_size=100), NAMES)
+    assert _limit_after(20.0, 5, b) > 2.0 * 1.01**5
+
+
 def test_an_answer_at_once_weighs_no_more_than_one_at_the_aim() -> None:
     """Guards against a few lucky answers that hide a crowded fleet from the limit."""
     b = node(replace(BASE, classes=(SAFE,)), NAMES)
