Recovery: what was learned is taken up where a whole tier returns, too

Ruled out: the bucket for cold backends (no request was refused by it there). At fault: Recovery.trusts, which took a common return for better knowledge. The limit counts requests at once, which cold backends bear too; ejections and times of backends that restarted are void by their start.

--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -206,9 +206,7 @@
     def trusts(self, kind: What) -> bool:
         """Whether what the disk kept of a kind may be used now, by the table."""
         asked = self.phase >= Phase.LISTED
-        better = (kind is What.LEARNED and self.path in COLD) or (
-            kind in (What.LIST, What.REVISION) and self._fresh is not None
-        )
+        better = kind in (What.LIST, What.REVISION) and self._fresh is not None
         return trusts(kind, self.disk, asked, better, self.table)
 
     @property
--- a/dillport/recovery/trust.py
+++ b/dillport/recovery/trust.py
@@ -49,7 +49,8 @@
         Kind.LIST: Trust(Verdict.UNLESS),  # any age: peers restrict it, discovery replaces it
         Kind.REVISION: Trust(Verdict.UNLESS),
         Kind.LIFE: Trust(Verdict.ALONE),  # a number too low is raised by rows of this node that peers know
-        Kind.LEARNED: Trust(Verdict.UNLESS, HOUR),  # where peers returned as well everything is cold
+        # Its limit counts requests at once, which cold backends bear too; what restarted voids its own part.
+        Kind.LEARNED: Trust(Verdict.UNLESS, HOUR),
         Kind.RATE: Trust(Verdict.ALONE, 24 * HOUR),  # the median of all that nodes kept is what counts
     }
 )
