--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -206,14 +206,16 @@
     def trusts(self, kind: What) -> bool:
         """Whether what the disk kept of a kind may be used now, by the table."""
         asked = self.phase >= Phase.LISTED
-        better = (kind is What.LEARNED and self.path in COLD) or (
-            kind in (What.LIST, What.REVISION) and self._fresh is not None
-        )
+        better = kind in (What.LIST, What.REVISION) and self._fresh is not None
         return trusts(kind, self.disk, asked, better, self.table)
 
     @property
     def share(self) -> float:
-        """What this node may take of a budget that all share: all sides of any partition take 1.5 at most."""
+        """What this node may take of a budget that all share: all sides of any partition take 1.5 at most.
+
+        Where one node has most of the demand the others count it as half, and may take up to 0.4 more
+        together than is theirs: more than comes to them.
+        """
         present = self._present()
         most = 1.0 if 2 * len(present) > self.count else len(present) / self.count
         since = self.now - FRESH
