--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -37,7 +37,11 @@
 SUFFIX = ".return"  # of the file for a successor, beside the others by which a node's processes meet
 LOOK, SOON = 0.02, 0.5  # s between two looks for it, and for which it is looked for
 OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
-SMOOTH = 0.1  # of the rate, a second
+SMOOTH = 0.5  # of the requests a second, a second
+FADES = 0.5 ** (1 / 600)  # of the most that was carried, a second: by half in 10 min
+
+PHASES = {Phase.LISTED: api.RecoveryPhase.LISTED, Phase.WARMING: api.RecoveryPhase.WARMING,
+          Phase.FULL: api.RecoveryPhase.FULL}  # fmt: skip
 
 
 class Returning:
@@ -52,11 +56,13 @@
         self.shell = RecoveryShell(
             Config(ramp_time=settings.ramp_time), settings.me, life, node.config.seed, port, self, disk
         )
+        self._lately = 0.0  # requests a second that were completed
         self.rate = self.kept.sampled.rate if self.kept.sampled is not None else 0.0
         self._pulsed: tuple[float, int, int] | None = None  # when, what had come, and was completed
         self._turn = False  # it may call discovery
         self._whole = False  # the module wants the whole list
         self._fresh = False  # discovery has told the list
+        self._word: tuple[Phase, events.Admit | None] = (Phase.VERIFY, None)  # the module was told last
         self._saved = replace(known, members=tuple(map(_copy, known.members)))
         self._list = {m.entry.backend: m for m in self._saved.members}
         self._restricted: frozenset[str] = frozenset()
@@ -123,8 +129,13 @@
         await self.node.bans.follow(backend, out, since, self.node.settings.ramp_time)
 
     def admit(self, phase: Phase, admit: events.Admit | None) -> None:
-        """Kept for the module until it takes such an event."""
-        self.admitted = phase, admit
+        """Tell the module. What the list says of the backends' starts counts once discovery has told one."""
+        self._word = phase, admit
+        if admit is None:
+            self.node.event(api.Recovering(PHASES[phase], 1.0))
+        else:
+            since = 0.0 if self._fresh else admit.cold_since
+            self.node.event(api.Recovering(PHASES[phase], admit.share, since, admit.rate))
 
     def ask(self) -> None:
         """Discovery may be called: at once, whenever the module asks, as the turns have spread the calls."""
@@ -171,13 +182,15 @@
         """Discovery has told the list, or a change of it."""
         if kind is api.ListKind.FULL:
             self._list, self._restricted = {}, frozenset()
-        self._fresh = True
+        first, self._fresh = not self._fresh, True
         self._saved = replace(self._saved, revision=news.revision)
         self._list |= {m.entry.backend: _copy(m) for m in news.members}
         self._restricted -= {m.entry.backend for m in news.members}
         up = [m.entry for m in self._list.values() if m.entry.phase is api.Phase.UP]
         starts = tuple(entry.started_at for entry in up)
         self.shell.tell(events.Listed(news.revision, starts, tuple(entry.backend for entry in up)))
+        if first and self._word[0] is Phase.WARMING:  # it may have been so while discovery was silent
+            self.admit(*self._word)
 
     def unchanged(self) -> None:
         """Discovery has told by a word that the saved list holds."""
@@ -195,7 +208,10 @@
         return f"recovering: {self.shell.core.phase.name.lower()}"
 
     def pulse(self) -> float:
-        """Once a second: the requests a second that it carries when warm; 0: not known."""
+        """Once a second: tell the room what came.
+
+        Returns the most requests a second that the node has carried when warm; 0: unknown.
+        """
         ends, now = self.node.figures.ends, self.node.loop.time()
         pending = sum(not request.answered for request in self.node.open.values())
         came = sum(counts.total() for counts in ends.values()) + pending
@@ -205,7 +221,10 @@
         since = now - before[0]
         each = [(b - a) / since for a, b in zip(before[1:], self._pulsed[1:], strict=True)]
         if self.shell.core.phase is Phase.FULL:
-            self.rate += SMOOTH * (each[1] - self.rate)
+            self._lately += SMOOTH * (each[1] - self._lately)
+            self.rate = max(FADES * self.rate, self._lately)
+        else:
+            self.shell.tell(events.Demand(max(0.0, each[0])))
         return self.rate
 
 
