Simulation: a former life's return may cover a ban until its node has heard of it

No other node can tell the two apart; the observer allows the others the time in which news spreads, the node that said yes none.

--- a/dillport/sim/recovery_observer.py
+++ b/dillport/sim/recovery_observer.py
@@ -8,7 +8,8 @@
   `learn_ms` of a heal: two peers that went on may not have heard it either); (c) it has been in touch with a
   live peer that knows for longer than `learn_ms`, or than `SOON_MS` on a network that loses nothing where
   that peer itself said yes when they had been in touch for `SETTLED_MS`. "In touch": both processes run and
-  no partition is between them.
+  no partition is between them. At other nodes a return of a later-numbered life of the node that said yes,
+  on a disk that was lost since, may cover its ban until it has heard of that and issued it anew: as in (c).
 - `known`. What a process has known of a row, or has read of it on a disk, it never knows less of: greater
   counter, and at the same one a return over a ban. So a disk of a month ago undoes nothing.
 - `applied`. The backends that a serving node keeps out are those with a live row in its register.
@@ -63,6 +64,7 @@
     at: float
     ended: bool = False
     known: dict[tuple[int, int], float] = field(default_factory=dict)  # by node and process: since when
+    covered: dict[int, float] = field(default_factory=dict)  # by node: since when a greater counter hides it
 
 
 def newer(now: Row, before: Row) -> bool:
@@ -183,6 +185,11 @@
         row = self._process(node).core.register.get(ban.backend, ban.node)
         return row is not None and row.counter >= ban.counter and row.live
 
+    def _covers(self, node: int, ban: Ban) -> bool:
+        """Whether a node's register has a row of the ban's node above the ban, that a return has seen."""
+        row = self._process(node).core.register.get(ban.backend, ban.node)
+        return row is not None and row.counter > ban.counter and not row.live
+
     def _hold(self, node: int) -> None:
         """Compare what a process knows with what it has known, and what it keeps out with what it knows."""
         process = self._process(node)
@@ -219,6 +226,8 @@
                 touch = tier.touch_since(node, peer)
                 if touch is None:
                     continue
+                if self._covers(node, ban):
+                    since = max(since, ban.covered.setdefault(node, now))
                 soon = not self.lossy and peer == ban.node and ban.at > touch + SETTLED_MS
                 if now - max(touch, since) > (SOON_MS if soon else self.learn_ms):
                     self._breach("ban", f"n{node} sends to {ban.backend}; n{peer} knows the ban "
@@ -235,7 +244,7 @@
         if self.lossy or asked >= tier.room_config.ask_most - 1:
             return
         for ban in self._lasting():
-            if ban.backend in process.banned:
+            if ban.backend in process.banned or self._covers(node, ban):
                 continue
             for (peer, number), since in ban.known.items():
                 touch = tier.touch_since(node, peer)
