Simulation: turns of discovery are held against the room's slot, and a call without turns is found

A tier of 16 that asks discovery at once makes no more calls a second than 1000 / 25 ms; with a slot of 250 ms it does. mass_return takes the slot and the core.

--- a/dillport/sim/recovery_faults.py
+++ b/dillport/sim/recovery_faults.py
@@ -221,7 +221,7 @@
 
     make: type[Recovery]
     found_by: frozenset[str]
-    counts: tuple[int, ...] = (3, 4, 5, 6)  # sizes of the tiers in which it is looked for
+    counts: tuple[int, ...] = (3, 4, 5, 6)  # sizes of the tiers in which it is looked for, by `draw`
 
 
 FAULTS = {
@@ -236,7 +236,7 @@
     "saved starts are trusted after a power loss": Fault(TrustsStarts, frozenset({"budget"})),
     "a phase is entered again": Fault(WarmsAgain, frozenset({"phase"})),
     "a lost majority begins anew": Fault(FullByMembers, frozenset({"phase"})),
-    "discovery is asked at once": Fault(AsksAtOnce, frozenset({"turns"}), (100,)),
+    "discovery is asked at once": Fault(AsksAtOnce, frozenset({"turns"}), (200,)),  # or `mass_return`
     "a peer's filter restricts everything": Fault(RestrictsAll, frozenset({"list"})),
     "yes is said before the sync": Fault(YesFirst, frozenset({"ban"})),
     "digests are not answered": Fault(NeverRepairs, frozenset({"ban", "agree"})),
--- a/dillport/sim/recovery_figures.py
+++ b/dillport/sim/recovery_figures.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
+from dillport.recovery.core import Recovery
 from dillport.sim.members import World
 from dillport.sim.recovery_disks import Condition
 from dillport.sim.recovery_outside import Discovery, waits
 from dillport.sim.recovery_schedule import BACKENDS, Schedule, Step, play
+from dillport.sim.recovery_world import Make
 
 CUT_MS = 12_000.0  # the tier has come up and is quiet by then
 DARK_MS = 500.0  # until the first node is back
@@ -34,10 +36,10 @@
 
 
 def mass_return(count: int, seed: int, spread: float = 2_000.0, down: float = 0.0, loss: float = 0.0,
-                serve_ms: float = 4.0) -> Return:  # fmt: skip
+                serve_ms: float = 4.0, slot: float = 25.0, make: Make = Recovery) -> Return:  # fmt: skip
     """All `count` nodes lose power and return over `spread` ms, discovery `down` ms after the cut."""
     schedule = _schedule(count, seed, spread, down)
-    played = play(replace(schedule, loss=loss, serve_ms=serve_ms))
+    played = play(replace(schedule, loss=loss, serve_ms=serve_ms, slot=slot), make)
     second = int((played.begun + CUT_MS) / 1000)
     usual = [played.datagrams[s] / count for s in range(second - USUAL_S, second)]
     worst = max(n / count for s, n in played.datagrams.items() if s >= second)
--- a/dillport/sim/recovery_observer.py
+++ b/dillport/sim/recovery_observer.py
@@ -17,8 +17,8 @@
   them, or they lost power together with it. Each sends as much as it is admitted: that is an upper bound.
 - `phase`. Phases only go forward within a life, a successor's from its predecessor's.
 - `list`. A peer's word restricts at most half of the saved list, and nothing that is not in it.
-- `turns`. Discovery has at most `MOST_CALLS` calls in a second. A tier whose nodes enter `listed` at one
-  moment makes 1000 / slot; those that enter it within two seconds of each other share places.
+- `turns`. Discovery has at most twice 1000 / slot calls in a second. A tier whose nodes enter `listed` at one
+  moment makes half of that; those that enter it one after the other may share places.
 - `full`, `agree` (by `Observer.ends`). A stated time after the last fault all are in phase `full`, and
   the registers of all are the same.
 """
@@ -34,7 +34,6 @@
 from dillport.sim.recovery_outside import FALL_MULTIPLE, warmth
 from dillport.sim.recovery_world import LOOK_MS, Call, Process, Tier
 
-MOST_CALLS = 80
 SOON_MS, SETTLED_MS = 3_000.0, 8_000.0
 NEWS_MS = 1_000.0  # within which a yes has reached all that hear each other without loss
 STORM = 2.0  # demand after an outage, in capacities: what nodes send that think a backend warm
@@ -164,7 +163,7 @@
         if late:
             self._breach("full", f"not full in time: {', '.join(late[:8])}")
         calls = max(self.tier.discovery.per_second.values(), default=0)
-        if calls > MOST_CALLS:
+        if calls > 2_000.0 / self.tier.room_config.slot:
             self._breach("turns", f"{calls} calls of discovery in one second")
         views = {frozenset(row[:5] for row in p.core.register.rows()) for p in processes.values()}
         if len(views) > 1:
--- a/dillport/sim/recovery_schedule.py
+++ b/dillport/sim/recovery_schedule.py
@@ -50,6 +50,7 @@
     late: float = 0.0
     wall_ms: float = 0.0  # by which wall clocks are off at most, another figure at each start
     window: float = 60_000.0
+    slot: float = 25.0  # of discovery's turns
     sync_fails: float = 0.0
 
     @property
@@ -235,7 +236,7 @@
 
 def play(schedule: Schedule, make: Make = Recovery) -> Played:
     """Let a schedule happen; stops soon after the last fault where all is well."""
-    config = Config(window=schedule.window)
+    config = Config(window=schedule.window, slot=schedule.slot)
     net = Net(loss=schedule.loss, duplicate=schedule.duplicate, late=schedule.late)
     begun = 1e6
     parted = tuple(Partition(begun + a, begun + b, side) for a, b, side in schedule.partitions)
--- a/tests/test_recovery_sim.py
+++ b/tests/test_recovery_sim.py
@@ -48,9 +48,10 @@
 
 
 def test_turns_spare_discovery() -> None:
-    room = mass_return(24, 1, spread=300.0)
-    assert not room.breaches
-    assert room.calls <= 24 < calls_without(24, 1, spread=300.0, down=8_000.0)
+    room = mass_return(16, 1, spread=300.0, slot=250.0)
+    assert not room.breaches and room.calls < 16 < calls_without(16, 1, spread=300.0, down=8_000.0)
+    at_once = mass_return(16, 1, 300.0, slot=250.0, make=FAULTS["discovery is asked at once"].make)
+    assert at_once.breaches[0].startswith("turns")
 
 
 def test_discovery_answers_one_by_one() -> None:
