Recovery: one node's demand counts as four fifths of all at the others, not as half

The others held the largest demand for half of all, while that node itself, which has nearly all of it, took its full part: the shares came to 0.8 * 1.5 + 0.2 = 1.4 times the whole, and two sides with views that lag to twice that.

--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -4,7 +4,7 @@
 relays a row does not matter, so there is no smaller share for one peer); keep this node in ASK until
 `Config.ask_most`; have it avoid half of a saved list until discovery tells its own; two that lie can make its
 return seem a crash, and then it serves as a node without this room does; make its share smaller by a demand
-that counts as half of all at most. Nobody can keep it from FULL after the longest time.
+that counts as four fifths of all at most. Nobody can keep it from FULL after the longest time.
 """
 
 from __future__ import annotations
