--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import contextlib
-import json
-import logging
 import math
 import time
 from dataclasses import replace
@@ -20,7 +18,7 @@
 from dillport.durable.shell import Durable
 from dillport.errors import DillportError
 from dillport.membership.port import Port
-from dillport.net.bans import write_whole
+from dillport.net import handover
 from dillport.net.config import Member, News
 from dillport.net.figures import End
 from dillport.net.node import Node, Watcher
@@ -32,11 +30,8 @@
 from dillport.recovery.shell import CallError, Left, RecoveryShell
 from dillport.recovery.trust import Kind
 
-log = logging.getLogger(__name__)
-
 SUFFIX = ".return"  # of the file for a successor, beside the others by which a node's processes meet
 LOOK, SOON = 0.02, 0.5  # s between two looks for it, and for which it is looked for
-OLDEST = 10_000.0  # ms: an older file is that of an upgrade that came to nothing
 SMOOTH = 0.5  # of the requests a second, a second
 FADES = 0.5 ** (1 / 600)  # of the most that was carried, a second: by half in 10 min
 
@@ -234,29 +229,21 @@
 
 
 def give(path: Path, left: Left, clock: float) -> None:
-    """Leave it for the successor; a file that cannot be written is left out."""
-    table = {"clock": clock, "at": time.time() * 1000, "phase": int(left.phase), "path": left.path.value,
+    """Leave it for the successor."""
+    table = {"clock": clock, "phase": int(left.phase), "path": left.path.value,
              "cold_since": left.cold_since, "rows": left.rows}  # fmt: skip
-    try:
-        write_whole(path, json.dumps(table))
-    except OSError as err:
-        log.info("recovery: %s", err)
+    handover.leave(path, table, "recovery")
 
 
 def take(path: Path, clock: float) -> Left | None:
     """What the predecessor has left, on this process's clock; None where there is nothing of use."""
-    try:
-        raw: Any = json.loads(path.read_text("utf-8"))
-        path.unlink()
-        shift, age = clock - float(raw["clock"]), time.time() * 1000 - float(raw["at"])
+
+    def read(raw: Any, age: float) -> Left:
+        shift = clock - float(raw["clock"])
         rows = tuple(
             Row(str(name), int(node), int(life), int(seq), bool(live), float(at) + shift)
             for name, node, life, seq, live, at in raw["rows"]
         )
-        left = Left(Phase(raw["phase"]), Way(raw["path"]), float(raw["cold_since"]) + shift, rows)
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError, KeyError, TypeError, RecursionError) as err:
-        log.info("recovery: %s cannot be read: %.200s", path.name, err)
-        return None
-    return left if 0 <= age <= OLDEST else None
+        return Left(Phase(raw["phase"]), Way(raw["path"]), float(raw["cold_since"]) + shift, rows)
+
+    return handover.taken(path, read, "recovery")
