Simulation: one agenda of virtual time for the members' world and the one that serves

Seen in a second reading: sim/service.py had written again the queue of planned calls that sim/members.py has.

--- a/dillport/sim/members.py
+++ b/dillport/sim/members.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -16,6 +15,7 @@
 
 from dillport.membership.core import Action, Changed, Config, Event, Leave, Membership, Received, Tell, Tick
 from dillport.membership.messages import State
+from dillport.sim.agenda import Agenda
 
 ROUNDING = 1e-6  # ms later than due a tick comes: between two clocks it must not be early by a rounding
 LIFE_UNIT = 256.0  # ms of the start's time that one life number stands for
@@ -55,33 +55,19 @@
     change: Changed
 
 
-class World:
+class World(Agenda):
     """`count` nodes; `at` plans what happens, `run` lets it."""
 
     def __init__(self, count: int, seed: int, config: Config | None = None, net: Net | None = None) -> None:
         self.count, self.config, self.net = count, config or Config(), net or Net()
-        self.now = 1e6
+        super().__init__(1e6)
         self.random, self.seeds = random.Random(f"net {seed}"), random.Random(f"nodes {seed}")
         self.hosts = [Host() for _ in range(count)]
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.planned = 0
         self.seen: list[Seen] = []
         self.sent: Counter[int] = Counter()  # datagrams by node; one to all counts once
         self.delivered = 0
         self.per_second: Counter[int] = Counter()
 
-    def at(self, when: float, call: Callable[[], None]) -> None:
-        """Plan something."""
-        self.planned += 1
-        heapq.heappush(self.queue, (when, self.planned, call))
-
-    def run(self, until: float) -> None:
-        """Let time pass."""
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, call = heapq.heappop(self.queue)
-            call()
-        self.now = until
-
     def start(self, node: int, life: int | None = None) -> None:
         """A node comes up with a new life, by the time unless another is given."""
         host = self.hosts[node]
--- a/dillport/sim/service.py
+++ b/dillport/sim/service.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -25,6 +24,7 @@
 from dillport.lab.spec import Experiment
 from dillport.lab.streams import stream
 from dillport.policy import Balancer
+from dillport.sim.agenda import Agenda
 
 DEMAND = 0.8  # of a node's share that follows what it was asked for; the rest is the same for all
 MARGIN = 10.0  # ms before its client's limit at which a node answers at the latest
@@ -128,12 +128,12 @@
     idle: Counter[str] = field(default_factory=Counter)  # connections to each backend
 
 
-class World:
+class World(Agenda):
     """All nodes, backends and clients of an experiment, in ms since its begin."""
 
     def __init__(self, spec: Experiment, seed: int, cut: Cut, room: bool) -> None:
+        super().__init__(0.0)
         self.spec, self.seed, self.cut, self.room = spec, seed, cut, room
-        self.now, self.planned, self.queue = 0.0, 0, list[tuple[float, int, Callable[[], None]]]()
         self.random = random.Random(f"service {seed}")
         self.figures = Figures()
         speeds = stream(seed, "speeds").uniform(*spec.backends.speed, spec.backends.count).tolist()
@@ -150,12 +150,7 @@
 
     # --- time
 
-    def at(self, when: float, call: Callable[[], None]) -> None:
-        """Plan something."""
-        self.planned += 1
-        heapq.heappush(self.queue, (max(when, self.now), self.planned, call))
-
-    def run(self) -> Figures:
+    def play(self) -> Figures:
         """Play the whole experiment."""
         for number in range(self.spec.fleet.nodes):
             self._start(number, False)
@@ -173,9 +168,7 @@
         self.at(self.cut.at * 1000, self._lose)
         for tenth in range(int(self.spec.seconds * 10)):
             self.at(tenth * 100.0, partial(self._measure, tenth))
-        while self.queue and self.queue[0][0] <= self.spec.seconds * 1000:
-            self.now, _, call = heapq.heappop(self.queue)
-            call()
+        self.run(self.spec.seconds * 1000)
         return self.figures
 
     def _measure(self, tenth: int) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -144,7 +144,7 @@
 
 def test_a_tier_that_returns_into_a_wave_of_clients_serves_more() -> None:
     """Forty nodes with a floor of two sends each would swamp four cold backends."""
-    figures = [World(STRESS, 3, Cut(2.0, over=1.0), room).run() for room in (False, True)]
+    figures = [World(STRESS, 3, Cut(2.0, over=1.0), room).play() for room in (False, True)]
     without, with_room = (f.goodput(4.5, 8.5) for f in figures)
     assert figures[1].toppled == 0
     assert with_room > 1.1 * without
@@ -155,6 +155,6 @@
     spec = msgspec.structs.replace(
         STRESS, fleet=Fleet(nodes=6), faults=(), load=Load(utilisation=0.5), backends=Backends(count=6)
     )
-    figures = [World(spec, 1, Cut(2.0, over=1.0), room).run() for room in (False, True)]
+    figures = [World(spec, 1, Cut(2.0, over=1.0), room).play() for room in (False, True)]
     without, with_room = (f.goodput(4.5, 8.5) for f in figures)
     assert with_room >= max(0.85, without) and figures[1].toppled == 0
