A saved list with no backend in service: the list is asked for at once, not up to 5 s later

Cause: `Balancer._list` drew the first call of a module that asks by itself from 0 to half of `ask-within` whatever the saved list held. With an empty one, or one in which all drain, the node is not ready before discovery has told a list (`Node.list`), so that up to 5 s of the 10 s were lost before the first call.

Change: without an entry in service the first call is due at once.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -630,7 +630,10 @@
             return
         self.asks_failed = 0
         if ev.kind is api.ListKind.SAVED and self.cfg.must_ask:
-            self._at(self.now + self.rng.uniform(0.0, self.cfg.ask_within / 2), self._ask, None)
+            # Without a backend in service the node cannot serve before discovery has told one.
+            some = any(e.phase is api.Phase.UP for e in ev.entries)
+            most = self.cfg.ask_within / 2 if some else 0.0
+            self._at(self.now + self.rng.uniform(0.0, most), self._ask, None)
         if ev.kind is not api.ListKind.CHANGES:
             for name in self.backends.keys() - {e.backend for e in ev.entries}:
                 self.backends[name].entry.phase = api.Phase.GONE
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -265,6 +265,12 @@
     assert served > 0
 
 
+def _asks_after(acts: list[api.Action], now: float) -> float:
+    """How long until the timer that they set."""
+    (timer,) = (a for a in acts if isinstance(a, api.SetTimer))
+    return timer.when - now
+
+
 def test_failed_list_calls_back_off_with_jitter() -> None:
     waits: list[list[float]] = []
     for seed in range(20):
@@ -282,6 +288,17 @@
     assert sum(w[3] for w in waits) > 3 * sum(w[0] for w in waits)
 
 
+def test_without_a_backend_in_service_the_list_is_asked_for_at_once() -> None:
+    """The node cannot be ready before discovery has told one."""
+    leaving = entry("x", phase=api.Phase.DRAINING)
+    for entries in ([], [leaving]):
+        b = Balancer(replace(BASE, must_ask=True), 1)
+        assert _asks_after(b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, entries)), 1000.0) == 0.0
+    b = Balancer(replace(BASE, must_ask=True), 1)
+    saved = b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [leaving, entry("y")]))
+    assert _asks_after(saved, 1000.0) > 0.0
+
+
 def test_wrong_calls_are_named() -> None:
     b = node(BASE, ["x"])
     with pytest.raises(api.CallError, match="unknown class: 'nope'"):
