Discovery: from one call to the next 4 s at most, so that a change is had within 6 s of its return

Cause: the budget of `watchdog.py` covered silence only. A call could hold CONNECT 2 s and then ANSWER 5 s from dialling, the wait behind it was up to WAIT_MOST x 1.5 = 3 s whatever the call had taken (`Discovery.lost`), and where the module asks by itself `Balancer._list` waited up to 1.5 x `ask-within` (15 s at 10 s). An object that did not end kept its watch for up to 64 s (UNDER_WAY, doubled). Timers for the next call were not kept: one of the old address was still due behind SIGHUP. A watch that was stopped and wanted again at once was not opened before its connection's end had been heard of. In the module each failed call set one more timer, and none took the place of another: two rows of calls, for ever.

Change: - PERIOD 3.95 s from dialling to dialling, REST 0.9 s of it behind a call that took as long as one may (3 s, the connection and the first whole object included). Waits double and are drawn as before, from a third of the wait on, within what is left of the period. 2 s are left for discovery's own queue. The sum stands in `watchdog.py`. The module keeps when it asked last, and its waits obey the same period. - A call has one explicit stage. An object that does not end is no answer: the next call is opened as if nothing came, and the slow one goes on beside it, for 64 s at most; whichever first tells something whole is kept, the other one closed. A dial that is given up in the moment in which it comes up is closed, too. - In the module one ask is due, the last that was set.

Tests, in virtual time, for a watch and for asking: twelve ways in which a call comes to nothing, discovery back right after a doomed call was dialled; 200 nodes over an outage of 8 s, refused or cut off, each call 4 ms of work in turn and failing after 1 s in the queue: all have the list 2.7 to 3.7 s after the return, each by one call, none fails in the queue (without the draw, calls fail there). SIGHUP and a stop in eleven moments of a call.

`test_failed_list_calls_back_off_with_jitter` wanted the fourth wait three times the first without an upper bound; it now holds every wait between its doubled least and most. `test_a_long_list_that_really_arrives...` counted three calls in 22 s; now it is three calls and the list after 9 s, also where the module asks.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
+from enum import Enum
 from typing import cast
 
 import httptools
@@ -15,63 +16,78 @@
 from dillport.net.config import Address, ListError, News, news_of
 from dillport.net.node import Node
 from dillport.net.objects import BrokenObject, Objects
-from dillport.net.watchdog import ANSWER, HURRY, LOOK, SILENT, UNDER_WAY, UNDER_WAY_MOST, Watchdog
+from dillport.net.watchdog import ANSWER, HURRY, LOOK, PERIOD, REST, SILENT, Watchdog
 
 log = logging.getLogger(__name__)
 
 CONNECT = 2.0  # s for a connection to come up
-WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s before a new try, doubled with each failure, jittered
+WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
+LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
 MOST_OBJECT = 8 * 1024 * 1024  # bytes
 WARN_EVERY = 10.0  # s between two warnings of a kind
 
 
+class Stage(Enum):
+    """How far a call is."""
+
+    DIALLING = "its connection comes up"
+    ASKED = "nothing whole has come of it yet"
+    OPEN = "it has told something"
+    SLOW = "something comes for too long: the next call is due, this one goes on beside it"
+    OVER = "it is closed, and what else comes of it is not read"
+
+
 class Call(asyncio.Protocol):
     """One call: a watch that goes on until its connection ends, or the whole list once."""
 
     def __init__(self, owner: Discovery, target: str, watch: bool, quick: bool = False) -> None:
         """`quick` where a watch has fallen silent: what that missed is due soon."""
         self.owner, self.target, self.watch, self.quick = owner, target, watch, quick
-        self.dog = Watchdog(
-            owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT), owner.under_way
-        )
+        self.stage = Stage.DIALLING
+        self.dog = Watchdog(owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT))
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.objects = Objects(MOST_OBJECT)
         self.timer: asyncio.TimerHandle | None = None
         self.told_at: float | None = None  # when it first told something
-        self.done = self.over = self.silent = self.doubt = False
+        self.done = self.doubt = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask, unless discovery moved or the watch was given up while the connection came up."""
+        """Ask, unless the call was closed while its connection came up."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
-        if self.over or (self.watch and not (self.owner.wanted and self.owner.call is self)):
-            self.close()
+        if self.stage is Stage.OVER:
+            self.transport.abort()
             return
+        self.stage = Stage.ASKED
         host, port = self.owner.address
         keep = "keep-alive" if self.watch else "close"
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: {keep}\r\n\r\n".encode("ascii")
         )
-        self._arm()
+        if self.stage is not Stage.OVER:
+            self._arm()
+
+    def _due(self) -> float:
+        return self.dog.due(patient=self.stage is Stage.SLOW or not self.watch)
 
     def _arm(self) -> None:
-        self.timer = self.owner.loop.call_at(self.dog.due, self._look)
+        self.timer = self.owner.loop.call_at(self._due(), self._look)
 
     def _look(self) -> None:
         """Guards against a discovery that is cut off: nothing closes its connection, it just says no more."""
         now = self.owner.loop.time()
-        if now < self.dog.due:
+        if now < self._due():
             self.doubt = False
             self._arm()
         elif not self.doubt:  # the node may have stood still itself, with news unread
             self.doubt = True
             self.timer = self.owner.loop.call_later(LOOK, self._look)
+        elif self.watch and self.dog.trickles(now) and self.owner.slow is None:
+            self.doubt, self.stage = False, Stage.SLOW
+            self._arm()
+            self.owner.slowed(self)
         else:
-            if self.dog.trickles(now) and not self.objects.between:  # a list that takes its time, perhaps
-                self.owner.under_way = min(2 * self.owner.under_way, UNDER_WAY_MOST)
-            self.silent = True
-            self.owner.warn("discovery is silent")
-            self.close()
+            self.end(silent=True)
 
     def data_received(self, data: bytes) -> None:
         """Read; what is not HTTP ends the call."""
@@ -79,19 +95,20 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self.owner.warn("discovery: broken answer", str(err))
-            self.close()
+            self.end()
 
     def on_body(self, body: bytes) -> None:
         """Objects may be cut anywhere."""
-        if self.over or self.parser.get_status_code() != 200:
+        if self.stage is Stage.OVER or self.parser.get_status_code() != 200:
             return
         now = self.owner.loop.time()
         self.dog.fed(now)
         for update in self._news(body):
             self.dog.told(now)
-            self.owner.under_way = UNDER_WAY
+            self.stage = Stage.OPEN
             if self.told_at is None:
                 self.told_at = now
+            self.owner.told(self)
             if update is None:
                 self.owner.node.unchanged()
             else:
@@ -111,36 +128,47 @@
         """What it said is lost, and later changes do not repeat it: only the whole list will do."""
         self.owner.warn("discovery: bad list", err.line)
         self.owner.revision = 0
-        self.close()
+        self.end()
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
-        if not (self.watch or self.over or self.objects.between):
+        if not (self.watch or self.stage is Stage.OVER or self.objects.between):
             self._broken(BrokenObject("the answer ends before its JSON does"))
-        self.close()
+        self.end()
 
     def close(self) -> None:
-        """End the call; what else comes is not read."""
-        self.over = True
+        """Nobody wants it any more."""
+        self.stage = Stage.OVER
+        if self.timer is not None:
+            self.timer.cancel()
         if self.transport is not None:
             self.transport.abort()
 
+    def end(self, silent: bool = False) -> None:
+        """It has come to its end by itself, or by the other side: the owner hears of it, once."""
+        if self.stage is not Stage.OVER:
+            self.close()
+            self.owner.lost(self, silent)
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the owner."""
-        if self.timer is not None:
-            self.timer.cancel()
-        self.owner.lost(self)
+        """The other side may have ended it."""
+        self.end()
 
 
 class Discovery:
-    """Keeps the node's list up to date; the last list stays in force while discovery is away."""
+    """Keeps the node's list up to date; the last list stays in force while discovery is away.
+
+    While the watch is wanted there is a call, or a timer for the next one, or the module has set its own;
+    never two of these. Beside them a slow call may go on.
+    """
 
     def __init__(self, node: Node, address: Address, revision: int) -> None:
         self.node, self.address, self.revision = node, address, revision
-        self.call: Call | None = None  # the watch, from the moment it is dialled
         self.wanted = False
+        self.call: Call | None = None  # the watch, from the moment it is dialled
+        self.timer: asyncio.TimerHandle | None = None  # for the next one
+        self.slow: Call | None = None  # an older one that still comes
         self.wait = WAIT_FIRST
-        self.under_way = UNDER_WAY
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.warned: dict[str, float] = {}  # by kind, when last
@@ -149,24 +177,36 @@
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
         self.wanted = on
-        if not on and self.call is not None:
-            self.call.close()
-        elif on:
+        if on:
             self._connect()
+        else:
+            self._drop()
 
     def move(self, address: Address) -> None:
         """Go to another address: the old one tells nothing more, so a watch there is opened anew at once."""
         self.address, self.wait = address, WAIT_FIRST
-        old, self.call = self.call, None
-        if old is not None:
-            old.close()
+        self._drop()
         self._connect()
 
+    def _drop(self) -> None:
+        """Nothing of what was begun is heard of again."""
+        for call in (self.call, self.slow):
+            if call is not None:
+                call.close()
+        self.call = self.slow = None
+        self._unset()
+
+    def _unset(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def fetch(self) -> None:
         """Ask for the whole list once."""
         self._start(Call(self, "/discovery/hosts", False))
 
     def _connect(self, quick: bool = False) -> None:
+        self._unset()
         if self.wanted and self.call is None:
             self.call = Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True, quick)
             self._start(self.call)
@@ -181,8 +221,9 @@
             async with asyncio.timeout(HURRY if call.quick else CONNECT):
                 await self.loop.create_connection(lambda: call, *self.address)
         except (OSError, TimeoutError) as err:
-            self.warn("discovery: no connection", str(err) or "timed out")
-            self.lost(call)
+            if call.stage is not Stage.OVER:
+                self.warn("discovery: no connection", str(err) or "timed out")
+            call.end()
 
     def warn(self, what: str, why: str = "") -> None:
         """Log what went wrong, with how often it was left out: one such line in `WARN_EVERY` at most."""
@@ -204,30 +245,54 @@
             self.revision = update.revision
             self.node.list(update, api.ListKind.CHANGES)
 
-    def lost(self, call: Call) -> None:
-        """A call has ended: the module hears of it where it asks by itself, else the watch is tried again.
+    def told(self, call: Call) -> None:
+        """A call has told something whole: the other one, or the wait for it, is of no more use."""
+        if call is self.slow:
+            if self.call is not None:
+                self.call.close()
+            self._unset()
+            self.call, self.slow = call, None
+        elif call is self.call and self.slow is not None:
+            self.slow.close()
+            self.slow = None
+
+    def slowed(self, call: Call) -> None:
+        """What the watch tells takes too long to wait for; the oldest such call goes on, as the nearest."""
+        self.call, self.slow = None, call
+        self._again(call, True)
+
+    def lost(self, call: Call, silent: bool) -> None:
+        """A call has ended. Beside a slow one the next has been seen to already."""
+        if call is self.slow:
+            self.slow = None
+            return
+        if call.watch:
+            self.call = None
+        if self.wanted:
+            self._again(call, silent)
+
+    def _again(self, call: Call, silent: bool) -> None:
+        """The module hears of a failed call where it asks by itself, else the watch is tried again.
 
         A watch that has fallen silent is opened anew at once, and once more if that fails, in either case: in
         the module's first wait alone what was missed may come to count as told.
         """
-        if call.watch:
-            if call is not self.call:  # left behind when discovery moved
-                return
-            self.call = None
-        if not self.wanted:
-            return
+        if silent:
+            self.warn("discovery is silent")
         # News alone does not end the doubling: a list that breaks behind its first object would come ten
         # times a second.
-        lasted = call.told_at is not None and self.loop.time() - call.told_at >= WAIT_MOST
+        lasted = call.told_at is not None and self.loop.time() - call.told_at >= LASTED
         if lasted:
             self.wait = WAIT_FIRST
-        if call.watch and call.silent and lasted:
+        if call.watch and silent and lasted:
             self._connect(quick=True)
         elif self.node.settings.must_ask and not (call.quick and call.told_at is None):
             if not call.done:
                 self.node.list_failed()
         elif call.watch:
-            self.loop.call_later(self.wait * random.uniform(0.5, 1.5), self._connect)
+            left = max(REST, call.dog.dialled + PERIOD - self.loop.time())
+            wait = min(self.wait, left) * random.uniform(1 / 3, 1.0)
+            self.timer = self.loop.call_later(wait, self._connect)
             self.wait = min(2 * self.wait, WAIT_MOST)
-        if self.node.fleet is not None and not call.done:
+        if self.node.fleet is not None and not call.done and self.slow is None:
             self.node.fleet.list_failed()
--- a/dillport/net/watchdog.py
+++ b/dillport/net/watchdog.py
@@ -1,53 +1,65 @@
 """When a call to discovery counts as dead. Times are seconds on the caller's clock.
 
-What a watch that has fallen silent misses counts as told 6 s after its last byte: the news has to be asked
-for anew and answered within that. The budget, at its worst:
+A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before:
+refused, not connected, not answered, cut off, spoilt. At worst discovery is back, or the change made, right
+after a call was dialled that comes to nothing:
 
-    3.25  SILENT: an empty line comes every 2 s and may be late by 0.75 s; half a second more is drawn, so
-          that watches that fell silent together do not come back together
+    3.00  ANSWER: from dialling, the connection included, to the first whole object or empty line
     0.05  LOOK: a second look, for what the node itself had not read yet
-    1.55  HURRY: the first call after that, from its dialling to its first byte of news, and a second look
-    0.15  a jittered wait before the second call, which is as patient as any
-    1.00  left for discovery's own queue: 200 calls of 4 ms are 0.8 s of work
+    0.90  REST: the wait after that. A call that failed sooner leaves more: PERIOD in all, from dialling to
+          dialling. Within it waits double and are drawn, so that nodes that failed together do not come back
+          together
+    2.00  left for discovery's own queue: it takes calls in turn, and one that waits there for 1 to 2 s fails.
+          200 calls of 4 ms are 0.8 s of work, spread over a wait
 
-An object that does not end counts as silence after UNDER_WAY: the second call is then out after 5.75 s.
+What a watch that has fallen silent misses counts as told 6 s after its last byte. At worst:
+
+    3.25  SILENT: an empty line comes every 2 s and may be late by 0.75 s; half a second more is drawn
+    0.05  LOOK
+    1.55  HURRY: the first call after that, as ANSWER, and a second look
+    0.15  a drawn wait before the second call, which is as patient as any
+    1.00  left for discovery's own queue
+
+An object that comes in pieces and does not end is no answer and no sign of life: the next call is due as if
+nothing came. But the slow one may be a list that really takes so long: it goes on beside the next calls
+while bytes come, for UNDER_WAY at most, and whichever first brings something whole is kept.
 """
 
 from __future__ import annotations
 
-SILENT = (2.75, 3.25)  # without a byte, drawn for each call
+from dillport import policy
+
+PERIOD, REST = policy.ASK_PERIOD / 1000, policy.ASK_REST / 1000
+SILENT = (2.75, 3.25)  # without anything whole, drawn for each call
 LOOK = 0.05  # until the second look
 HURRY = 1.5
-ANSWER = 5.0  # for any other call, from its dialling to the first byte of news
-UNDER_WAY, UNDER_WAY_MOST = 4.0, 64.0  # for an object to end, or for an empty line among blanks
+ANSWER = 3.0  # for any other call
+UNDER_WAY = 64.0  # for what comes slowly to end
 
 
 class Watchdog:
     """The clock of one call: told of each piece of its body and of each whole object or empty line."""
 
-    def __init__(self, now: float, answer: float, silent: float, under_way: float) -> None:
-        """`now` is when it is dialled, `answer` how long the first byte may take from then on."""
-        self.now, self.answer, self.silent, self.under_way = now, answer, silent, under_way
-        self.last: float | None = None  # byte
-        self.since = now  # what has come and is no news yet
+    def __init__(self, now: float, answer: float, silent: float) -> None:
+        """`now` is when it is dialled, `answer` how long the first whole thing may take from then on."""
+        self.dialled, self.silent = now, silent
+        self.whole_by = now + answer  # when something whole is due
+        self.last = now - silent  # byte of the body
 
     def fed(self, now: float) -> None:
         """A piece of the body came."""
-        if self.last is None:
-            self.since = now
         self.last = now
 
     def told(self, now: float) -> None:
         """Something whole came."""
-        self.since = now
+        self.whole_by = now + self.silent
 
-    @property
-    def due(self) -> float:
-        """When the call counts as dead unless something comes."""
-        if self.last is None:
-            return self.now + self.answer
-        return min(self.last + self.silent, self.since + self.under_way)
+    def due(self, patient: bool) -> float:
+        """When the call counts as dead unless something comes; `patient`: not before its bytes end."""
+        if not patient:
+            return self.whole_by
+        return max(self.whole_by, min(self.last + self.silent, self.whole_by + UNDER_WAY))
 
     def trickles(self, now: float) -> bool:
-        """Whether bytes still come and only take too long to mean something."""
-        return self.last is not None and now < self.last + self.silent
+        """Whether bytes still come, and only take too long to mean something."""
+        return now < self.due(patient=True)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -39,6 +39,8 @@
 AWAY = (1.0, 2.0)  # usual times of its class that a refused client is told to stay away, at least and most
 RETURNING = (1.0, 12.0)  # the like while the tier returns, when many more come back
 SHOWN = 500.0  # a backend that has been avoided for this long is shown as unavailable
+ASK_PERIOD = 3_950.0  # from one call of discovery to the next at most, see net/watchdog.py
+ASK_REST = 900.0  # of it, what is left for the wait after a call that took as long as one may
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 
 
@@ -65,6 +67,7 @@
         self.timers: dict[int, tuple[Callable[[Any], None], Any]] = {}
         self.token = self.out = self.asks_failed = self.arrived = self.shed = 0
         self.limit, self.least, self.bank, self.logged = LIMIT_LEAST, LIMIT_LEAST, RETRY_BANK, -LOG_EVERY
+        self.asked, self.asks = -math.inf, 0  # when discovery was last asked for the list; which ask is next
         # Requests given up since the last gauge: they could not be in time, were shed by own success, waited
         # too long for the limit, found none eligible, or failed and may not go out again.
         self.why: Counter[str] = Counter()
@@ -624,16 +627,20 @@
     def _list(self, ev: api.ListUpdate) -> None:
         if ev.kind is api.ListKind.FAILED:  # back off with jitter; the last list stays in force
             self.asks_failed = min(self.asks_failed + 1, EJECT_MAX)
-            wait = self.cfg.ask_within / 32 * 2**self.asks_failed * self.rng.uniform(0.5, 1.5)
-            self._at(self.now + wait, self._ask, None)
+            # A change may count as told before a longer wait is over. That call may be another one than the
+            # last asked for here: a watch is opened anew without a word.
+            left = max(ASK_REST, self.asked + ASK_PERIOD - self.now)
+            most = min(1.5 * self.cfg.ask_within / 32 * 2**self.asks_failed, left)
+            wait = most * self.rng.uniform(1 / 3, 1.0)
+            self._ask_in(wait)
             self._log(f"list: call failed {self.asks_failed} times, asking again in {wait / 1000:.1f} s")
             return
         self.asks_failed = 0
         if ev.kind is api.ListKind.SAVED and self.cfg.must_ask:
             # Without a backend in service the node cannot serve before discovery has told one.
             some = any(e.phase is api.Phase.UP for e in ev.entries)
-            most = self.cfg.ask_within / 2 if some else 0.0
-            self._at(self.now + self.rng.uniform(0.0, most), self._ask, None)
+            most = min(self.cfg.ask_within / 2, ASK_PERIOD) if some else 0.0
+            self._ask_in(self.rng.uniform(0.0, most))
         if ev.kind is not api.ListKind.CHANGES:
             for name in self.backends.keys() - {e.backend for e in ev.entries}:
                 self.backends[name].entry.phase = api.Phase.GONE
@@ -650,7 +657,17 @@
         before, self.up, self.fleet = set(self.up), up, max(self.fleet, len(up))
         self._reorder(before)
 
+    def _ask_in(self, wait: float) -> None:
+        """The last one that was set counts: each would be followed by the next, for ever."""
+        self.asks += 1
+        self._at(self.now + wait, self._ask_due, self.asks)
+
+    def _ask_due(self, ask: int) -> None:
+        if ask == self.asks:
+            self._ask(None)
+
     def _ask(self, _: object) -> None:
+        self.asks, self.asked = self.asks + 1, self.now
         self.acts.append(api.Subscribe())
 
     def _reorder(self, before: set[str]) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,12 +1,15 @@
-"""One clock for silence, in virtual time: how long until what a silent watch missed is asked for again."""
+"""Calls to discovery in virtual time: how soon what a failed or silent one missed is asked for again."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import math
 import random
 import selectors
 from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import replace
+from itertools import pairwise
 from pathlib import Path
 from typing import Any, cast
 
@@ -14,12 +17,16 @@
 
 from dillport.interface import ListKind
 from dillport.net import config
-from dillport.net.discovery import Discovery
+from dillport.net.config import Address
+from dillport.net.discovery import Discovery, Stage
 from dillport.net.node import Node
+from dillport.net.watchdog import PERIOD
 from tests.sockets import configuration
 
-KNOWN = 6.0  # s after which what a silent watch missed counts as told
+KNOWN = 6.0  # s after which what discovery has counts as told, whatever became of the calls before
 QUEUE = 1.0  # s that discovery may take to answer
+CROWDED = 2.0  # s that a call waits there at most; then it fails
+NEW = 9  # revision
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 MEMBER = {"id": "b0", "host_port": "127.0.0.1:9", "phase": "in_service"}
 
@@ -38,7 +45,7 @@
 class VirtualLoop(asyncio.SelectorEventLoop):
     """A loop with a clock of its own, whose connections are made by the test."""
 
-    def __init__(self, dial: Callable[[asyncio.Protocol], Coroutine[Any, Any, None]]) -> None:
+    def __init__(self, dial: Callable[[asyncio.Protocol, Address], Coroutine[Any, Any, None]]) -> None:
         self.skip, self.dial = Skip(), dial
         super().__init__(self.skip)
 
@@ -46,7 +53,7 @@
         return self.skip.now
 
     async def create_connection(self, factory: Any, *args: Any, **kwargs: Any) -> Any:  # type: ignore[override]
-        await self.dial(factory())
+        await self.dial(factory(), (args[0], args[1]))
 
 
 class Line(asyncio.Transport):
@@ -55,7 +62,8 @@
     def __init__(self, world: World, protocol: asyncio.Protocol, play: str) -> None:
         super().__init__()
         self.world, self.protocol, self.play, self.open = world, protocol, play, True
-        self.begun = 0.0
+        self.begun, self.ended = world.now, math.inf
+        world.lines.append(self)
 
     def write(self, data: Any) -> None:
         target = bytes(data).split(b" ")[1].decode()
@@ -67,9 +75,12 @@
             self.put(self.world.whole(indent=2))
             self.raw(b"0\r\n\r\n")
 
+    def open_at(self, when: float) -> bool:
+        return self.begun <= when < self.ended
+
     def abort(self) -> None:
         if self.open:
-            self.open = False
+            self.open, self.ended = False, self.world.now
             self.world.loop.call_soon(self.protocol.connection_lost, None)
 
     def raw(self, data: bytes) -> None:
@@ -79,15 +90,24 @@
     def put(self, text: bytes, first: bool = True) -> None:
         self.raw((HEAD if first else b"") + b"%x\r\n%b\r\n" % (len(text), text))
 
-    def at(self, when: float, text: bytes) -> None:
+    def at(self, when: float, text: bytes, first: bool = False) -> None:
         """A piece of the watch so many seconds after its begin."""
-        self.world.loop.call_at(self.begun + when, self.put, text, False)
+        self.world.loop.call_at(self.begun + when, self.put, text, first)
 
     def good(self, beats: int = 1000) -> None:
         """The list, then an empty line every 2 s, each late by up to 0.7 s."""
         self.put(self.world.whole())
+        self.beat(0.0, beats)
+
+    def beat(self, since: float, beats: int = 1000) -> None:
+        """An empty line every 2 s, each other one late by 0.7 s."""
         for i in range(beats):
-            self.at(2.0 * (i + 1) + 0.7 * (i % 2), b"\n")
+            self.at(since + 2.0 * (i + 1) + 0.7 * (i % 2), b"\n")
+
+    def queued(self) -> None:
+        """The list of after the return, as late as a call may wait there."""
+        self.at(self.world.queue, self.world.whole(revision=NEW), first=True)
+        self.beat(self.world.queue)
 
     def falls(self) -> None:
         """Silent after 4.7 s."""
@@ -99,6 +119,29 @@
         for i in range(1000):
             self.at(4.71 + 0.3 * i, b'{"revision": 9, "complete"' if i == 0 else b" ")
 
+    def endless(self) -> None:
+        """An object that never ends, from the beginning."""
+        for i in range(1000):
+            self.at(0.3 * i, b'{"revision": 9, "complete"' if i == 0 else b" ", first=i == 0)
+
+    def halts(self) -> None:
+        """The list and no more."""
+        self.good(beats=0)
+
+    def reset(self) -> None:
+        """The list, and the connection is reset at once."""
+        self.good(beats=0)
+        self.abort()
+
+    def leaves(self) -> None:
+        """The list, and an orderly end some time later."""
+        self.good(beats=0)
+        self.world.loop.call_at(self.begun + 1.9, self.raw, b"0\r\n\r\n")
+
+    def garbage(self) -> None:
+        """What is not HTTP."""
+        self.raw(b"220 mail.example.com ESMTP\r\n")
+
     def mute(self) -> None:
         """No answer."""
 
@@ -116,6 +159,7 @@
         self.put(text[:9])
         for i in range(1, 91):
             self.at(i / 10, text[9 * i : 9 * (i + 1) if i < 90 else None])
+        self.beat(9.0)
 
     def spoilt(self) -> None:
         """A list with a broken object behind it."""
@@ -123,13 +167,20 @@
 
 
 class World:
-    """A node with its discovery, which plays the given calls in turn; the last one goes on for ever."""
+    """A node with its discovery, which plays the given calls in turn; the last one goes on for ever.
+
+    From `back` on it is sound, and each call that is dialled from then on is answered `queue` s later.
+    """
 
     def __init__(
-        self, path: Path, must_ask: bool, *plays: str, seed: int = 1, ask_within: float = 10_000.0
-    ) -> None:
-        self.plays, self.dialled = list(plays), list[float]()
+        self, path: Path, must_ask: bool, *plays: str, seed: int = 1, ask_within: float = 10_000.0,
+        back: float = math.inf, queue: float = CROWDED,
+    ) -> None:  # fmt: skip
+        self.plays, self.dialled, self.back, self.queue = list(plays), list[float](), back, queue
+        self.addresses = list[Address]()  # of what was dialled
+        self.lines = list[Line]()
         self.asked = list[tuple[float, str, str]]()  # when, what, and which play answers
+        self.heard = list[tuple[float, int]]()  # when the node was told a list, and its revision
         raw = configuration([], 1, rules={"drain-grace": 2000, "answer-slack": 20, "ask-within": ask_within})
         raw["settings"]["discovery"] = "subscribe" if must_ask else "automatic"
         (path / "config.json").write_text(json.dumps(raw | {"seed": f"{seed:x}"}))
@@ -140,34 +191,56 @@
     def now(self) -> float:
         return self.loop.time()
 
-    async def dial(self, protocol: asyncio.Protocol) -> None:
+    async def dial(self, protocol: asyncio.Protocol, address: Address) -> None:
         self.dialled.append(self.now)
+        self.addresses.append(address)
         play = self.plays.pop(0) if len(self.plays) > 1 else self.plays[0]
+        if self.now >= self.back:
+            play = "queued"
         if play == "stall":
             await asyncio.Event().wait()
         if play == "refuse":
             raise ConnectionRefusedError("refused")
+        if play == "comes up late":
+            await asyncio.sleep(1.0)
+            play = "good"
         protocol.connection_made(Line(self, protocol, play))
 
-    def whole(self, indent: int | None = None) -> bytes:
+    def whole(self, indent: int | None = None, revision: int = 8) -> bytes:
         """The whole list, some 900 bytes long."""
         rows = [MEMBER | {"id": f"b{i}"} for i in range(12)]
-        return json.dumps({"revision": 8, "complete": True, "members": rows}, indent=indent).encode() + b"\n"
+        table = {"revision": revision, "complete": True, "members": rows}
+        return json.dumps(table, indent=indent).encode() + b"\n"
+
+    def node(self, held: config.Config) -> Node:
+        """A node with its watch, begun as the program does."""
+        node = Node(held)
+        node.now = lambda: self.now * 1000  # type: ignore[method-assign]
+        node.discovery = out = Discovery(node, held.discovery, 0)
+        take = node.list
+
+        def told(news: config.News, kind: ListKind) -> None:
+            self.heard.append((self.now, news.revision))
+            take(news, kind)
+
+        node.list = told  # type: ignore[method-assign]
+        node.list(held.known, ListKind.SAVED)
+        if not held.settings.must_ask:
+            out.watch(True)
+        return node
 
     def play(self, seconds: float, meanwhile: Callable[[Discovery], None] = lambda _: None) -> Node:
         """So many seconds of a node's life."""
 
         async def life() -> Node:
-            node = Node(self.config)
-            node.now = lambda: self.now * 1000  # type: ignore[method-assign]
-            node.discovery = out = Discovery(node, self.config.discovery, 0)
-            node.list(self.config.known, ListKind.SAVED)
-            if not self.config.settings.must_ask:
-                out.watch(True)
+            node = self.node(self.config)
+            out = cast(Discovery, node.discovery)
             meanwhile(out)
             await asyncio.sleep(seconds)
             out.watch(False)
+            assert (out.call, out.timer, out.slow) == (None, None, None)
             await asyncio.sleep(0.1)
+            assert not any(line.open for line in self.lines)
             return node
 
         try:
@@ -188,6 +261,13 @@
     yield
 
 
+@pytest.fixture
+def all_at_most(worst: None, monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """The module's draws are, too."""
+    monkeypatch.setattr(random.Random, "uniform", lambda self, least, most: most)
+    yield
+
+
 @pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
 @pytest.mark.parametrize("first", ["falls", "trickles"])
 @pytest.mark.parametrize(
@@ -208,15 +288,127 @@
     assert len(world.dialled) == 2 + len(between)  # and no call more
 
 
-@pytest.mark.parametrize("must_ask", [False, True])
-def test_waits_still_double_when_discovery_stays_away(tmp_path: Path, must_ask: bool) -> None:
+FAILURES = ["refuse", "stall", "busy", "mute", "opens", "garbage", "endless"]  # without a word
+ENDS = ["reset", "leaves", "spoilt", "halts", "falls"]  # behind the first list
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("ask_within", [10_000.0, 60_000.0])
+@pytest.mark.parametrize("failure", FAILURES + ENDS)
+def test_after_any_failed_call_a_change_is_had_in_time(
+    tmp_path: Path, all_at_most: None, must_ask: bool, ask_within: float, failure: str
+) -> None:
+    """The worst moments: discovery is back, or has a change, right after a call that comes to nothing."""
+    tried = World(tmp_path, must_ask, failure, ask_within=ask_within)
+    tried.play(60)
+    # A watch counts as silent from its last byte on; the hurried call that follows may wait for less.
+    sound, within, queue = 0.0, PERIOD, CROWDED
+    if failure in ("falls", "halts"):
+        sound, within, queue = 4.7 if failure == "falls" else 0.0, 3.3, QUEUE
+    assert max(b - a for a, b in pairwise(tried.dialled)) <= sound + within + 0.001
+    for last in [t for t in tried.dialled if 8 < t < 35][:5]:
+        world = World(tmp_path, must_ask, failure, ask_within=ask_within, back=last + 0.001, queue=queue)
+        world.play(60)
+        told = next(at for at, revision in world.heard if revision == NEW)
+        assert told - last - sound <= within + queue + 0.01 <= KNOWN
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("failure", FAILURES)
+def test_waits_still_double_when_discovery_stays_away(tmp_path: Path, must_ask: bool, failure: str) -> None:
+    """Up to the time in which the next call is due: no storm, and none that comes in step."""
+    early, late, drawn = list[float](), list[float](), set[float]()
     for seed in range(5):
         random.seed(seed)
-        world = World(tmp_path, must_ask, "falls", "refuse", seed=seed)
+        world = World(tmp_path, must_ask, "falls", failure, seed=seed)
         world.play(120)
-        # Pushed: up to 3 s between two tries; asked: the module's waits, up to 30 s.
-        assert len(world.dialled) < (90 if not must_ask else 25)
-        assert len([t for t in world.dialled if t > 60]) > 2
+        steps = [b - a for a, b in pairwise(t for t in world.dialled if t > 4.7)]
+        early, late = early + steps[:2], late + steps[10:]
+        drawn |= {round(step, 2) for step in steps[10:]}
+        assert len(world.dialled) < 90
+        assert max(steps) <= PERIOD + 0.001
+        assert max(sum(line.open_at(t) for line in world.lines) for t in world.dialled) <= 2
+    assert min(late) >= (0.9 if failure in ("refuse", "busy", "garbage") else 2.0)
+    assert sum(late) / len(late) > 1.8 and len(drawn) > 25
+    if failure in ("refuse", "busy", "garbage"):
+        assert sum(late) / len(late) > 5 * sum(early) / len(early)
+
+
+class Crowd(World):
+    """Many nodes and one discovery, which is down for a while and takes calls in turn, 4 ms each.
+
+    A call that would wait there for over 1 s fails. Down, it refuses calls or, `cut` off, lets them hang.
+    """
+
+    DOWN, BACK, COSTS, PATIENCE = 20.0, 28.0, 0.004, 1.0
+
+    def __init__(self, path: Path, must_ask: bool, nodes: int, cut: bool) -> None:
+        super().__init__(path, must_ask, "mute")
+        self.nodes, self.cut = nodes, cut
+        self.free_at = 0.0
+        self.answered, self.failed = list[float](), list[float]()
+
+    async def dial(self, protocol: asyncio.Protocol, address: Address) -> None:
+        self.dialled.append(self.now)
+        if self.DOWN <= self.now < self.BACK:
+            if self.cut:
+                await asyncio.Event().wait()
+            raise ConnectionRefusedError("refused")
+        line = Line(self, protocol, "mute")
+        protocol.connection_made(line)
+        start = max(self.now, self.free_at)
+        if start - self.now > self.PATIENCE:
+            self.failed.append(self.now)
+            self.loop.call_later(self.PATIENCE, line.busy)
+            return
+        self.free_at = start + self.COSTS
+        self.answered.append(self.now)
+        text = self.whole(revision=8 if self.now < self.DOWN else NEW)
+        self.loop.call_at(self.free_at, line.put, text)
+        for i in range(1, 30):
+            self.loop.call_at(self.free_at + 2.0 * i, line.put, b"\n", False)
+
+    def outage(self) -> None:
+        """All of it; each node was told the new list in time."""
+
+        async def life() -> None:
+            nodes = [self.node(replace(self.config, seed=i)) for i in range(self.nodes)]
+            await asyncio.sleep(self.DOWN - self.now)
+            for line in self.lines:
+                if self.cut:
+                    line.open = False
+                else:
+                    line.abort()
+            await asyncio.sleep(self.BACK + KNOWN - self.now)
+            assert len([at for at, revision in self.heard if revision == NEW]) == self.nodes
+            for node in nodes:
+                cast(Discovery, node.discovery).watch(False)
+
+        try:
+            self.loop.run_until_complete(life())
+        finally:
+            self.loop.close()
+
+    def most(self, since: float, until: float, within: float) -> int:
+        """Calls that were dialled in the worst such time."""
+        times = [t for t in self.dialled if since <= t < until]
+        return max(sum(t <= other < t + within for other in times) for t in times)
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("cut", [False, True], ids=["refused", "cut off"])
+def test_a_fleet_has_the_list_in_time_after_an_outage_and_swamps_nobody(
+    tmp_path: Path, must_ask: bool, cut: bool
+) -> None:
+    """Discovery can take 250 calls a second; 200 nodes failed together."""
+    random.seed(1)
+    world = Crowd(tmp_path, must_ask, 200, cut)
+    world.outage()
+    assert world.failed == []
+    assert len([t for t in world.answered if t > world.BACK]) == 200  # and no call more
+    # While it is away the calls spread: in its last seconds, and right behind it.
+    assert world.most(world.DOWN + 4.0, world.BACK, 1.0) <= (200 if cut else 140)
+    assert world.most(world.BACK, math.inf, 0.25) <= 0.25 / world.COSTS + 1
 
 
 def test_a_sound_watch_is_left_alone_though_the_node_stands_still(tmp_path: Path) -> None:
@@ -236,11 +428,23 @@
     assert len(world.dialled) == 1
 
 
-def test_a_long_list_that_really_arrives_is_taken_after_few_tries(tmp_path: Path) -> None:
-    world = World(tmp_path, False, "slow")
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+def test_a_long_list_that_really_arrives_is_taken_after_few_tries(tmp_path: Path, must_ask: bool) -> None:
+    """It comes 9 s after it was first asked for: the call goes on beside the next ones, which end with it."""
+    world = World(tmp_path, must_ask, "slow")
     node = world.play(60)
     assert node.ready and len(node.pool.hosts) == 12
-    assert len([t for t, _, _ in world.asked if t < 22]) == 3
+    assert [round(at, 6) for at, _ in world.heard[1:]] == [9.0]
+    assert len(world.asked) == 3
+    assert [line.ended < 9.01 for line in world.lines] == [False, True, True]
+
+
+def test_an_object_that_never_ends_gives_way_to_a_long_list_that_does(tmp_path: Path) -> None:
+    """Guards against a call that trickles for ever and keeps its place from those that come to something."""
+    world = World(tmp_path, False, "endless", "slow")
+    node = world.play(90)
+    assert node.ready and world.lines[0].ended < 68
+    assert sum(line.open_at(89) for line in world.lines) == 1
 
 
 @pytest.mark.parametrize("must_ask", [False, True])
@@ -255,6 +459,105 @@
     assert 5 <= sum("bad list" in line for line in caplog.messages) <= 7
 
 
+NEAR, FAR = ("127.0.0.1", 1), ("127.0.0.2", 2)
+"""Discovery's address before and after SIGHUP."""
+MOMENTS = {  # what the first calls do, when SIGHUP comes, and which stage the call is in then
+    "dialling": (("stall",), 1.0, Stage.DIALLING),
+    "comes up late": (("comes up late",), 0.5, Stage.DIALLING),
+    "asked": (("mute",), 1.0, Stage.ASKED),
+    "a head": (("opens",), 2.9, Stage.ASKED),
+    "open": (("good",), 5.0, Stage.OPEN),
+    "silent": (("falls",), 7.0, Stage.OPEN),
+    "second look": (("halts",), 3.26, Stage.OPEN),
+    "hurried": (("halts", "mute"), 4.0, Stage.ASKED),
+    "slow": (("endless", "mute"), 4.1, Stage.ASKED),
+    "slow alone": (("endless", "mute"), 3.051, None),
+    "waiting": (("refuse",), 15.0, None),
+}
+
+
+def aged(world: World, moment: str, then: Callable[[Discovery], None]) -> Callable[[Discovery], None]:
+    """Does `then` at that moment, and looks whether it is that."""
+    _, when, stage = MOMENTS[moment]
+
+    def look(discovery: Discovery) -> None:
+        assert (discovery.call.stage if discovery.call is not None else None) is stage
+        assert (discovery.slow is not None) == moment.startswith("slow")
+        then(discovery)
+
+    return lambda discovery: cast(None, world.loop.call_at(when, look, discovery))
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_move_opens_one_watch_at_the_new_address_whatever_was_under_way(
+    tmp_path: Path, all_at_most: None, must_ask: bool, moment: str
+) -> None:
+    """No timer and no connection of the old address opens a second one, tells a thing, or puts it off."""
+    plays, when, _ = MOMENTS[moment]
+    world = World(tmp_path, must_ask, *plays, back=when, queue=0.7)
+
+    def move(discovery: Discovery) -> None:
+        discovery.move(FAR)
+        assert discovery.call is not None and (discovery.timer, discovery.slow) == (None, None)
+
+    world.play(30, aged(world, moment, move))
+    moved = [(at, where) for at, where in zip(world.dialled, world.addresses, strict=True) if at >= when]
+    assert moved == [(when, FAR)]
+    assert [(round(at - when, 6), revision) for at, revision in world.heard if at > when] == [(0.7, NEW)]
+    assert sum(line.open_at(when + 1.0) for line in world.lines) == 1
+    assert len([at for at, _, _ in world.asked if at >= when]) == 1
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+def test_a_timer_of_the_old_address_adds_no_call_at_the_new_one(
+    tmp_path: Path, all_at_most: None, must_ask: bool
+) -> None:
+    """It would begin a second row of calls, or cut a wait short."""
+    world = World(tmp_path, must_ask, "refuse")
+    world.play(60, lambda discovery: cast(None, world.loop.call_at(15.0, discovery.move, FAR)))
+    moved = [t - 15.0 for t in world.dialled if t >= 15.0]
+    assert {where for t, where in zip(world.dialled, world.addresses, strict=True) if t >= 15.0} == {FAR}
+    if not must_ask:
+        assert moved[:7] == pytest.approx([0.0, 0.15, 0.45, 1.05, 2.25, 4.65, 7.65])
+    last = PERIOD if must_ask else 3.0
+    assert [b - a for a, b in pairwise(moved[6:])] == pytest.approx([last] * len(moved[7:]))
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_watch_that_is_stopped_stays_so_and_one_that_is_wanted_again_is_opened_at_once(
+    tmp_path: Path, all_at_most: None, must_ask: bool, moment: str
+) -> None:
+    plays, when, _ = MOMENTS[moment]
+    stopped = World(tmp_path, must_ask, *plays, back=when, queue=0.0)
+    stopped.play(30, aged(stopped, moment, lambda discovery: discovery.watch(False)))
+    # The module's own wait goes on: it knows no more than that its call had failed.
+    asks = must_ask and moment in ("waiting", "slow alone")
+    assert len([at for at in stopped.dialled if at >= when]) == asks
+    again = World(tmp_path, must_ask, *plays, back=when, queue=0.0)
+
+    def turn(discovery: Discovery) -> None:
+        discovery.watch(False)
+        discovery.watch(True)
+
+    again.play(30, aged(again, moment, turn))
+    assert [at for at in again.dialled if at >= when] == [when]
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("failure", ["refuse", "stall", "busy", "mute"])
+@pytest.mark.parametrize("back", [0.0, 0.001, 3.0, 7.0, 15.0])
+def test_a_node_without_a_saved_list_is_ready_soon_once_discovery_is_back(
+    tmp_path: Path, all_at_most: None, must_ask: bool, failure: str, back: float
+) -> None:
+    world = World(tmp_path, must_ask, failure, back=back, queue=QUEUE)
+    assert world.play(40).ready
+    told = next(at for at, revision in world.heard if revision == NEW)
+    assert told - back <= PERIOD + QUEUE + 0.01
+    assert world.dialled[0] == 0.0
+
+
 def test_the_whole_list_may_come_indented(tmp_path: Path) -> None:
     world = World(tmp_path, True, "good")
     node = world.play(0.2, lambda d: d.fetch())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -271,21 +271,40 @@
     return timer.when - now
 
 
-def test_failed_list_calls_back_off_with_jitter() -> None:
+@pytest.mark.parametrize("took", [0.0, 2000.0, 3050.0])
+@pytest.mark.parametrize("ask_within", [1_000.0, 10_000.0, 60_000.0])
+def test_failed_list_calls_back_off_with_jitter(took: float, ask_within: float) -> None:
+    """Doubled up to what is left until the next call is due, however long this one took."""
     waits: list[list[float]] = []
-    for seed in range(20):
-        b = Balancer(replace(BASE, must_ask=True), seed)
-        acts = b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry("x")]))
-        first = next(a for a in acts if isinstance(a, api.SetTimer))
-        assert first.when - 1000.0 < BASE.ask_within
-        row = []
-        for _ in range(4):
-            acts = b.handle(2000.0, api.ListUpdate(api.ListKind.FAILED, []))
-            t = next(a for a in acts if isinstance(a, api.SetTimer))
-            row.append(t.when - 2000.0)
+    for seed in range(40):
+        b, row, now = Balancer(replace(BASE, must_ask=True, ask_within=ask_within), seed), [], 1000.0
+        wait = _asks_after(b.handle(now, api.ListUpdate(api.ListKind.SAVED, [entry("x")])), now)
+        assert 0.0 <= wait <= min(ask_within / 2, policy.ASK_PERIOD)
+        for token in range(1, 12):
+            now += wait
+            assert [type(a) for a in b.handle(now, api.Timer(token))] == [api.Subscribe]
+            asked, now = now, now + took
+            wait = _asks_after(b.handle(now, api.ListUpdate(api.ListKind.FAILED, [])), now)
+            row.append(wait)
+            assert now + wait - asked <= policy.ASK_PERIOD + 0.001
         waits.append(row)
-    assert len({round(w[0], 3) for w in waits}) > 10
-    assert sum(w[3] for w in waits) > 3 * sum(w[0] for w in waits)
+    for nth in range(11):
+        drawn = [row[nth] for row in waits]
+        most = min(ask_within / 32 * 2 ** min(nth + 1, 5) * 1.5, policy.ASK_PERIOD - took)
+        assert most / 3 - 0.001 <= min(drawn) < 0.5 * most and 0.85 * most < max(drawn) <= most + 0.001
+        assert len({round(wait, 3) for wait in drawn}) > 30
+
+
+def test_a_call_that_the_module_did_not_ask_for_is_followed_as_soon() -> None:
+    """A watch is opened anew without a word; that call may have taken as long as one may."""
+    for seed in range(40):
+        b = Balancer(replace(BASE, must_ask=True, ask_within=60_000.0), seed)
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry("x")]))
+        b.handle(2000.0, api.Timer(1))
+        b.handle(3000.0, api.ListUpdate(api.ListKind.FULL, [entry("x")]))
+        for _ in range(3):
+            wait = _asks_after(b.handle(600_000.0, api.ListUpdate(api.ListKind.FAILED, [])), 600_000.0)
+            assert policy.ASK_REST / 3 <= wait <= policy.ASK_REST
 
 
 def test_without_a_backend_in_service_the_list_is_asked_for_at_once() -> None:
@@ -299,6 +318,21 @@
     assert _asks_after(saved, 1000.0) > 0.0
 
 
+def test_one_ask_is_due_however_often_a_call_has_failed() -> None:
+    """Guards against two rows of calls: another one than the last asked for may fail, too."""
+    b = Balancer(replace(BASE, must_ask=True), 1)
+    tokens = []
+    for kind in (api.ListKind.SAVED, api.ListKind.FAILED, api.ListKind.FAILED):
+        acts = b.handle(1000.0, api.ListUpdate(kind, [entry("x")] if kind is api.ListKind.SAVED else []))
+        tokens += [a.token for a in acts if isinstance(a, api.SetTimer)]
+    asked = [[type(a) for a in b.handle(6000.0, api.Timer(token))] for token in (*tokens, tokens[-1])]
+    assert asked == [[], [], [api.Subscribe], []]
+    acts = b.handle(6000.0, api.ListUpdate(api.ListKind.FAILED, []))
+    (late,) = (a.token for a in acts if isinstance(a, api.SetTimer))
+    assert [type(a) for a in b.handle(6001.0, api.TakingOver())] == [api.Subscribe]
+    assert b.handle(9000.0, api.Timer(late)) == []
+
+
 def test_wrong_calls_are_named() -> None:
     b = node(BASE, ["x"])
     with pytest.raises(api.CallError, match="unknown class: 'nope'"):
