A held answer's timer ends with its hold: it began the next answer on that connection

Cause: `Connection._begin`, called from `on_body` as the answer grew over SMALL, set `self.held = None` and left the timer running; within 25 ms the connection carried the next request, and the timer then called `_begin` for that: its client got "200 OK" with no type before its backend had said anything, and lost its deadline, its further attempts and a proper refusal. Change: `_begin` cancels the timer. Result: test_the_clock_of_an_answer_that_is_held_ends_with_it fails without the lines in both loops, passes with them.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -343,7 +343,9 @@
 
     def _begin(self) -> None:
         """Pass the answer on from here: it is too long, or too long in coming, to be held whole."""
-        self.held = None
+        if self.held is not None:  # else it would begin the next answer on this connection
+            self.held.cancel()
+            self.held = None
         if self.attempt is None or self.sink is not None or self.complete:
             return
         self.sink = self.attempt.begin(self, self.length, self.content_type)
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -15,8 +15,9 @@
 import uvloop
 
 from dillport.interface import Effect, RequestClass, Settings, Status
+from dillport.net import upstream
 from dillport.net.figures import Figures
-from dillport.net.stream import Budget
+from dillport.net.stream import SMALL, Budget
 from dillport.net.upstream import MAX_HEAD, Answer, Attempt, Connection, Pool
 from tests.sockets import WAIT, answer
 from tests.test_node import _list
@@ -43,6 +44,7 @@
     pool: Pool
     listener: socket.socket
     reads: asyncio.Queue[int]
+    connections: set[Connection]  # that have read something
     begun: bytearray = field(default_factory=bytearray)  # a long answer
     ends: asyncio.Queue[Answer] = field(default_factory=asyncio.Queue)
 
@@ -109,9 +111,11 @@
 
     async def run(body: Callable[[Wire], Coroutine[Any, Any, None]]) -> None:
         reads: asyncio.Queue[int] = asyncio.Queue()
+        connections: set[Connection] = set()
         take = Connection.data_received
 
         def data_received(self: Connection, data: bytes) -> None:
+            connections.add(self)
             take(self, data)
             reads.put_nowait(len(data))
 
@@ -121,7 +125,7 @@
         pool = Pool(Settings(classes=(READ,), conn_idle=60_000.0), 10, Figures(), Budget(64.0))
         pool.update(_list("b0", listener.getsockname()[1]), True)
         try:
-            await body(Wire(pool, listener, reads))
+            await body(Wire(pool, listener, reads, connections))
         finally:
             pool.close()
             listener.close()
@@ -253,6 +257,42 @@
     play(body)
 
 
+# --- long answers
+
+
+def chunk(size: int) -> bytes:
+    """One chunk."""
+    return b"%x\r\n%b\r\n" % (size, b"x" * size)
+
+
+def test_the_clock_of_an_answer_that_is_held_ends_with_it(play: Play, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against beginning the next answer on that connection before its backend has."""
+    monkeypatch.setattr(upstream, "HOLD", 2 * WAIT)
+
+    async def body(wire: Wire) -> None:
+        wire.start()
+        peer = await wire.accepted()
+        first = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(SMALL // 2)
+        peer.send(first)
+        await wire.read(len(first))
+        connection = next(iter(wire.connections))
+        held = connection.held
+        assert held is not None and not wire.begun
+        peer.send(chunk(SMALL))
+        await wire.read(len(chunk(SMALL)))
+        assert wire.begun and held.cancelled()  # it has become long by its size
+        peer.send(b"0\r\n\r\n")
+        assert (await wire.ended()).status is Status.OK and len(wire.begun) == SMALL + SMALL // 2
+        wire.start()
+        await wire.asked(peer)
+        assert connection.held is None
+        peer.send(HELLO)
+        assert (await wire.ended()).body == b"hello" and not wire.begun
+        peer.close()
+
+    play(body)
+
+
 # --- what is said of it
 
 
