An answer over 32 MiB never ends: its attempt fails, and may be repeated, before any of it is passed on

Cause: `Connection.on_headers_complete` began any length over SMALL as a long answer, and one of unknown length had no end at all. Answers are up to 32 MB long. Change: a stated length over LARGEST is a broken answer (a reset: it may have run), and so is one of unknown length once it has brought more.

--- a/dillport/net/stream.py
+++ b/dillport/net/stream.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 SMALL = 64 * 1024  # bytes up to which a body is held whole
-LARGEST = 32 * 1024 * 1024  # bytes of the longest request body that is taken
+LARGEST = 32 * 1024 * 1024  # bytes of the longest body that is taken, of a request or an answer
 PREFIX = 2 * SMALL  # bytes of a long request body that are kept for a further attempt
 LEAST, MOST = 8 * 1024, 64 * 1024  # bytes that wait for one slow peer
 COPIES = 3  # of its window that one stream may hold: what waits, what was just read, and its framed copy
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -18,7 +18,7 @@
 from dillport.net.config import Address, Member
 from dillport.net.figures import Figures
 from dillport.net.limited import LimitedWarnings
-from dillport.net.stream import SMALL, Budget, Upload
+from dillport.net.stream import LARGEST, SMALL, Budget, Upload
 
 log = logging.getLogger(__name__)
 
@@ -152,7 +152,7 @@
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        self.head = 0
+        self.head = self.size = 0  # bytes of the head, and of the body so far
         self.length: int | None = None
         self.in_body = self.framed = self.paused = False
         self.sink: Sink | None = None  # where a long answer goes
@@ -393,8 +393,10 @@
             self.framed = True
 
     def on_headers_complete(self) -> None:
-        """The head is whole."""
+        """The head is whole; a length that no answer has is the mark of one that never ends."""
         self.in_body = True
+        if self.length is not None and self.length > LARGEST:
+            raise ValueError("longer than any answer")
         if not self.complete and self.served and self.length is not None and self.length > SMALL:
             self._begin()
 
@@ -408,6 +410,9 @@
         """Pass on or collect the body; that of an answer other than 200 is not wanted."""
         if self.complete or not self.served:
             return
+        self.size += len(body)
+        if self.size > LARGEST:
+            raise ValueError("longer than any answer")
         if self.sink is not None:
             self.sink.feed(body)
             return
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -17,7 +17,7 @@
 from dillport.interface import Effect, RequestClass, Settings, Status
 from dillport.net import upstream
 from dillport.net.figures import Figures
-from dillport.net.stream import SMALL, Budget
+from dillport.net.stream import LARGEST, SMALL, Budget
 from dillport.net.upstream import MAX_HEAD, Answer, Attempt, Connection, Pool
 from tests.sockets import WAIT, answer
 from tests.test_node import _list
@@ -84,7 +84,7 @@
         while not self.reads.empty():
             self.reads.get_nowait()
         if data:
-            peer.send(data)
+            assert peer.send(data) == len(data)
             if apart:
                 await self.read(len(data))
         shut(peer, end)
@@ -225,6 +225,8 @@
         HEAD + b"Bad: a\0b\r\nContent-Length: 5\r\n\r\nhello",
         HEAD + b"no colon\r\nContent-Length: 5\r\n\r\nhello",
         HEAD + b"Long: " + b"x" * 2 * MAX_HEAD,
+        HEAD + b"Content-Length: %d\r\n\r\nhello" % (LARGEST + 1),
+        HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 70_000,
     ],
 )
 def test_an_answer_that_makes_no_sense_has_failed_and_spoils_its_connection(play: Play, text: bytes) -> None:
@@ -293,6 +295,21 @@
     play(body)
 
 
+def test_an_answer_of_unknown_length_ends_with_the_longest_that_there_is(
+    play: Play, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "LARGEST", 3 * SMALL)
+
+    async def body(wire: Wire) -> None:
+        whole = HEAD + b"\r\n" + b"x" * 3 * SMALL
+        got = await wire.exchange(whole, Close.FIN, False)
+        assert got.status is Status.OK and len(got.body) == 3 * SMALL
+        got = await wire.exchange(whole + b"x", Close.NOT, False)
+        assert got.status is Status.RESET and wire.pool.count == 0
+
+    play(body)
+
+
 # --- what is said of it
 
 
