Trailers and chunk extensions without end are given up at 16 KiB like a head

Cause: `Connection.data_received` counted bytes only while `in_body` was false; behind the head of a chunked answer the parser keeps an endless trailer, or reads an endless extension, for as long as the attempt lasts. Change: what is counted is what came since any of the body did, with the same bound. The log line names the reason of a callback's own fault instead of "User callback error".

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -152,7 +152,7 @@
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        self.head = self.size = 0  # bytes of the head, and of the body so far
+        self.head = self.size = 0  # bytes that came since any of the body did, and those of the body
         self.length: int | None = None
         self.in_body = self.framed = self.paused = False
         self.sink: Sink | None = None  # where a long answer goes
@@ -323,12 +323,11 @@
             self.close()
             return
         fault = ""
+        self.head += len(data)  # guards memory against headers without end, which the parser would keep
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
-            fault = f"broken answer: {err}"
-        if not self.in_body:
-            self.head += len(data)  # guards memory against a header without end, which the parser would keep
+            fault = f"broken answer: {err.__context__ or err}"  # the first: one of the callbacks below
         if self.attempt is None:  # its long answer is no longer wanted
             return
         if self.complete:
@@ -408,6 +407,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass on or collect the body; that of an answer other than 200 is not wanted."""
+        self.head = 0
         if self.complete or not self.served:
             return
         self.size += len(body)
