A resting backend connection is not used over what waits unread on it: bytes, an end or a reset

Cause: `Pool.start` asked only whether the transport was closing, which it learns by reading. Where half a line, a second answer, a FIN or a RST had come since the last turn of the loop, the next request was written over it: a second answer or part of one was then taken for that request's own, and after an end the request was lost to a reset that counts as "may have run". Change: `Connection.alive` looks with a peek (one system call) and lets the connection go.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -182,8 +182,16 @@
 
     @property
     def alive(self) -> bool:
-        """Whether it is up, as far as this side knows."""
-        return self.transport is not None and not self.transport.is_closing()
+        """Whether it is up and nothing waits to be read: what has come is no answer to a request from now on."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # half a line, a second answer, an end
 
     def _fail(self, status: Status) -> None:
         attempt, self.attempt = self.attempt, None
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -263,6 +263,95 @@
     play(body)
 
 
+# --- a connection that rests
+
+
+@pytest.mark.parametrize("end", list(Close))
+@pytest.mark.parametrize("text", [b"", b"HTTP/1.1 2", HELLO])
+def test_what_crosses_the_reuse_of_a_connection_is_nobodys(play: Play, text: bytes, end: Close) -> None:
+    """Bytes, an end or a reset that the loop has not read yet when the next request comes."""
+
+    async def body(wire: Wire) -> None:
+        wire.start()
+        peer = await wire.accepted()
+        peer.send(HELLO)
+        assert (await wire.ended()).body == b"hello" and wire.pool.count == 1
+        if text:
+            peer.send(text)
+        shut(peer, end)
+        wire.start()  # no turn of the loop in between
+        other = await wire.accepted() if text or end is not Close.NOT else peer
+        if other is peer:
+            await wire.asked(peer)
+        assert wire.pool.count == 1
+        other.send(answer(b"mine"))
+        assert (await wire.ended()).body == b"mine"
+        for sock in (peer, other):
+            sock.close()
+
+    play(body)
+
+
+def test_bytes_behind_the_close_of_a_connection_are_nobodys(play: Play) -> None:
+    """Read after it was closed, by a sweep or a drain, or given to it by a transport that is slow to stop."""
+
+    async def body(wire: Wire) -> None:
+        wire.start()
+        peer = await wire.accepted()
+        peer.send(HELLO)
+        await wire.ended()
+        await wire.read(len(HELLO))
+        (connection,) = wire.connections
+        peer.send(b"HTTP/1.1 200 O")
+        connection.idle_since = -1e9
+        wire.pool._sweep()  # over unread bytes
+        assert wire.pool.count == 0 and not wire.pool.hosts["b0"].idle
+        for _ in range(2):
+            connection.data_received(HELLO)
+            assert connection.eof_received() is False
+            connection.resume_writing()
+            connection.pause()
+            connection.resume()
+            connection.connection_lost(ConnectionResetError())
+            connection.close()
+        assert wire.pool.count == 0 and wire.ends.empty()
+        wire.start()
+        other = await wire.accepted()
+        other.send(HELLO)
+        assert (await wire.ended()).body == b"hello" and wire.pool.count == 1
+        for sock in (peer, other):
+            sock.close()
+
+    play(body)
+
+
+@pytest.mark.parametrize("late", ["bytes", "end", "reset"])
+def test_an_end_on_a_connection_that_rests_closes_it(play: Play, late: str) -> None:
+    async def body(wire: Wire) -> None:
+        wire.start()
+        peer = await wire.accepted()
+        peer.send(HELLO)
+        await wire.ended()
+        (connection,) = wire.connections
+        lost = asyncio.Event()
+        whole = connection.connection_lost
+
+        def connection_lost(exc: Exception | None) -> None:
+            whole(exc)
+            lost.set()
+
+        connection.connection_lost = connection_lost  # type: ignore[method-assign]
+        if late == "bytes":
+            peer.send(b"H")
+        else:
+            shut(peer, Close.FIN if late == "end" else Close.RST)
+        await asyncio.wait_for(lost.wait(), WAIT)
+        assert wire.pool.count == 0 and wire.ends.empty()
+        peer.close()
+
+    play(body)
+
+
 # --- long answers
 
 
