An answer that is read before its request was written is none

Cause: `Connection.attempt` is set from the dialling on, and `data_received` took whatever came while it was set: a backend that speaks first, read in the turn between the connection's coming up and `write`, answered a request that it never got, and that was passed on as whole. Change: until the first byte of the request is written such bytes fail the attempt, as one that never ran. Result: test_what_comes_before_a_request fails without the check in both loops, passes with it.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -143,7 +143,7 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
-        self.closed = self.wrote = self.blocked = False
+        self.closed = self.asked = self.wrote = self.blocked = False
         self.idle_since = self.moved = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
@@ -268,6 +268,7 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self._reset()
+        self.asked = True
         self.transport.write(attempt.data)
         if attempt.upload is not None:
             attempt.upload.attach(self._pump)
@@ -330,6 +331,10 @@
         if self.attempt is None:
             self.close()
             return
+        if not self.asked:
+            self._warn("answer before its request")
+            self._fail(Status.CONNECT_FAILED)
+            return
         fault = ""
         self.head += len(data)  # guards memory against headers without end, which the parser would keep
         try:
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -263,6 +263,28 @@
     play(body)
 
 
+def test_what_comes_before_a_request_is_no_answer_to_it(play: Play, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A backend that speaks first, read between the connection's coming up and the request's going out."""
+    made = Connection.connection_made
+
+    def connection_made(self: Connection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        self.data_received(HELLO)
+
+    monkeypatch.setattr(Connection, "connection_made", connection_made)
+
+    async def body(wire: Wire) -> None:
+        wire.start()
+        peer, _ = await asyncio.wait_for(asyncio.get_running_loop().sock_accept(wire.listener), WAIT)
+        assert (await wire.ended()).status is Status.CONNECT_FAILED and wire.pool.count == 0
+        with pytest.raises(ConnectionError):  # or nothing, but no request
+            if await asyncio.wait_for(asyncio.get_running_loop().sock_recv(peer, 10), WAIT) == b"":
+                raise ConnectionError
+        peer.close()
+
+    play(body)
+
+
 # --- a connection that rests
 
 
