A small answer that never ends is broken off at its request's time

Cause: `Node._begin` cancelled the request's deadline once an answer of unknown length was passed on, 25 ms after its first byte: one that trickles then went on past the client's time for as long as a byte came in 10 s, with no final answer. Change: the deadline runs on; `_deadline` lets go on what is long: a stated length (over 64 KiB), over 64 KiB so far, held back by a slow client, or coming at 16 KiB/s since it was begun; it looks again every 0.25 s, within the half second that may pass.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -25,6 +25,7 @@
 
 PULSE = 1.0  # s between two looks at the event loop's lag
 REPORT_EVERY = 5  # pulses between two lines of counts
+AGAIN = 0.25  # s between two looks whether an answer that takes longer than its request's time comes
 MARGIN = 10.0  # ms before a client's limit at which the last answer is due: it counted from its own send
 
 
@@ -408,13 +409,12 @@
             item.attempt = None
 
     def _begin(self, item: Try, source: Connection, size: int | None, content_type: bytes) -> Sink | None:
-        """A long answer begins: from here on it has all the time that it goes on."""
+        """A long answer begins: from here on it has all the time that it goes on, as long as it does come."""
         request = self.open.get(item.request)
         if request is None or request.answered:
             return None
-        for timer in (item.timer, request.limit):
-            if timer is not None:
-                timer.cancel()
+        if item.timer is not None:
+            item.timer.cancel()
         request.streaming = True
         request.client.begin(source, size, content_type)
         took = self.now() - item.sent
@@ -472,10 +472,16 @@
         ))  # fmt: skip
 
     def _deadline(self, name: str) -> None:
-        """The client's time is up: end what is out, and answer whatever the module did not."""
+        """The client's time is up: end what is out, and answer whatever the module did not.
+
+        Guards against a small answer of unknown length that never ends: only what is long may take longer.
+        """
         request = self.open.get(name)
         if request is None or request.answered:
             return
+        if any(item.attempt is not None and item.attempt.long for item in request.attempts):
+            request.limit = self.loop.call_later(AGAIN, self._deadline, name)
+            return
         for item in request.attempts:
             self._timeout(item)
         if name in self.open and not request.answered:
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -24,6 +24,7 @@
 
 MAX_HEAD = 16 * 1024
 HOLD = 0.025  # s that an answer of unknown length is held once its body has begun: most are whole by then
+SLOWEST = 16 * 1024  # bytes a second of an answer of unknown length that may still become a long one
 STALL = 10.0  # s without a byte, either way, after which a backend that is owed or owes some is given up
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
@@ -98,6 +99,11 @@
         """Whether the request's last byte may have left this node."""
         return self.connection is not None and self.connection.wrote and not self.connection.blocked
 
+    @property
+    def long(self) -> bool:
+        """Whether a long answer has begun and comes, as far as anybody can tell."""
+        return self.connection is not None and self.connection.long
+
     def end(self, answer: Answer) -> None:
         """Report the end."""
         self._detach()
@@ -144,7 +150,7 @@
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
         self.closed = self.asked = self.wrote = self.blocked = False
-        self.idle_since = self.moved = 0.0
+        self.idle_since = self.moved = self.begun = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
         self._reset()
@@ -182,7 +188,7 @@
 
     @property
     def alive(self) -> bool:
-        """Whether it is up and nothing waits to be read: what has come is no answer to a request from now on."""
+        """Whether it is up and nothing waits to be read: that would be no answer to the next request."""
         if self.transport is None or self.transport.is_closing():
             return False
         try:
@@ -365,10 +371,22 @@
             self._fail(Status.RESET)
             return
         self._guard()
+        self.begun = self.pool.loop.time()
         if self.body:
             data, self.body = bytes(self.body), bytearray()
             self.sink.feed(data)
 
+    @property
+    def long(self) -> bool:
+        """Whether what is passed on is a long answer, or seems to become one at the rate that it has.
+
+        While the client is slow nobody can tell.
+        """
+        if self.sink is None:
+            return False
+        due = SLOWEST * (self.pool.loop.time() - self.begun)  # bytes
+        return self.length is not None or self.paused or self.size > SMALL or self.size >= due
+
     def pause(self) -> None:
         """The client is slow: leave the rest with the backend."""
         if self.transport is not None and not self.paused and not self.closed:
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -19,8 +20,10 @@
 from dillport.net.figures import Figures
 from dillport.net.stream import LARGEST, SMALL, Budget
 from dillport.net.upstream import MAX_HEAD, Answer, Attempt, Connection, Pool
-from tests.sockets import WAIT, answer
+from tests.sockets import HOUR, WAIT, Backend, Message, answer, running
+from tests.test_console import CONSOLE
 from tests.test_node import _list
+from tests.test_size import Respond, ask_long
 
 REQUEST = b"GET /read HTTP/1.1\r\nHost: b\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -382,7 +385,9 @@
     return b"%x\r\n%b\r\n" % (size, b"x" * size)
 
 
-def test_the_clock_of_an_answer_that_is_held_ends_with_it(play: Play, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_clock_of_an_answer_that_is_held_ends_with_it(
+    play: Play, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against beginning the next answer on that connection before its backend has."""
     monkeypatch.setattr(upstream, "HOLD", 2 * WAIT)
 
@@ -425,6 +430,88 @@
     play(body)
 
 
+def test_what_is_long_is_told_from_what_does_not_end(play: Play, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "HOLD", 0.0)
+
+    async def body(wire: Wire) -> None:
+        for head in (b"", b"Content-Length: %d\r\n" % (2 * SMALL)):
+            attempt = wire.start()
+            assert not attempt.long  # it has not even begun
+            peer = await wire.accepted()
+            peer.send(HEAD + head + b"\r\nhello")
+            async with asyncio.timeout(WAIT):
+                while not wire.begun:
+                    await asyncio.sleep(0)
+            connection = attempt.connection
+            assert connection is not None and attempt.long
+            connection.begun -= HOUR  # so long ago
+            assert attempt.long == bool(head)
+            connection.pause()
+            assert attempt.long
+            connection.resume()
+            assert attempt.long == bool(head)
+            connection.on_body(b"x" * SMALL)
+            assert attempt.long
+            attempt.drop()
+            assert not attempt.long and wire.pool.count == 0
+            peer.close()
+
+    play(body)
+
+
+TIME = 0.7  # s that a client gives
+SLACK = 0.5  # s after which a request without its final answer is lost
+
+
+def drips(head: bytes, piece: bytes, every: float, count: int, last: bytes = b"") -> Respond:
+    """Answer with so many pieces, one after another."""
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + head + b"\r\n")
+        for _ in range(count):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(every)
+        writer.write(last)
+        writer.close()
+
+    return respond
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("head", [b"", b"Transfer-Encoding: chunked\r\n"])
+async def test_an_answer_that_never_ends_is_broken_off_in_time(
+    tmp_path: Path, head: bytes, version: bytes
+) -> None:
+    """In a way that no client takes for the end of an answer."""
+    backend = Backend("b0", drips(head, chunk(9) if head else b"x" * 9, 0.05, 10**9))
+    async with running(tmp_path, backend, console=CONSOLE) as rig:
+        client, loop = await rig.client(), asyncio.get_running_loop()
+        client.writer.write(
+            b"GET /read HTTP/%b\r\nRequest-Id: 1\r\nRequest-Timeout: %dm\r\n\r\n" % (version, TIME * 1000)
+        )
+        begun = loop.time()
+        assert await asyncio.wait_for(client.reader.readuntil(b"xxx"), WAIT)
+        with pytest.raises(ConnectionError):
+            await client.ended()
+        assert loop.time() - begun < TIME + SLACK
+        await backend.lost.get()
+        figures = await rig.stats()
+        assert (figures["failed"]["read"], figures["pending"]) == (1, 0)
+
+
+@pytest.mark.parametrize("head", [b"", b"Transfer-Encoding: chunked\r\n", b"Content-Length: 160000\r\n"])
+async def test_a_long_answer_that_comes_slowly_has_more_than_its_time(tmp_path: Path, head: bytes) -> None:
+    chunked = b"chunked" in head
+    piece = chunk(8000) if chunked else b"x" * 8000
+    backend = Backend("b0", drips(head, piece, 0.08, 20, b"0\r\n\r\n" if chunked else b""))
+    async with running(tmp_path, backend, console=CONSOLE) as rig:
+        client = await rig.client()
+        got = await ask_long(client, "/read", f"Request-Timeout: {TIME * 1000:.0f}m")
+        assert got.code == 200 and len(got.body) == 160_000
+        assert (await rig.stats())["completed"]["read"] == 1
+
+
 # --- what is said of it
 
 
