Hand-over: a file that makes no sense is taken away with one line, and odd numbers are no exception

Change: the file goes as soon as it is read; OverflowError counts as no sense; a time may be infinite, but not NaN. Ruled out: a file written twice, also between reading and taking away; a process that dies while it writes; an old file.

--- a/dillport/net/handover.py
+++ b/dillport/net/handover.py
@@ -41,13 +41,14 @@
     `read` makes it of the table and its age in ms; what it raises on a table that makes no sense is logged.
     """
     try:
-        raw: Any = json.loads(path.read_text("utf-8"))
-        path.unlink()
+        text = path.read_text("utf-8")
+        path.unlink()  # whatever it says: what makes no sense now never will
+        raw: Any = json.loads(text)
         age = time.time() * 1000 - float(raw["at"])
         left = read(raw, age)
     except FileNotFoundError:
         return None
-    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as err:
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as err:
         log.info("%s: %s cannot be read: %.200s", what, path.name, err)
         return None
     return left if 0 <= age <= OLDEST else None
@@ -67,13 +68,18 @@
     told = raw["learned"]
     classes = {str(k): (_number(a), _number(b), _number(c)) for k, (a, b, c) in told["classes"].items()}
     backends = {
-        str(k): (_number(a), _number(b), float(c), int(d), _number(e))
+        str(k): (_number(a), _number(b), _time(c), int(_number(d)), _number(e))
         for k, (a, b, c, d, e) in told["backends"].items()
     }
     limit, trust, lost = (_number(told[name]) for name in ("limit", "trust", "lost"))
     return Recovered(Learned(limit, trust, lost, classes, backends), age)
 
 
+def _time(value: Any) -> float:
+    """A time, or never; raises ValueError or TypeError."""
+    return math.inf if value == math.inf else _number(value)
+
+
 def _number(value: Any) -> float:
     """A finite number; raises ValueError or TypeError."""
     out = float(value)
--- /dev/null
+++ b/tests/test_handover_crossings.py
@@ -0,0 +1,152 @@
+"""What crosses between two processes of a node: half a file, one written twice, an end, no descriptor."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import logging
+import math
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport import interface as api
+from dillport.net import handover, pair
+from dillport.net.handover import give, take
+from dillport.net.pair import Pair
+
+BACKEND = (0.0, 1.0, math.inf, 1, 90.0)
+LEARNED = api.Learned(21.5, 0.9, 0.0, {"read": (30.0, 4.0, 0.1)}, {"b0": BACKEND})
+
+
+def left(path: Path, change: dict[str, Any]) -> None:
+    """What a process leaves, with something changed."""
+    give(path, LEARNED)
+    path.write_text(json.dumps(json.loads(path.read_text()) | change))
+
+
+# --- the file
+
+
+@pytest.mark.parametrize("cut", range(0, 100, 4))
+def test_half_a_file_is_said_once_and_does_not_stay(
+    tmp_path: Path, cut: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against one that is looked at again and again."""
+    path = tmp_path / "x.learned"
+    give(path, LEARNED)
+    path.write_bytes((whole := path.read_bytes())[: len(whole) * cut // 100])
+    with caplog.at_level(logging.INFO):
+        assert take(path) is None and take(path) is None
+    assert not path.exists() and len(caplog.records) == 1
+    give(path, LEARNED)
+    assert take(path) is not None
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"\xff\xfe", b"\0" * 100, b"null", b"[]", b'""', b"[" * 100_000, b'{"at": 1' + b"0" * 400 + b"}"],
+)
+def test_a_file_that_makes_no_sense_is_no_exception(tmp_path: Path, text: bytes) -> None:
+    path = tmp_path / "x.learned"
+    path.write_bytes(text)
+    assert take(path) is None
+
+
+@pytest.mark.parametrize("number", ["1e999", "1" + "0" * 400, "NaN", '"x"', "null", "[]"])
+@pytest.mark.parametrize("place", range(5))
+def test_a_number_that_is_none_is_no_exception(tmp_path: Path, number: str, place: int) -> None:
+    path = tmp_path / "x.learned"
+    give(path, LEARNED)
+    table = json.loads(path.read_text())
+    table["learned"]["backends"]["b0"][place] = "here"
+    path.write_text(json.dumps(table).replace('"here"', number))
+    got = take(path)
+    assert got is None or (place == 2 and got.learned == LEARNED)  # the one that may be infinite
+
+
+def test_a_file_that_is_written_twice_is_taken_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The second time between the successor's reading it and its taking it away."""
+    path, read = tmp_path / "x.learned", Path.read_text
+
+    def read_text(self: Path, *args: Any) -> str:
+        text = read(self, *args)
+        give(path, LEARNED)
+        return text
+
+    give(path, LEARNED)
+    monkeypatch.setattr(Path, "read_text", read_text)
+    got = take(path)
+    monkeypatch.undo()
+    assert got is not None and got.learned == LEARNED and take(path) is None
+
+
+@pytest.mark.parametrize("at", ["write_text", "replace"])
+def test_a_process_that_dies_while_it_writes_leaves_what_was_there(
+    tmp_path: Path, at: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "x.learned"
+    give(path, LEARNED)
+
+    def dies(*args: Any) -> None:
+        raise SystemExit
+
+    with monkeypatch.context() as patch:
+        patch.setattr(*((os, at, dies) if at == "replace" else (Path, at, dies)))
+        with pytest.raises(SystemExit):
+            give(path, api.Learned(1.0, 1.0, 0.0, {}, {}))
+    got = take(path)
+    assert got is not None and got.learned == LEARNED
+
+
+def test_a_successor_that_comes_back_late_goes_on_from_nothing_old(tmp_path: Path) -> None:
+    path = tmp_path / "x.learned"
+    left(path, {"at": 1000.0})
+    assert take(path) is None and not path.exists()
+
+
+# --- the slots
+
+
+async def test_a_process_that_dies_with_its_lock_is_gone_and_one_that_follows_at_once_is_seen(
+    tmp_path: Path,
+) -> None:
+    told: list[bool] = []
+    old = Pair(tmp_path / "x", told.append)
+    old.start()
+    for _ in range(2):  # it never listens, and dies
+        new = Pair(tmp_path / "x", lambda beside: None)
+        assert new.start() and new.later
+        old.refresh()
+        new.stop()
+        new.release()
+        old.refresh()
+    assert told == [True, False, True, False]
+    old.stop()
+    old.release()
+
+
+async def test_a_look_at_a_slot_keeps_no_newcomer_out(tmp_path: Path) -> None:
+    """A shared lock for a moment: the newcomer takes the next slot."""
+    one = Pair(tmp_path / "x", lambda beside: None)
+    looks = os.open(one.slots[0], os.O_RDWR | os.O_CREAT, 0o600)
+    fcntl.flock(looks, fcntl.LOCK_SH | fcntl.LOCK_NB)
+    assert not one.start() and one.mine == 1
+    os.close(looks)
+    other = Pair(tmp_path / "x", lambda beside: None)
+    assert other.start() and other.mine == 0
+    for each in (one, other):
+        each.stop()
+        each.release()
+    assert not pair._held(one.slots[0])
+
+
+def test_the_bound_of_age_is_in_force_at_both_ends(tmp_path: Path) -> None:
+    path = tmp_path / "x.learned"
+    for at, taken in ((0.0, True), (handover.OLDEST + 1000.0, False), (-60_000.0, False)):
+        give(path, LEARNED)
+        table = json.loads(path.read_text())
+        path.write_text(json.dumps(table | {"at": table["at"] - at}))
+        assert (take(path) is not None) == taken and not path.exists()
