Bans: a time too large for a float is a broken file, no end of looking

Cause: `bans.parse` compared it as an int and then made a float of it: OverflowError, which `_refresh` does not catch, so `_look` raised and never ran again. Change: the bound is the largest float. Result: test_a_time_of_return_that_is_none fails in one case without it, passes with it.

--- a/dillport/net/bans.py
+++ b/dillport/net/bans.py
@@ -10,6 +10,7 @@
 import logging
 import math
 import os
+import sys
 import tempfile
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
@@ -72,7 +73,8 @@
     if not isinstance(back, dict) or not all(isinstance(name, str) for name in raw["out"]):
         raise ValueError("not a table of bans")
     for when in back.values():
-        if isinstance(when, bool) or not isinstance(when, (int, float)) or not 0 <= when < math.inf:
+        number = isinstance(when, (int, float)) and not isinstance(when, bool)
+        if not number or not 0 <= when <= sys.float_info.max:
             raise ValueError("not a time")
     return Record(frozenset(raw["out"]), {name: float(when) for name, when in back.items()})
 
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -13,7 +13,7 @@
 import pytest
 
 from dillport import interface as api
-from dillport.net import handover, pair
+from dillport.net import bans, handover, pair
 from dillport.net.handover import give, take
 from dillport.net.pair import Pair
 
@@ -107,6 +107,12 @@
     assert take(path) is None and not path.exists()
 
 
+@pytest.mark.parametrize("when", ["1" + "0" * 400, "1e999", "NaN", "-1", "true", '"x"'])
+def test_a_time_of_return_that_is_none_is_a_broken_file(when: str) -> None:
+    with pytest.raises(ValueError):
+        bans.parse('{"out": [], "back": {"b0": ' + when + "}}")
+
+
 # --- the slots
 
 
