Upgrade: without a descriptor the other process has not ended

Cause: `pair._held` took any error of `open` for a free slot. With no descriptor left the process thought for that look that its successor was gone: it took its place as a member back, and left what it had learned a second time once it could look again. Change: only a file that is not there is a free slot; where nobody can look, what was seen last holds. Result: test_without_a_descriptor fails without it, passes with it. Ruled out: a successor that never listens and dies, twice in a row; a look at a slot in the moment in which a newcomer takes one.

--- a/dillport/net/pair.py
+++ b/dillport/net/pair.py
@@ -65,7 +65,10 @@
         raise SlotError(f"{SLOTS} processes of this node run already")
 
     def _others(self) -> bool:
-        return any(_held(path) for number, path in enumerate(self.slots) if number != self.mine)
+        try:
+            return any(_held(path) for number, path in enumerate(self.slots) if number != self.mine)
+        except OSError:  # no descriptor is left to look with: what was seen last holds
+            return self.beside
 
     def _look(self) -> None:
         self.refresh()
@@ -95,10 +98,13 @@
 
 
 def _held(path: Path) -> bool:
-    """Whether a process has this slot. A shared lock for a moment is in nobody's way but a newcomer's."""
+    """Whether a process has this slot; raises OSError where that cannot be seen.
+
+    A shared lock for a moment is in nobody's way but a newcomer's.
+    """
     try:
         fd = os.open(path, os.O_RDWR | os.O_CLOEXEC)
-    except OSError:
+    except FileNotFoundError:
         return False
     try:
         fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
--- a/tests/test_handover_crossings.py
+++ b/tests/test_handover_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import json
 import logging
@@ -116,6 +117,50 @@
 # --- the slots
 
 
+def no_descriptor(*args: Any) -> int:
+    """As `os.open` while there is none left."""
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
+async def test_without_a_descriptor_the_other_process_has_not_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that takes the place of its successor back, which is there."""
+    told: list[bool] = []
+    old, new = Pair(tmp_path / "x", told.append), Pair(tmp_path / "x", told.append)
+    assert not old.start() and new.start()
+    old.refresh()
+    assert told == [True]
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "open", no_descriptor)
+        old.refresh()
+        new.refresh()
+        old._look()
+    assert told == [True] and old.beside and new.beside
+    new.stop()
+    new.release()
+    old.refresh()
+    assert told == [True, False] and not old.beside
+    old.stop()
+    old.release()
+
+
+async def test_a_process_that_cannot_look_at_its_start_sees_the_other_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    told: list[bool] = []
+    one, other = Pair(tmp_path / "x", told.append), Pair(tmp_path / "x", lambda beside: None)
+    other.start()
+    with monkeypatch.context() as patch:
+        patch.setattr(pair, "_held", no_descriptor)
+        assert not one.start()
+    one._look()
+    assert told == [True] and one.beside
+    for each in (one, other):
+        each.stop()
+        each.release()
+
+
 async def test_a_process_that_dies_with_its_lock_is_gone_and_one_that_follows_at_once_is_seen(
     tmp_path: Path,
 ) -> None:
