--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -17,12 +17,14 @@
 from dillport.interface import Status
 from dillport.net.config import Address, Member
 from dillport.net.figures import Figures
-from dillport.net.stream import SMALL, Budget, Upload
+from dillport.net.limited import LimitedWarnings
+from dillport.net.stream import LARGEST, SMALL, Budget, Upload
 
 log = logging.getLogger(__name__)
 
 MAX_HEAD = 16 * 1024
 HOLD = 0.025  # s that an answer of unknown length is held once its body has begun: most are whole by then
+SLOWEST = 16 * 1024  # bytes a second of an answer of unknown length that may still become a long one
 STALL = 10.0  # s without a byte, either way, after which a backend that is owed or owes some is given up
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
@@ -97,6 +99,11 @@
         """Whether the request's last byte may have left this node."""
         return self.connection is not None and self.connection.wrote and not self.connection.blocked
 
+    @property
+    def long(self) -> bool:
+        """Whether a long answer has begun and comes, as far as anybody can tell."""
+        return self.connection is not None and self.connection.long
+
     def end(self, answer: Answer) -> None:
         """Report the end."""
         self._detach()
@@ -142,8 +149,8 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
-        self.closed = self.wrote = self.blocked = False
-        self.idle_since = self.moved = 0.0
+        self.closed = self.asked = self.wrote = self.blocked = False
+        self.idle_since = self.moved = self.begun = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
         self._reset()
@@ -151,7 +158,7 @@
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        self.head = 0
+        self.head = self.size = 0  # bytes that came since any of the body did, and those of the body
         self.length: int | None = None
         self.in_body = self.framed = self.paused = False
         self.sink: Sink | None = None  # where a long answer goes
@@ -181,8 +188,16 @@
 
     @property
     def alive(self) -> bool:
-        """Whether it is up, as far as this side knows."""
-        return self.transport is not None and not self.transport.is_closing()
+        """Whether it is up and nothing waits to be read: that would be no answer to the next request."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # half a line, a second answer, an end
 
     def _fail(self, status: Status) -> None:
         attempt, self.attempt = self.attempt, None
@@ -190,6 +205,9 @@
         if attempt is not None:
             attempt.end(Answer(status))
 
+    def _warn(self, kind: str, text: str = "") -> None:
+        self.pool.warnings.warn(kind, "backend {}:{}: {:.300}".format(*self.address, text or kind))
+
     def close(self) -> None:
         """Close now: transports would do it a turn of the loop later, after the next attempt went out."""
         if self.closed:
@@ -256,6 +274,7 @@
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
         self._reset()
+        self.asked = True
         self.transport.write(attempt.data)
         if attempt.upload is not None:
             attempt.upload.attach(self._pump)
@@ -282,7 +301,7 @@
         waits = self.blocked or (self.sink is not None and not self.paused)
         left = self.moved + STALL - self.pool.loop.time()
         if waits and left <= 0:
-            log.warning("backend %s:%d: nothing moves", *self.address)
+            self._warn("nothing moves")
             self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
             return
         self.watch = self.pool.loop.call_later(max(left, STALL / 10), self._stalled)
@@ -318,19 +337,22 @@
         if self.attempt is None:
             self.close()
             return
+        if not self.asked:
+            self._warn("answer before its request")
+            self._fail(Status.CONNECT_FAILED)
+            return
         fault = ""
+        self.head += len(data)  # guards memory against headers without end, which the parser would keep
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
-            fault = f"broken answer: {err}"
-        if not self.in_body:
-            self.head += len(data)  # guards memory against a header without end, which the parser would keep
+            fault = f"broken answer: {err.__context__ or err}"  # the first: one of the callbacks below
         if self.attempt is None:  # its long answer is no longer wanted
             return
         if self.complete:
             self._finish(not fault and not self.excess)
         elif fault or self.head > MAX_HEAD:
-            log.warning("backend %s:%d: %s", *self.address, fault or "headers too long")
+            self._warn("broken answer" if fault else "headers too long", fault)
             self._fail(Status.RESET)
         elif self.body and self.length is None and self.held is None:  # most are whole after one read
             self.held = self.pool.loop.call_later(HOLD, self._begin)
@@ -339,7 +361,9 @@
 
     def _begin(self) -> None:
         """Pass the answer on from here: it is too long, or too long in coming, to be held whole."""
-        self.held = None
+        if self.held is not None:  # else it would begin the next answer on this connection
+            self.held.cancel()
+            self.held = None
         if self.attempt is None or self.sink is not None or self.complete:
             return
         self.sink = self.attempt.begin(self, self.length, self.content_type)
@@ -347,10 +371,22 @@
             self._fail(Status.RESET)
             return
         self._guard()
+        self.begun = self.pool.loop.time()
         if self.body:
             data, self.body = bytes(self.body), bytearray()
             self.sink.feed(data)
 
+    @property
+    def long(self) -> bool:
+        """Whether what is passed on is a long answer, or seems to become one at the rate that it has.
+
+        While the client is slow nobody can tell.
+        """
+        if self.sink is None:
+            return False
+        due = SLOWEST * (self.pool.loop.time() - self.begun)  # bytes
+        return self.length is not None or self.paused or self.size > SMALL or self.size >= due
+
     def pause(self) -> None:
         """The client is slow: leave the rest with the backend."""
         if self.transport is not None and not self.paused and not self.closed:
@@ -387,8 +423,10 @@
             self.framed = True
 
     def on_headers_complete(self) -> None:
-        """The head is whole."""
+        """The head is whole; a length that no answer has is the mark of one that never ends."""
         self.in_body = True
+        if self.length is not None and self.length > LARGEST:
+            raise ValueError("longer than any answer")
         if not self.complete and self.served and self.length is not None and self.length > SMALL:
             self._begin()
 
@@ -400,8 +438,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass on or collect the body; that of an answer other than 200 is not wanted."""
+        self.head = 0
         if self.complete or not self.served:
             return
+        self.size += len(body)
+        if self.size > LARGEST:
+            raise ValueError("longer than any answer")
         if self.sink is not None:
             self.sink.feed(body)
             return
@@ -431,7 +473,7 @@
             try:
                 report = parse_report(self.load.decode("latin-1"))
             except ValueError as err:
-                log.warning("backend %s:%d: %s", *self.address, err)
+                self._warn("bad report", str(err))
         if self.paused:
             self.resume()
         if self.code == 200:
@@ -455,6 +497,7 @@
         self.banned: set[str] = set()  # by the operators, listed or not
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
+        self.warnings = LimitedWarnings(log, self.loop.time)
 
     def configure(self, settings: api.Settings) -> None:
         """Take settings, for what is opened and swept from now on."""
