A request that is owed no answer begins no attempt: what still dials is called off

Cause: `Node.gone` and `Node._answer` called attempts off only for long requests (`if long:`, `if arriving:`). A short one whose connection was still coming up stayed attached to it, and `Connection.open` wrote it once that was up, up to the connect time-out after the client had left, wherever the module's Cancel is not allowed. `Node._abandon` stopped attempts without an outcome: the request stayed in `open` and the module's count of attempts out for good.

Change: `Attempt.began` says whether anything was written. Whatever ends a request's owing (client gone, Fail, Refuse, deadline, a fault) goes through `_call_off`: what has not begun ends as moot, what has begun ends only where it always did. Each attempt gets its one outcome. The module passes over a held request whose client has left.

Measured: tests/test_leaving.py with dials held at `sock_connect`: 8 of 21 fail without the change (dialling, second attempt dialling, fault), all pass with it. Ruled out by the others: held in the module; a written attempt is left where cancelling is not allowed, and cancelled where it is.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -202,15 +202,14 @@
                 self._act(action)
         except Exception:  # guards against one bad request ending the node with all the others
             log.exception("decision on %s failed", type(event).__name__)
-            name = getattr(event, "request", None)
-            if name in self.open:
-                self._abandon(name)
+            self._abandon(getattr(event, "request", ""))
 
     def _abandon(self, name: str) -> None:
-        request = self.open[name]
-        for item in request.attempts:
-            self._stop(item)
+        if (request := self.open.get(name)) is None:
+            return
         self._answer(name, End.FAILED, lambda client: client.failed())
+        self.event(api.ClientGone(name))
+        self._call_off(request, True)
 
     def arrival(
         self, event: api.Arrival, client: Client, render: Callable[[float], bytes],
@@ -310,14 +309,15 @@
             long = request.streaming or request.arriving
             self._close(name, request)
             self.event(api.ClientGone(name))
-            if long:  # nothing bounds the time of what it would leave behind
-                self._call_off(request)
+            self._call_off(request, long)  # nothing bounds the time of what a long one would leave behind
 
-    def _call_off(self, request: Open) -> None:
+    def _call_off(self, request: Open, begun: bool) -> None:
+        """No answer is owed any more: what has not begun does not; what has begun ends only where asked."""
         for item in request.attempts:
-            if not item.over:
+            runs = item.attempt is not None and item.attempt.began
+            if not item.over and (begun or not runs):
                 self._stop(item)
-                self._outcome(item, Answer(api.Status.CANCELLED))
+                self._outcome(item, Answer(api.Status.CANCELLED if runs else api.Status.MOOT))
 
     def list(self, news: News, kind: api.ListKind) -> None:
         """The list, or a change of it."""
@@ -490,8 +490,7 @@
             self.figures.ended(end, request.class_name)
             self._close(name, request)
             tell(client)
-            if arriving:
-                self._call_off(request)
+            self._call_off(request, arriving)
 
     def _close(self, name: str, request: Open) -> None:
         request.answered = True
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -84,13 +84,14 @@
     `data` is the request, or only its head where an upload follows.
     """
 
-    __slots__ = ("begin", "connection", "data", "done", "upload")
+    __slots__ = ("began", "begin", "connection", "data", "done", "upload")
 
     def __init__(
         self, data: bytes, done: Callable[[Answer], None], begin: Begin, upload: Upload | None
     ) -> None:
         self.data, self.done, self.begin, self.upload = data, done, begin, upload
         self.connection: Connection | None = None
+        self.began = False  # some of it has been written: before that it waits for its connection
 
     @property
     def left(self) -> bool:
@@ -254,7 +255,7 @@
     def write(self, attempt: Attempt) -> None:
         """Send the attempt's request."""
         assert self.transport is not None
-        self.attempt, attempt.connection = attempt, self
+        self.attempt, attempt.connection, attempt.began = attempt, self, True
         self._reset()
         self.transport.write(attempt.data)
         if attempt.upload is not None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -344,6 +344,8 @@
     def _release(self) -> None:
         while self.held and self.out < self.limit:
             req = self.held.pop()
+            if req.over:  # its client has left
+                continue
             if self._fits(req):
                 self._dispatch(req)
             else:
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,251 @@
+"""A client that leaves: nothing begins for it any more, wherever its request stands, and the books close."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport import interface as api
+from dillport.interface import ListKind
+from dillport.net.config import load
+from dillport.net.front import Front
+from dillport.net.node import Node
+from dillport.net.stream import PREFIX
+from tests.sockets import HOUR, WAIT, Backend, Client, Message, answer, configuration, echo
+
+FULL = answer(b"", "503 Service Unavailable", "Not-Started: 1")
+
+
+async def never(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+    """Take the request and say nothing."""
+
+
+class Scene:
+    """A node in this process, on sockets, whose connections to backends come up when the test says so."""
+
+    def __init__(self, node: Node, front: Front, backends: tuple[Backend, ...]) -> None:
+        self.node, self.front, self.backends = node, front, backends
+        self.clients: list[Client] = []
+        self.dials: asyncio.Queue[asyncio.Event] = asyncio.Queue()  # each waits until it is set
+        self.freely = 0  # so many connections come up at once
+        self.loop = asyncio.get_running_loop()
+        self.connect = self.loop.sock_connect
+
+    async def dial(self, sock: socket.socket, address: Any) -> None:
+        """Stands in for the loop's `sock_connect`."""
+        if address[1] not in {backend.port for backend in self.backends}:
+            pass  # a client's
+        elif self.freely:
+            self.freely -= 1
+        else:
+            gate = asyncio.Event()
+            self.dials.put_nowait(gate)
+            await gate.wait()
+        await self.connect(sock, address)
+
+    async def client(self) -> Client:
+        """A new connection to the node."""
+        out = Client(*await asyncio.open_connection(*self.front.address))
+        self.clients.append(out)
+        return out
+
+    async def dialled(self) -> asyncio.Event:
+        """The next connection that waits to come up."""
+        return await asyncio.wait_for(self.dials.get(), WAIT)
+
+    async def until(self, what: Callable[[], bool]) -> None:
+        """Run the loop until this holds."""
+        async with asyncio.timeout(WAIT):
+            while not what():
+                await asyncio.sleep(0)
+
+    async def leave(self, client: Client, reset: bool) -> None:
+        """The client closes its connection, and the node has seen it."""
+        count = len(self.front.connections)
+        depart(client, reset)
+        await self.until(lambda: len(self.front.connections) < count)
+
+    def nothing_left(self) -> bool:
+        """Whether neither the node nor its module has anything under way."""
+        module = self.node.balancer
+        return not (self.node.open or module.requests or module.out)
+
+
+def depart(client: Client, reset: bool) -> None:
+    """End a client's connection by a FIN or a RST."""
+    sock = client.writer.get_extra_info("socket")
+    if reset:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def scene(
+    tmp: Path, monkeypatch: pytest.MonkeyPatch, *backends: Backend, **over: Any
+) -> AsyncIterator[Scene]:
+    """A node that knows these backends."""
+    for backend in backends:
+        await backend.start()
+    path = tmp / "config.json"
+    limits = {"connect-timeout": HOUR} | over.pop("limits", {})
+    members = [backend.member() for backend in backends]
+    path.write_text(json.dumps(configuration(members, 1, limits=limits, **over)))
+    config = load({"PROXY_CONFIG": str(path)})
+    node = Node(config)
+    node.list(config.known, ListKind.SAVED)
+    front = Front(node, 100)
+    await front.listen(("127.0.0.1", 0), shared=False)
+    out = Scene(node, front, backends)
+    monkeypatch.setattr(out.loop, "sock_connect", out.dial)
+    try:
+        yield out
+    finally:
+        front.stop()
+        for client in out.clients:
+            client.writer.transport.abort()
+        for backend in backends:
+            backend.stop()
+        await out.until(lambda: not (front.connections or node.open))
+        node.pool.close()
+
+
+def send(client: Client, path: str) -> str:
+    """A small request of this class."""
+    if path == "/read":
+        return client.send(path)
+    return client.send(path, "Idempotency-Key: k1", method="POST", body=b"{}")
+
+
+# --- while its connection comes up
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("cancel", [False, True])
+@pytest.mark.parametrize("path", ["/read", "/pay", "/once"])
+async def test_a_client_that_leaves_while_its_attempt_dials_is_sent_on_to_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, path: str, cancel: bool, reset: bool
+) -> None:
+    backend = Backend("b0")
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": cancel}) as on:
+        first = await on.client()
+        send(first, path)
+        gate = await on.dialled()
+        await on.leave(first, reset)
+        gate.set()
+        assert on.nothing_left() and on.node.pool.count == 0
+        assert on.node.counts["attempt_moot"] + on.node.counts["attempt_cancelled"] == 1
+        on.freely = 1
+        second = await on.client()
+        name = send(second, path)
+        assert (await second.answer()).code == 200
+        assert (await backend.got.get()).headers["request-id"] == name and backend.got.empty()
+        assert backend.connections == 1 and on.nothing_left()
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+async def test_a_client_that_leaves_while_its_second_attempt_dials_is_sent_on_no_more(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cancel: bool
+) -> None:
+    async def full(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(FULL)
+
+    backends = Backend("b0", full), Backend("b1", full)
+    async with scene(tmp_path, monkeypatch, *backends, limits={"cancel": cancel}) as on:
+        on.freely = 1
+        client = await on.client()
+        send(client, "/once")
+        gate = await on.dialled()
+        assert on.node.counts["attempt_full"] == 1
+        await on.leave(client, False)
+        gate.set()
+        assert on.nothing_left()
+        assert sum(backend.got.qsize() for backend in backends) == 1
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+@pytest.mark.parametrize("path", ["/read", "/once"])
+async def test_what_was_written_is_left_as_the_settings_allow(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, path: str, cancel: bool
+) -> None:
+    go = asyncio.Event()
+
+    async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await echo(backend, message, writer)
+
+    backend = Backend("b0", slow)
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": cancel}) as on:
+        on.freely = 1
+        client = await on.client()
+        send(client, path)
+        await backend.got.get()
+        await on.leave(client, False)
+        if cancel:
+            assert on.node.counts["attempt_cancelled"] == 1
+        else:
+            assert on.node.pool.count == 1 and on.node.balancer.out == 1
+            go.set()
+            await on.until(lambda: on.node.counts["attempt_ok"] == 1)
+        assert on.nothing_left() and backend.got.empty()
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+async def test_a_client_that_leaves_while_its_request_is_held_is_sent_on_to_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cancel: bool
+) -> None:
+    go = asyncio.Event()
+
+    async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await echo(backend, message, writer)
+
+    backend = Backend("b0", slow)
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": cancel}) as on:
+        on.freely = 2
+        clients = [await on.client() for _ in range(3)]
+        for client in clients[:2]:
+            send(client, "/read")
+            await backend.got.get()
+        send(clients[2], "/read")
+        await on.until(lambda: len(on.node.balancer.held) == 1)
+        await on.leave(clients[2], False)
+        go.set()
+        for client in clients[:2]:
+            assert (await client.answer()).code == 200
+        assert on.nothing_left() and not on.node.balancer.held
+        assert backend.got.empty() and on.node.counts["left_unsent"] == 1
+
+
+async def test_a_request_that_a_fault_ends_leaves_nothing_in_the_books(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the count of open requests and of attempts out, whatever the module makes of an event."""
+
+    backend = Backend("b0", never)
+    async with scene(tmp_path, monkeypatch, backend) as on:
+        handle = on.node.balancer.handle
+
+        def faulty(now: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Arrived):
+                raise ZeroDivisionError
+            return handle(now, event)
+
+        monkeypatch.setattr(on.node.balancer, "handle", faulty)
+        on.freely = 1
+        client = await on.client()
+        client.writer.write(
+            b"POST /once HTTP/1.1\r\nHost: n\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n" % PREFIX
+        )
+        client.writer.write(b"x" * (PREFIX - 1))
+        await on.until(lambda: bool(on.node.open) and on.node.pool.count == 1)
+        client.writer.write(b"x")
+        assert (await client.answer()).code == 502
+        assert on.nothing_left() and on.node.pool.count == 0
