Tests: an id that is in use stays so, one that was never sent on may come again at once

Ruled out: 409 to a request whose id still has an attempt out. By the protocol every request gets a new id; the one that is sent again is one that no node has read, which is in no node's books.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -249,3 +249,52 @@
         client.writer.write(b"x")
         assert (await client.answer()).code == 502
         assert on.nothing_left() and on.node.pool.count == 0
+
+
+# --- the same id again
+
+
+async def test_an_id_is_in_use_while_its_attempt_is_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Every request gets a new id; only one that no node has read is sent once more, and that is not open.
+
+    Guards against a second send of an unsafe request that neither the module nor the backend's answer to the
+    first would tell from the other.
+    """
+    go = asyncio.Event()
+
+    async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await echo(backend, message, writer)
+
+    backend = Backend("b0", slow)
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": False}) as on:
+        on.freely = 1
+        first, again = await on.client(), await on.client()
+        text = b"POST /once HTTP/1.1\r\nHost: n\r\nRequest-Id: same\r\nContent-Length: 0\r\n\r\n"
+        first.writer.write(text)
+        await backend.got.get()
+        await on.leave(first, False)
+        again.writer.write(text)
+        assert (await again.answer()).code == 409
+        go.set()
+        await on.until(on.nothing_left)
+        assert backend.got.empty()
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+async def test_an_id_that_was_never_sent_on_may_come_again_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cancel: bool
+) -> None:
+    backend = Backend("b0")
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": cancel}) as on:
+        first, again = await on.client(), await on.client()
+        text = b"POST /once HTTP/1.1\r\nHost: n\r\nRequest-Id: same\r\nContent-Length: 0\r\n\r\n"
+        first.writer.write(text)
+        await on.dialled()
+        await on.leave(first, True)
+        on.freely = 1
+        again.writer.write(text)
+        assert (await again.answer()).code == 200
+        assert backend.got.qsize() == 1 and on.nothing_left()
