A client that leaves while nothing is read from it is seen before an attempt begins

Cause: an EOF or a reset is seen by reading only. While a long body waits for a backend, `ClientConnection._flow(False)` pauses reading, so a client that left then was noticed when an attempt took from the body: after its head had been written.

Change: `Client.left` polls the client's socket for POLLRDHUP, POLLHUP and POLLERR where reading is paused, and only there. `Node._wanted` asks before an attempt goes to the pool, `Connection.open` again once a connection has come up, before the first byte; a client found gone is treated as gone (`Node.gone`).

Measured: FIN and RST, with nothing, a piece of the body, or the body's end and a next request standing unread before it; while dialling, and before a further attempt. A client that stays is served as before.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -6,6 +6,7 @@
 import fcntl
 import logging
 import re
+import select
 import socket
 import struct
 import sys
@@ -32,6 +33,7 @@
 SLOW = 2.5  # s for a head to come in once it has begun, for the first one since the connection came
 RATE = 32_000  # bytes a second of a body that comes in after that, half of the slowest that is to be served
 STUCK = 20.0  # s for a client to read some of what waits for it
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what a poll shows of a FIN or a RST
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
@@ -263,6 +265,21 @@
             self.paused_at = now
             self.transport.pause_reading()
 
+    @property
+    def left(self) -> bool:
+        """Whether the client has closed or reset this connection while it is not read from.
+
+        A read would tell, but what was sent before the end stands before it.
+        """
+        if not self.paused_at or self.transport is None:
+            return False
+        look = select.poll()
+        try:
+            look.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+            return any(seen & ENDED for _, seen in look.poll(0))
+        except (OSError, ValueError):  # it is being closed here
+            return False
+
     def on_message_complete(self) -> None:
         """The request is whole: a small one is taken, the time of a long one starts."""
         if self.close_after and not self.draining:
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -31,6 +31,10 @@
 class Client(Protocol):
     """Whoever waits for the answer of one request."""
 
+    @property
+    def left(self) -> bool:
+        """Whether it has left unseen, as nothing is read from it now."""
+
     def served(self, body: bytes, content_type: bytes) -> None:
         """Pass on a backend's answer."""
 
@@ -397,16 +401,24 @@
         item.stop = action.timeout
         wait = self._clock(item, request)
         spent = request.upload is not None and request.upload.spent
-        if request.answered or spent or action.backend not in self.pool.hosts or wait <= 0:
-            self._outcome(item, Answer(api.Status.MOOT))
+        if (spent or action.backend not in self.pool.hosts or wait <= 0
+                or not self._wanted(action.request, request)):
+            if not item.over:  # else called off with its request
+                self._outcome(item, Answer(api.Status.MOOT))
             return
         item.attempt = self.pool.start(
             action.backend, request.render(wait), partial(self._outcome, item),
-            partial(self._begin, item), request.upload,
+            partial(self._begin, item), request.upload, partial(self._wanted, action.request, request),
         )  # fmt: skip
         if item.over:
             item.attempt = None
 
+    def _wanted(self, name: str, request: Open) -> bool:
+        """Whether an answer is still owed; looks at a client that would not be seen to leave."""
+        if not request.answered and request.client.left:
+            self.gone(name)
+        return not request.answered
+
     def _begin(self, item: Try, source: Connection, size: int | None, content_type: bytes) -> Sink | None:
         """A long answer begins: from here on it has all the time that it goes on."""
         request = self.open.get(item.request)
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -73,6 +73,15 @@
 """Told of a long answer: where it comes from, its length where that is known, its type. None: not wanted."""
 
 
+Wanted = Callable[[], bool]
+"""Asked when a connection has come up: whether the request is still to go out on it."""
+
+
+def always() -> bool:
+    """For attempts that nobody calls off unseen."""
+    return True
+
+
 def unwanted(source: Connection, size: int | None, content_type: bytes) -> Sink | None:
     """For attempts whose answers are never long."""
     return None
@@ -84,12 +93,12 @@
     `data` is the request, or only its head where an upload follows.
     """
 
-    __slots__ = ("began", "begin", "connection", "data", "done", "upload")
+    __slots__ = ("began", "begin", "connection", "data", "done", "upload", "wanted")
 
     def __init__(
-        self, data: bytes, done: Callable[[Answer], None], begin: Begin, upload: Upload | None
+        self, data: bytes, done: Callable[[Answer], None], begin: Begin, upload: Upload | None, wanted: Wanted
     ) -> None:
-        self.data, self.done, self.begin, self.upload = data, done, begin, upload
+        self.data, self.done, self.begin, self.upload, self.wanted = data, done, begin, upload, wanted
         self.connection: Connection | None = None
         self.began = False  # some of it has been written: before that it waits for its connection
 
@@ -174,8 +183,9 @@
         attempt = self.attempt
         if attempt is None or self.closed:
             self.close()
-        elif not self.host.up or self.host.address != self.address:
-            # Guards against sending to a backend that was taken off the list while the connection came up.
+        elif not self.host.up or self.host.address != self.address or not attempt.wanted():
+            # Guards against sending to a backend that was taken off the list while the connection came up, or
+            # for a client that left meanwhile.
             self._fail(Status.MOOT)
         else:
             self.write(attempt)
@@ -500,11 +510,11 @@
 
     def start(
         self, name: str, data: bytes, done: Callable[[Answer], None], begin: Begin = unwanted,
-        upload: Upload | None = None,
+        upload: Upload | None = None, wanted: Wanted = always,
     ) -> Attempt:  # fmt: skip
         """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once."""
         host = self.hosts[name]
-        attempt = Attempt(data, done, begin, upload)
+        attempt = Attempt(data, done, begin, upload, wanted)
         stale = self.loop.time() - KEEP * self.idle_limit
         while host.idle:
             connection = host.idle.pop()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +19,7 @@
 from dillport.net.config import load
 from dillport.net.front import Front
 from dillport.net.node import Node
-from dillport.net.stream import PREFIX
+from dillport.net.stream import PREFIX, SMALL
 from tests.sockets import HOUR, WAIT, Backend, Client, Message, answer, configuration, echo
 
 FULL = answer(b"", "503 Service Unavailable", "Not-Started: 1")
@@ -36,6 +37,7 @@
         self.clients: list[Client] = []
         self.dials: asyncio.Queue[asyncio.Event] = asyncio.Queue()  # each waits until it is set
         self.freely = 0  # so many connections come up at once
+        self.refusing = False  # those that waited do not come up
         self.loop = asyncio.get_running_loop()
         self.connect = self.loop.sock_connect
 
@@ -49,6 +51,8 @@
             gate = asyncio.Event()
             self.dials.put_nowait(gate)
             await gate.wait()
+            if self.refusing:
+                raise ConnectionRefusedError
         await self.connect(sock, address)
 
     async def client(self) -> Client:
@@ -251,6 +255,83 @@
         assert on.nothing_left() and on.node.pool.count == 0
 
 
+# --- while nothing is read from it
+
+
+@dataclass
+class Raw(Backend):
+    """Keeps all that comes on a connection, in the order in which connections end."""
+
+    raw: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        self.raw.put_nowait(await reader.read())
+        writer.close()
+
+
+async def paused(on: Scene, rest: bytes) -> tuple[Client, asyncio.Event]:
+    """A client whose long body is not read any more, as its connection to the backend still comes up.
+
+    `rest` stands unread, before whatever the client does next.
+    """
+    client = await on.client()
+    head = b"POST /pay HTTP/1.1\r\nRequest-Id: 1\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n"
+    client.writer.write(head % (2 * SMALL) + b"x" * (2 * SMALL - 10))
+    gate = await on.dialled()
+    await on.until(lambda: any(connection.paused_at for connection in on.front.connections))
+    client.writer.write(rest)
+    await on.until(lambda: not client.writer.transport.get_write_buffer_size())
+    return client, gate
+
+
+NEXT = b"x" * 10 + b"GET /read HTTP/1.1\r\nHost: n\r\nRequest-Id: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("rest", [b"", b"x", NEXT])
+async def test_a_client_that_leaves_while_it_is_not_read_from_is_sent_on_to_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, rest: bytes, reset: bool
+) -> None:
+    backend = Raw("b0")
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": False}) as on:
+        client, gate = await paused(on, rest)
+        depart(client, reset)
+        gate.set()
+        assert await asyncio.wait_for(backend.raw.get(), WAIT) == b""
+        await on.until(on.nothing_left)
+        assert on.node.counts["left"] == on.node.counts["attempt_moot"] == 1
+        assert on.node.pool.count == 0
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("rest", [b"", b"x", NEXT])
+async def test_no_further_attempt_begins_for_a_client_that_left_while_it_was_not_read_from(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, rest: bytes, reset: bool
+) -> None:
+    backends = Raw("b0"), Raw("b1")
+    async with scene(tmp_path, monkeypatch, *backends, limits={"cancel": False}) as on:
+        client, gate = await paused(on, rest)
+        depart(client, reset)
+        on.refusing = True
+        gate.set()
+        await on.until(on.nothing_left)
+        assert on.node.counts["attempt_connect_failed"] == on.node.counts["attempt_moot"] == 1
+        assert on.dials.empty() and on.node.pool.count == 0
+
+
+async def test_a_client_that_stays_is_served_though_it_is_not_read_from(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    backend = Backend("b0")
+    async with scene(tmp_path, monkeypatch, backend) as on:
+        client, gate = await paused(on, b"x" * 10)
+        gate.set()
+        assert (await client.answer()).code == 200
+        assert len((await backend.got.get()).body) == 2 * SMALL
+
+
 # --- the same id again
 
 
