A keyed repeat leaves inside the window for repeats or not at all, however late its connection

Cause: `Balancer._legal` compares the window with the clock at the decision (`self.now - a.sent > c.memory_span - 2 * tick`), while `Connection.open` writes when the connection is up, up to the connect time-out later: a repeat decided inside a short window could be written outside of it.

Change: the module says with each Send until when it may leave (`Send.before`, counted from the first copy that may have run); the shell ends an attempt that has not left by then as moot, whether it still dials or some of its bytes are still here. A backend that began to drain meanwhile was refused before (`Connection.open`), by tests/test_node.py. Unsafe requests have no window and are never sent twice.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -381,11 +381,15 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; a time-out of 0 lasts until the client gives up."""
+    """Start an attempt; a time-out of 0 lasts until the client gives up.
+
+    What has not left by the clock time `before` must not leave any more (0: no such limit).
+    """
 
     request: str
     backend: str
     timeout: float
+    before: float = 0.0
 
 
 @dataclass(slots=True)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -401,7 +401,7 @@
         item.stop = action.timeout
         wait = self._clock(item, request)
         spent = request.upload is not None and request.upload.spent
-        if (spent or action.backend not in self.pool.hosts or wait <= 0
+        if (spent or action.backend not in self.pool.hosts or wait <= 0 or 0 < action.before <= now
                 or not self._wanted(action.request, request)):
             if not item.over:  # else called off with its request
                 self._outcome(item, Answer(api.Status.MOOT))
@@ -412,6 +412,14 @@
         )  # fmt: skip
         if item.over:
             item.attempt = None
+        elif action.before:
+            self.loop.call_later((action.before - now) / 1000, self._too_late, item)
+
+    def _too_late(self, item: Try) -> None:
+        """From now on a backend might take a repeat for a new request: what has not left stays here."""
+        if not item.over and (item.attempt is None or not item.attempt.left):
+            self._stop(item)
+            self._outcome(item, Answer(api.Status.MOOT))
 
     def _wanted(self, name: str, request: Open) -> bool:
         """Whether an answer is still owed; looks at a client that would not be seen to leave."""
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -252,11 +252,22 @@
                 continue
             there = a.backend.entry
             apart = here.zone != there.zone if c.group is api.Group.ZONE else here.cell != there.cell
-            late = self.now - a.sent > c.memory_span - 2 * self.cfg.tick
+            late = self.now > self._forgotten(req, a)
             if c.effect is api.Effect.UNSAFE or late or (apart and c.group is not api.Group.ALL):
                 return False
         return True
 
+    def _forgotten(self, req: Request, a: Attempt) -> float:
+        """When the backends of its group may take a keyed repeat for a new request."""
+        return a.sent + req.cls.cfg.memory_span - 2 * self.cfg.tick
+
+    def _window(self, req: Request) -> float:
+        """Until when a further attempt may leave: its connection may come up much later. 0: no limit."""
+        if req.cls.cfg.effect is not api.Effect.KEYED:
+            return 0.0
+        return min((self._forgotten(req, a) for a in req.attempts if a.status not in api.NEVER_RAN),
+                   default=0.0)
+
     def _panic(self, req: Request, count: int, names: list[str], crowd: float = math.inf) -> list[Backend]:
         """Nothing this node feeds is eligible: its own view may be the culprit, so ejections are ignored."""
         self._log(f"panic: {len(names)} backends in view, none eligible, ignoring ejections")
@@ -447,6 +458,7 @@
             return
         if self.admission is not None and self._warmth(b.entry) < 1.0:
             self.admission.took()
+        before = self._window(req)
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
         req.out, b.estimate = req.out + 1, b.estimate + 1
         if req.arriving:  # a slow client keeps no place from others: the backend has yet to begin
@@ -461,7 +473,7 @@
         if self.lost > LOSSY and c.late_worth > 0 and again and cut + req.cls.usual < left:
             stop, req.attempts[-1].cut = cut, True
         req.attempts[-1].short = (stop or req.deadline - self.now) < cut
-        self.acts.append(api.Send(req.id, b.entry.backend, stop))
+        self.acts.append(api.Send(req.id, b.entry.backend, stop, before))
 
     def _most(self, req: Request) -> int:
         """Attempts that both the settings it came under and those of now allow."""
