A request keeps the class, deadline, effect and attempts of its head over a reload

Cause: the front looks the class up when the head is in (`ClientConnection._check`); the module looked it up again by name when the last byte was in (`Balancer._arrival`). A SIGHUP in between made a mix: a class that was gone raised CallError (a traceback and a 502), a changed effect, aim or number of attempts was used under the old deadline. `_most` gave a request under way the least of the old and the new number of attempts.

Change: the arrival carries the settings in force when its head came (`Arrival.under`), and the module works with that class and that number of attempts; what the class has learned is used for it. Looked up again only where a reload came between. `_most` is gone.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -233,6 +233,7 @@
     work_hint: float | None = None
     writes: bool = False
     arriving: bool = False  # its body still comes in: `deadline` is what it would be by now, see `Arrived`
+    under: Settings | None = None  # those in force when its head came, which it keeps; None: those of now
 
 
 @dataclass(slots=True)
@@ -305,7 +306,7 @@
 
 @dataclass(slots=True)
 class Reconfigured:
-    """New settings, checked and whole. Requests under way keep the class that they came with."""
+    """New settings, checked and whole. Requests under way keep the class and attempts that they came with."""
 
     settings: Settings
 
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -340,6 +340,7 @@
             tenant=headers[b"tenant"].decode("latin-1") if b"tenant" in headers else None,
             work_hint=self._hint(),
             writes=cls.effect is not Effect.SAFE,
+            under=node.settings,
         )
 
     def _take(self) -> None:
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -284,15 +284,14 @@
             b.away = self.now
 
     def _arrival(self, ev: api.Arrival) -> None:
-        if (cls := self.classes.get(ev.class_name)) is None:
-            raise api.CallError(f"unknown class: {ev.class_name!r}")
+        cls, most = self._came_under(ev)
         c = cls.cfg
         useful = self._useful(cls, ev.deadline, ev.work_hint)
         density = c.value / cls.usual
         self.density += EWMA / 2 * (density - self.density)
         self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
         req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density,
-                      self.cfg.max_attempts, arriving=ev.arriving)
+                      most, arriving=ev.arriving)
         self.requests[ev.request] = req
         if self.admission is not None and self.admission.due(self.now):
             self._fill(self.admission)
@@ -302,6 +301,17 @@
         else:
             self._finish(req, "late")
 
+    def _came_under(self, ev: api.Arrival) -> tuple[Class, int]:
+        """Its class and most attempts: a reload between its head and its last byte is for later ones."""
+        under, held = ev.under or self.cfg, self.classes.get(ev.class_name)
+        if under is not self.cfg:
+            c = next((c for c in under.classes if c.name == ev.class_name), None)
+            if c is not None and (held is None or held.cfg != c):
+                held = Class(c, c.aim / 4) if held is None else replace(held, cfg=c)
+        if held is None:
+            raise api.CallError(f"unknown class: {ev.class_name!r}")
+        return held, under.max_attempts
+
     def _useful(self, cls: Class, deadline: float, work: float | None) -> float:
         """Until when an answer is worth something, for a request that is in whole now."""
         c, left = cls.cfg, deadline - self.now
@@ -453,7 +463,7 @@
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
         if (req.over or req.stream or not self._takes(b) or not self._legal(req, b)
-                or len(req.attempts) >= self._most(req) or (self.now >= req.deadline and not req.arriving)):
+                or len(req.attempts) >= req.most or (self.now >= req.deadline and not req.arriving)):
             self._finish(req, "late")
             return
         if self.admission is not None and self._warmth(b.entry) < 1.0:
@@ -475,10 +485,6 @@
         req.attempts[-1].short = (stop or req.deadline - self.now) < cut
         self.acts.append(api.Send(req.id, b.entry.backend, stop, before))
 
-    def _most(self, req: Request) -> int:
-        """Attempts that both the settings it came under and those of now allow."""
-        return min(req.most, self.cfg.max_attempts)
-
     def _outcome(self, ev: api.Outcome) -> None:
         req = self.requests.get(ev.request)
         if req is None or ev.attempt >= len(req.attempts):
@@ -562,7 +568,7 @@
     def _again(self, req: Request) -> None:
         """The attempt failed: try elsewhere while that can meet the aim and the retry budget lasts."""
         cost = 0.0 if req.attempts[-1].cut else 1.0  # a lost answer is no sign of load
-        may = self.bank >= cost and len(req.attempts) < self._most(req) and self._fits(req)
+        may = self.bank >= cost and len(req.attempts) < req.most and self._fits(req)
         may = may and any(self._legal(req, self.backends[name]) for name in self.up)  # else it waits in vain
         self.bank -= cost * may
         if may:
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -3,13 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from dillport import interface as api
 from tests.helpers import BASE, KEYED, node, sends
-from tests.sockets import CLASSES, HOUR, Backend, Message, answer
+from tests.sockets import (
+    CLASSES,
+    HOUR,
+    IDS,
+    Backend,
+    Client,
+    Message,
+    Respond,
+    Rig,
+    answer,
+    running,
+)  # fmt: skip
 from tests.test_leaving import scene, send
 
 ERROR = answer(b"", "500 Internal Server Error")
@@ -123,3 +137,110 @@
         assert (await client.answer()).code == 502
         assert on.node.counts["attempt_moot"] == 1 and on.nothing_left()
         assert on.node.pool.count == 1  # the first one's, at rest
+
+
+# --- new settings between a request's head and its last byte
+
+
+async def head(rig: Rig, path: str) -> Client:
+    """A client whose request's head the node has read, and of its body nothing."""
+    client = await rig.client()
+    lines = [f"POST {path} HTTP/1.1", f"Request-Id: {next(IDS):016x}", "Idempotency-Key: k",
+             "Content-Length: 2", "Expect: 100-continue"]  # fmt: skip
+    client.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+    assert (await client.answer()).code == 100
+    return client
+
+
+async def reload(rig: Rig, classes: list[dict[str, Any]], **limits: Any) -> None:
+    """The same configuration with these classes and limits."""
+    fresh = json.loads(rig.config.read_text())
+    fresh["settings"]["request-classes"] = classes
+    fresh["settings"]["limits"] |= limits
+    rig.reload(json.dumps(fresh))
+    await rig.logged("reload: classes")
+
+
+def erring(times: int) -> Respond:
+    """Fail so many requests, which may have run, then serve."""
+    left = times
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        nonlocal left
+        left -= 1
+        writer.write(answer(b"x") if left < 0 else ERROR)
+
+    return respond
+
+
+READ, PAY, ONCE = CLASSES
+
+
+async def test_a_request_whose_class_goes_before_its_last_byte_is_served(tmp_path: Path) -> None:
+    backend = Backend("b0")
+    async with running(tmp_path, backend) as rig:
+        client = await head(rig, "/pay")
+        await reload(rig, [READ])
+        client.writer.write(b"{}")
+        assert (await client.answer()).code == 200
+        assert (await client.pay()).code == 404
+
+
+@pytest.mark.parametrize(
+    ("classes", "limits"),
+    [([READ, PAY | {"effect": "fragile"}], {}), ([READ, PAY], {"most-tries": 1})],
+)
+async def test_effect_and_attempts_are_those_of_the_head(
+    tmp_path: Path, classes: list[dict[str, Any]], limits: dict[str, Any]
+) -> None:
+    respond = erring(1)
+    backends = Backend("b0", respond), Backend("b1", respond)
+    async with running(tmp_path, *backends) as rig:
+        client = await head(rig, "/pay")
+        await reload(rig, classes, **limits)
+        client.writer.write(b"{}")
+        assert (await client.answer()).code == 200
+        assert sum(backend.got.qsize() for backend in backends) == 2
+    respond = erring(1)
+    backends = Backend("b0", respond), Backend("b1", respond)
+    async with running(tmp_path, *backends) as rig:
+        await reload(rig, classes, **limits)
+        client = await head(rig, "/pay")
+        client.writer.write(b"{}")
+        assert (await client.answer()).code == 502
+        assert sum(backend.got.qsize() for backend in backends) == 1
+
+
+async def test_an_effect_that_turns_milder_does_not_reach_back(tmp_path: Path) -> None:
+    respond = erring(1)
+    backends = Backend("b0", respond), Backend("b1", respond)
+    async with running(tmp_path, *backends) as rig:
+        client = await head(rig, "/once")
+        await reload(rig, [PAY | {"name": "once", "group": "all"}], **{"most-tries": 9})
+        client.writer.write(b"{}")
+        assert (await client.answer()).code == 502
+        assert sum(backend.got.qsize() for backend in backends) == 1
+
+
+async def test_the_deadline_is_that_of_the_head(tmp_path: Path) -> None:
+    backend = Backend("b0")
+    async with running(tmp_path, backend) as rig:
+        client = await head(rig, "/pay")
+        await reload(rig, [PAY | {"give-up": 2000, "objective": 1500}])
+        client.writer.write(b"{}")
+        assert (await client.answer()).code == 200
+        assert (await client.pay()).code == 200
+        old, new = [int((await backend.got.get()).headers["request-timeout"][:-1]) for _ in range(2)]
+        assert new <= 2_000_000 < old
+
+
+def test_what_a_class_has_learned_is_used_for_an_old_head_and_not_lost() -> None:
+    balancer = node(BASE, ["b0"])
+    stricter = replace(BASE, classes=(replace(KEYED, effect=api.Effect.UNSAFE),))
+    balancer.classes["pay"].usual = 33.0
+    balancer.handle(1010.0, api.Reconfigured(stricter))
+    for name, under, effect in (("old", BASE, api.Effect.KEYED), ("new", stricter, api.Effect.UNSAFE)):
+        balancer.handle(1020.0, api.Arrival(name, "pay", 2020.0, under=under))
+        cls = balancer.requests[name].cls
+        assert (cls.cfg.effect, cls.usual) == (effect, 33.0)
+    assert balancer.requests["new"].cls is balancer.classes["pay"]
