--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -233,6 +233,7 @@
     work_hint: float | None = None
     writes: bool = False
     arriving: bool = False  # its body still comes in: `deadline` is what it would be by now, see `Arrived`
+    under: Settings | None = None  # those in force when its head came, which it keeps; None: those of now
 
 
 @dataclass(slots=True)
@@ -305,7 +306,7 @@
 
 @dataclass(slots=True)
 class Reconfigured:
-    """New settings, checked and whole. Requests under way keep the class that they came with."""
+    """New settings, checked and whole. Requests under way keep the class and attempts that they came with."""
 
     settings: Settings
 
@@ -381,11 +382,15 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; a time-out of 0 lasts until the client gives up."""
+    """Start an attempt; a time-out of 0 lasts until the client gives up.
+
+    What has not left by the clock time `before` must not leave any more (0: no such limit).
+    """
 
     request: str
     backend: str
     timeout: float
+    before: float = 0.0
 
 
 @dataclass(slots=True)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -32,6 +32,10 @@
 class Client(Protocol):
     """Whoever waits for the answer of one request."""
 
+    @property
+    def left(self) -> bool:
+        """Whether it has left unseen, as nothing is read from it now."""
+
     def served(self, body: bytes, content_type: bytes) -> None:
         """Pass on a backend's answer."""
 
@@ -203,15 +207,14 @@
                 self._act(action)
         except Exception:  # guards against one bad request ending the node with all the others
             log.exception("decision on %s failed", type(event).__name__)
-            name = getattr(event, "request", None)
-            if name in self.open:
-                self._abandon(name)
+            self._abandon(getattr(event, "request", ""))
 
     def _abandon(self, name: str) -> None:
-        request = self.open[name]
-        for item in request.attempts:
-            self._stop(item)
+        if (request := self.open.get(name)) is None:
+            return
         self._answer(name, End.FAILED, lambda client: client.failed())
+        self.event(api.ClientGone(name))
+        self._call_off(request, True)
 
     def arrival(
         self, event: api.Arrival, client: Client, render: Callable[[float], bytes],
@@ -311,14 +314,15 @@
             long = request.streaming or request.arriving
             self._close(name, request)
             self.event(api.ClientGone(name))
-            if long:  # nothing bounds the time of what it would leave behind
-                self._call_off(request)
+            self._call_off(request, long)  # nothing bounds the time of what a long one would leave behind
 
-    def _call_off(self, request: Open) -> None:
+    def _call_off(self, request: Open, begun: bool) -> None:
+        """No answer is owed any more: what has not begun does not; what has begun ends only where asked."""
         for item in request.attempts:
-            if not item.over:
+            runs = item.attempt is not None and item.attempt.began
+            if not item.over and (begun or not runs):
                 self._stop(item)
-                self._outcome(item, Answer(api.Status.CANCELLED))
+                self._outcome(item, Answer(api.Status.CANCELLED if runs else api.Status.MOOT))
 
     def list(self, news: News, kind: api.ListKind) -> None:
         """The list, or a change of it."""
@@ -398,15 +402,31 @@
         item.stop = action.timeout
         wait = self._clock(item, request)
         spent = request.upload is not None and request.upload.spent
-        if request.answered or spent or action.backend not in self.pool.hosts or wait <= 0:
-            self._outcome(item, Answer(api.Status.MOOT))
+        if (spent or action.backend not in self.pool.hosts or wait <= 0 or 0 < action.before <= now
+                or not self._wanted(action.request, request)):
+            if not item.over:  # else called off with its request
+                self._outcome(item, Answer(api.Status.MOOT))
             return
         item.attempt = self.pool.start(
             action.backend, request.render(wait), partial(self._outcome, item),
-            partial(self._begin, item), request.upload,
+            partial(self._begin, item), request.upload, partial(self._wanted, action.request, request),
         )  # fmt: skip
         if item.over:
             item.attempt = None
+        elif action.before:
+            self.loop.call_later((action.before - now) / 1000, self._too_late, item)
+
+    def _too_late(self, item: Try) -> None:
+        """From now on a backend might take a repeat for a new request: what has not left stays here."""
+        if not item.over and (item.attempt is None or not item.attempt.left):
+            self._stop(item)
+            self._outcome(item, Answer(api.Status.MOOT))
+
+    def _wanted(self, name: str, request: Open) -> bool:
+        """Whether an answer is still owed; looks at a client that would not be seen to leave."""
+        if not request.answered and request.client.left:
+            self.gone(name)
+        return not request.answered
 
     def _begin(self, item: Try, source: Connection, size: int | None, content_type: bytes) -> Sink | None:
         """A long answer begins: from here on it has all the time that it goes on, as long as it does come."""
@@ -496,8 +516,7 @@
             self.figures.ended(end, request.class_name)
             self._close(name, request)
             tell(client)
-            if arriving:
-                self._call_off(request)
+            self._call_off(request, arriving)
 
     def _close(self, name: str, request: Open) -> None:
         request.answered = True
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -256,11 +256,22 @@
                 continue
             there = a.backend.entry
             apart = here.zone != there.zone if c.group is api.Group.ZONE else here.cell != there.cell
-            late = self.now - a.sent > c.memory_span - 2 * self.cfg.tick
+            late = self.now > self._forgotten(req, a)
             if c.effect is api.Effect.UNSAFE or late or (apart and c.group is not api.Group.ALL):
                 return False
         return True
 
+    def _forgotten(self, req: Request, a: Attempt) -> float:
+        """When the backends of its group may take a keyed repeat for a new request."""
+        return a.sent + req.cls.cfg.memory_span - 2 * self.cfg.tick
+
+    def _window(self, req: Request) -> float:
+        """Until when a further attempt may leave: its connection may come up much later. 0: no limit."""
+        if req.cls.cfg.effect is not api.Effect.KEYED:
+            return 0.0
+        return min((self._forgotten(req, a) for a in req.attempts if a.status not in api.NEVER_RAN),
+                   default=0.0)
+
     def _panic(self, req: Request, count: int, names: list[str], crowd: float = math.inf) -> list[Backend]:
         """Nothing this node feeds is eligible: its own view may be the culprit, so ejections are ignored."""
         self._log(f"panic: {len(names)} backends in view, none eligible, ignoring ejections")
@@ -277,15 +288,14 @@
             b.away = self.now
 
     def _arrival(self, ev: api.Arrival) -> None:
-        if (cls := self.classes.get(ev.class_name)) is None:
-            raise api.CallError(f"unknown class: {ev.class_name!r}")
+        cls, most = self._came_under(ev)
         c = cls.cfg
         useful = self._useful(cls, ev.deadline, ev.work_hint)
         density = c.value / cls.usual
         self.density += EWMA / 2 * (density - self.density)
         self.bank, self.arrived = min(RETRY_BANK, self.bank + RETRY_SHARE), self.arrived + 1
         req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density,
-                      self.cfg.max_attempts, arriving=ev.arriving)
+                      most, arriving=ev.arriving)
         self.requests[ev.request] = req
         if self.admission is not None and self.admission.due(self.now):
             self._fill(self.admission)
@@ -295,6 +305,17 @@
         else:
             self._finish(req, "late")
 
+    def _came_under(self, ev: api.Arrival) -> tuple[Class, int]:
+        """Its class and most attempts: a reload between its head and its last byte is for later ones."""
+        under, held = ev.under or self.cfg, self.classes.get(ev.class_name)
+        if under is not self.cfg:
+            c = next((c for c in under.classes if c.name == ev.class_name), None)
+            if c is not None and (held is None or held.cfg != c):
+                held = Class(c, c.aim / 4) if held is None else replace(held, cfg=c)
+        if held is None:
+            raise api.CallError(f"unknown class: {ev.class_name!r}")
+        return held, under.max_attempts
+
     def _useful(self, cls: Class, deadline: float, work: float | None) -> float:
         """Until when an answer is worth something, for a request that is in whole now."""
         c, left = cls.cfg, deadline - self.now
@@ -348,6 +369,8 @@
     def _release(self) -> None:
         while self.held and self.out < self.limit:
             req = self.held.pop()
+            if req.over:  # its client has left
+                continue
             if self._fits(req):
                 self._dispatch(req)
             else:
@@ -444,11 +467,12 @@
     def _send(self, req: Request, b: Backend) -> None:
         """The one place where an attempt is made: drains, repeats, closed requests and limits end here."""
         if (req.over or req.stream or not self._takes(b) or not self._legal(req, b)
-                or len(req.attempts) >= self._most(req) or (self.now >= req.deadline and not req.arriving)):
+                or len(req.attempts) >= req.most or (self.now >= req.deadline and not req.arriving)):
             self._finish(req, "late")
             return
         if self.admission is not None and self._warmth(b.entry) < 1.0:
             self.admission.took()
+        before = self._window(req)
         req.attempts.append(Attempt(b, self.now, b.estimate == 0 or not self.looks))
         req.out, b.estimate = req.out + 1, b.estimate + 1
         if req.arriving:  # a slow client keeps no place from others: the backend has yet to begin
@@ -463,11 +487,7 @@
         if self.lost > LOSSY and c.late_worth > 0 and again and cut + req.cls.usual < left:
             stop, req.attempts[-1].cut = cut, True
         req.attempts[-1].short = (stop or req.deadline - self.now) < cut
-        self.acts.append(api.Send(req.id, b.entry.backend, stop))
-
-    def _most(self, req: Request) -> int:
-        """Attempts that both the settings it came under and those of now allow."""
-        return min(req.most, self.cfg.max_attempts)
+        self.acts.append(api.Send(req.id, b.entry.backend, stop, before))
 
     def _outcome(self, ev: api.Outcome) -> None:
         req = self.requests.get(ev.request)
@@ -552,7 +572,7 @@
     def _again(self, req: Request) -> None:
         """The attempt failed: try elsewhere while that can meet the aim and the retry budget lasts."""
         cost = 0.0 if req.attempts[-1].cut else 1.0  # a lost answer is no sign of load
-        may = self.bank >= cost and len(req.attempts) < self._most(req) and self._fits(req)
+        may = self.bank >= cost and len(req.attempts) < req.most and self._fits(req)
         may = may and any(self._legal(req, self.backends[name]) for name in self.up)  # else it waits in vain
         self.bank -= cost * may
         if may:
