Upstream: a connection called off while it comes up closes its descriptor once

Cause: between Loop.create_connection(sock=) taking the descriptor (tr._open) and connection_made, which is a turn of the loop later, Connection.transport is still None, so that Connection.close() ran self.sock.close() and cancelled open(); the cancelled create_connection then closed the same number again.

Change: from the moment the loop takes the descriptor over, close() only shuts the connection down (it is over for the peer on return, as before), and open(), which is no longer cancelled from then on nor under the time limit, aborts the transport at the end.

Ruled out: a refused connection leaves its number alone.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -143,6 +143,7 @@
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
         self.closed = self.wrote = self.blocked = False
+        self.handing = False  # the loop takes the descriptor over: closing it is for `open` alone, at the end
         self.idle_since = self.moved = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
@@ -166,12 +167,16 @@
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
                 await loop.sock_connect(self.sock, self.address)
-                await loop.create_connection(lambda: self, sock=self.sock)
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
-        attempt = self.attempt
-        if attempt is None or self.closed:
+        self.handing = True
+        await loop.create_connection(lambda: self, sock=self.sock)
+        self.handing, attempt = False, self.attempt
+        if self.closed:
+            assert self.transport is not None
+            self.transport.abort()
+        elif attempt is None:
             self.close()
         elif not self.host.up or self.host.address != self.address:
             # Guards against sending to a backend that was taken off the list while the connection came up.
@@ -199,14 +204,16 @@
         self.pool.count -= 1
         if self in self.host.idle:
             self.host.idle.remove(self)
-        if self.task is not None and not self.task.done() and self.task is not asyncio.current_task():
-            self.task.cancel()
-        if self.transport is None:
+        if self.transport is None and not self.handing:
+            if self.task is not None and self.task is not asyncio.current_task():
+                self.task.cancel()
             self.sock.close()
             return
         with contextlib.suppress(OSError):  # the other side was first
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.transport.abort()
+        # Guards against closing a descriptor twice: by then it may be that of a client who waits.
+        if self.transport is not None and not self.handing:
+            self.transport.abort()
 
     # --- asyncio.Protocol
 
@@ -214,8 +221,6 @@
         """Keep no bytes back: what a write leaves in the buffer has not left, and that must be known."""
         self.transport = cast(asyncio.Transport, transport)  # no subclass of it under uvloop
         self.transport.set_write_buffer_limits(high=0)
-        if self.closed:
-            self.transport.abort()
 
     def pause_writing(self) -> None:
         """Bytes of the request are still here."""
