Front: one lingering close for every connection that this side ends

Cause: ClientConnection.close ended both ways right behind the last answer, and on idle connections (eviction over the cap, stop, silence): bytes that come in that moment turn it into a reset, which takes the answer with it. _abort reset a long answer that could not be finished also where its framing tells the client so: what had been written and not arrived went with it, which leaves a connection that ended with no answer. After Front.stop what stood in the listener's queue was reset, and after node.finish the client side went on reading and taking for 0.05 s, whose requests were lost; what had not left the write buffers then was lost too. end() polled every 10 ms.

Change: a stage (open, last, draining, lingering, closed) in place of closing, close_after and draining. linger() half-closes once the answer is out and drops what comes until the client ends too: for 1 s from when the answer is out; connections that linger don't crowd out others, and with the open ones there are never more than the cap and 16 over it, else the longest lingering one goes. A long answer that breaks off ends so if it is chunked or has a length; a reset remains for HTTP/1.0 without one, and for a client that reads nothing for 20 s. A client that sends requests and reads no answers is left waiting (what was written to it had no bound). stop() takes what waits in the listener's queue; drained() waits, by events, until each connection has had its last answer; close() ends the rest, from when nothing is taken, and returns when all is written and the clients have ended, 0.1 s before SIGKILL at the latest.

Ruled out: small writes held back (TCP_NODELAY is set on accepted and dialled sockets), a log line for a reset that crosses the close, more than one answer or memory kept for floods and bad requests behind a good one.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -30,7 +30,8 @@
     from dillport.net.fleet import Fleet
 
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
-END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
+END = 0.2  # s before SIGKILL by which the last answer is written
+LEAVE = 0.1  # s before SIGKILL by which it is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
@@ -124,7 +125,6 @@
             fleet.leave()
     discovery.watch(False)
     node.pool.close()
-    await asyncio.sleep(0.05)  # the last answers leave
     console.close()
     node.bans.stop()
     pair.stop()
@@ -197,7 +197,8 @@
 async def end(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
     """Answer all that was taken, before SIGKILL comes."""
     loop = asyncio.get_running_loop()
-    last = loop.time() + until_killed(node.settings) - END
+    killed = loop.time() + until_killed(node.settings)
+    last = killed - END
     pair.refresh()
     node.succeeded, node.stopping = pair.beside, True
     if fleet is not None and not node.succeeded:
@@ -208,9 +209,9 @@
     else:
         await asyncio.sleep(min(ACCEPT, last - CLOSE - loop.time()))
     front.stop()
-    while front.reading and loop.time() < last:
-        await asyncio.sleep(0.01)
+    await front.drained(max(0.0, last - loop.time()))
     await node.finish(max(0.0, last - loop.time()))
+    await front.close(max(0.0, killed - LEAVE - loop.time()))
 
 
 def main() -> int:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import enum
 import fcntl
 import logging
 import re
@@ -26,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 MAX_HEAD = 16 * 1024
-LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
+LINGER = 1.0  # s for a client to read its last answer and end its side, from when that answer is out
 BACKLOG = 1024  # connections that wait to be accepted
 OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.5  # s for a head to come in once it has begun, for the first one since the connection came
@@ -75,6 +77,16 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+class Stage(enum.Enum):
+    """How far a client connection has come."""
+
+    OPEN = enum.auto()  # requests are read
+    LAST = enum.auto()  # the answer under way, or the next, is the last: what follows is left unread
+    DRAINING = enum.auto()  # the same, but its request's body still comes: that is read and thrown away
+    LINGERING = enum.auto()  # this side has ended; whatever comes until the client ends too is thrown away
+    CLOSED = enum.auto()
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection; it carries one request at a time."""
 
@@ -82,14 +94,15 @@
         self.front, self.node = front, front.node
         self.transport: asyncio.Transport | None = None
         self.request: str | None = None  # the open one
-        self.closing = self.mid = self.close_after = False
-        self.draining = False  # answered before its body was in: the rest is read and thrown away
+        self.stage = Stage.OPEN
+        self.mid = False  # a request has come in part
         self.keep_alive = True
         self.source: Connection | None = None  # of a long answer under way
-        self.chunked = False  # that answer
+        self.chunked = self.framed = False  # that answer; whether the client can tell where it is to end
         self.kept = False  # its head lets the client send another request here: a close now would cross that
         self.slow: asyncio.TimerHandle | None = None  # for what the client sends
         self.stuck: asyncio.TimerHandle | None = None  # for what it reads
+        self.deaf = False  # nothing is read of it until it has read more
         self.parser = httptools.HttpRequestParser(self)
         self._reset()
 
@@ -103,6 +116,16 @@
         self.head = self.size = 0
         self.in_body = False
 
+    @property
+    def closing(self) -> bool:
+        """Whether this connection is over for this side: nothing is taken from it or written to it."""
+        return self.stage in (Stage.LINGERING, Stage.CLOSED)
+
+    def _last_one(self) -> None:
+        """Take no request after this one."""
+        if self.stage is Stage.OPEN:
+            self.stage = Stage.LAST
+
     # --- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,11 +137,16 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has left; a request that it waited for is owed no more."""
-        self.closing = True
+        self.stage = Stage.CLOSED
+        self.front.lost(self)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Nothing more is owed here."""
         if self.slow is not None:
             self.slow.cancel()
+            self.slow = None
         self._end_stream()
-        self.front.lost(self)
         if self.request is not None:
             name, self.request = self.request, None
             self.node.gone(name)
@@ -135,7 +163,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read a request; what cannot be read gets a plain answer and a close."""
-        if self.closing or (self.close_after and not self.draining):
+        if self.stage not in (Stage.OPEN, Stage.DRAINING):
             return  # the answer under way says `Connection: close`: what follows is for another connection
         try:
             self.parser.feed_data(data)
@@ -163,21 +191,21 @@
 
         Guards against a second answer where the request was answered at once.
         """
-        self.close_after = True
+        self._last_one()
         if self.request is None:
-            self.close()
+            self.linger()
 
     def _too_slow(self) -> None:
         self.slow = None
         if not self.mid:
             if self.request is None:
-                self.close()
+                self.linger()
             return
         left = self._due() - self.front.loop.time()
         if left > 0:
             self.slow = self.front.loop.call_later(left, self._too_slow)
-        elif self.draining:
-            self._abort()
+        elif self.stage is Stage.DRAINING:
+            self._break_off()
         else:
             self._turn_away(408, "request took too long")
 
@@ -193,9 +221,9 @@
 
     def on_message_begin(self) -> None:
         """A request begins; one that comes before the last is answered is left unread."""
-        if self.request is not None or self.closing or self.draining:
+        if self.request is not None or self.stage is not Stage.OPEN:
             # Guards against taking what comes in one packet behind an answer that closes: it would be lost.
-            self.close_after = True
+            self._last_one()
             return
         self._reset()
         self.mid = True
@@ -203,18 +231,18 @@
 
     def on_url(self, url: bytes) -> None:
         """The request's target, in pieces."""
-        if not self.close_after:
+        if self.stage is Stage.OPEN:
             self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header; trailers say nothing that is needed."""
-        if not (self.close_after or self.in_body):
+        if self.stage is Stage.OPEN and not self.in_body:
             self.size += len(name) + len(value)
             self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """The head is whole; from here on the size is the body's."""
-        if self.close_after:
+        if self.stage is not Stage.OPEN:
             return
         if self.size + len(self.target) > MAX_HEAD:
             raise BadRequest(431, "headers too long")
@@ -234,10 +262,10 @@
 
     def on_body(self, body: bytes) -> None:
         """A piece of the body: held while it is small, else passed on."""
-        if self.close_after and not self.draining:
+        if self.stage not in (Stage.OPEN, Stage.DRAINING):
             return
         self.size += len(body)
-        if self.draining:
+        if self.stage is Stage.DRAINING:
             return
         if self.size > (SMALL if self.arrival is None else LARGEST):
             raise BadRequest(413, "body too large")
@@ -265,16 +293,16 @@
 
     def on_message_complete(self) -> None:
         """The request is whole: a small one is taken, the time of a long one starts."""
-        if self.close_after and not self.draining:
+        if self.stage not in (Stage.OPEN, Stage.DRAINING):
             return
         self.mid = False
         if self.slow is not None:
             self.slow.cancel()
             self.slow = None
-        if self.draining:
-            self.draining = False
+        if self.stage is Stage.DRAINING:
+            self.stage = Stage.LAST
             if self.source is None:  # else once the answer is whole
-                self.close()
+                self.linger()
             return
         self.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         if self.upload is None:
@@ -333,7 +361,8 @@
         if event.request in node.open:
             self._turn_away(409, "Request-Id is in use")
             return
-        crowded = self.close_after = self.front.crowded
+        if crowded := self.front.crowded:
+            self._last_one()
         if node.full() or crowded:
             node.over_cap(event.class_name)
             # Guards the descriptors and the open requests: nothing ran, so turning it away is harmless.
@@ -375,35 +404,36 @@
         """Say that the request failed, or break off the long answer that has begun."""
         self.request = None
         if self.source is not None:
-            self._abort()
+            self._break_off()
         else:
             self._write(502, b"failed\n")
 
     def _turn_away(self, code: int, why: str) -> None:
         if self.closing:
             return
-        if self.draining:
-            self._abort()
+        if self.stage is Stage.DRAINING:
+            self._break_off()
             return
         if self.request is not None:
             if not self.mid or self.upload is None:
-                self.close_after = True  # the request before it gets its own answer first
+                self._last_one()  # the request before it gets its own answer first
                 return
             name, self.request = self.request, None
             self.node.gone(name)  # its own body is at fault
             if self.source is not None:
-                self._abort()
+                self._break_off()
                 return
         if self.upload is not None:
             self.upload.drop()
             self.upload = None
-        self.mid = self.close_after = True
+        self.mid = True
+        self._last_one()
         self._write(code, why.encode() + b"\n")
 
     @property
     def _last(self) -> bool:
         """Whether no other request may follow on this connection."""
-        return self.close_after or self.mid or self.node.stopping or not self.keep_alive
+        return self.stage is not Stage.OPEN or self.mid or self.node.stopping or not self.keep_alive
 
     def _write(self, code: int, body: bytes, extra: bytes = b"") -> None:
         if self.closing or self.transport is None:
@@ -418,11 +448,9 @@
         """The answer is whole."""
         if self.mid and self.upload is not None:
             # Guards against a reset that takes the answer with it: the client still sends.
-            self.draining = self.close_after = True
-        elif self.mid:
-            self._linger()
-        elif self.close_after or (self._last and not self.kept):
-            self.close()
+            self.stage = Stage.DRAINING
+        elif self.stage is not Stage.OPEN or self.front.stopped or (self._last and not self.kept):
+            self.linger()
         else:
             self.kept = False
             self.front.idle[self] = None
@@ -437,10 +465,11 @@
         self.node.budget.streams += 1
         self.transport.set_write_buffer_limits(high=self.node.budget.window)
         self.chunked = size is None and self.parser.get_http_version() == "1.1"
-        if size is None and not self.chunked:
-            self.close_after = True  # its end is the connection's
+        self.framed = self.chunked or size is not None
+        if not self.framed:
+            self._last_one()  # its end is the connection's
         if self.mid:
-            self.draining = self.close_after = True
+            self.stage = Stage.DRAINING
         head = b"HTTP/1.1 200 OK\r\n"
         if content_type:
             head += b"Content-Type: %b\r\n" % content_type
@@ -466,34 +495,54 @@
         if self.chunked:
             self.transport.write(b"0\r\n\r\n")
         self._end_stream()
-        if self.draining:
-            return
-        self._written()
+        if self.stage is not Stage.DRAINING:
+            self._written()
 
     def pause_writing(self) -> None:
-        """The client reads slowly."""
+        """The client reads slowly: no more is asked of the backend, or read of requests for short answers."""
+        if self.closing or self.transport is None:
+            return
         if self.source is not None:
             self.source.pause()
-            self.stuck = self.front.loop.call_later(STUCK, self._abort)
+        elif self.stage is Stage.OPEN and not self.paused_at:
+            # Guards memory against a client that sends and sends, and reads nothing.
+            self.deaf = True
+            self.transport.pause_reading()
+        self.stuck = self.front.loop.call_later(STUCK, self._abort)
 
     def resume_writing(self) -> None:
         """There is room again."""
-        if self.stuck is not None:
-            self.stuck.cancel()
-            self.stuck = None
+        self._unstick()
         if self.source is not None:
             self.source.resume()
 
-    def _end_stream(self) -> None:
+    def _unstick(self) -> None:
         if self.stuck is not None:
             self.stuck.cancel()
             self.stuck = None
+        if self.deaf and self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+        self.deaf = False
+
+    def _end_stream(self) -> None:
+        self._unstick()
         if self.source is not None:
             self.source = None
             self.node.budget.streams -= 1
 
+    def _break_off(self) -> None:
+        """End a long answer that will not be whole, in a way that no client takes for its end.
+
+        Guards against a reset where the framing tells: what is on its way to the client would go with it, and
+        a connection that ends with nothing of an answer is one that lost its request.
+        """
+        if self.framed or self.source is None:
+            self.linger()
+        else:
+            self._abort()
+
     def _abort(self) -> None:
-        """End in a way that no client takes for the end of an answer."""
+        """Reset the connection."""
         if self.transport is None or self.transport.is_closing():
             return
         sock = self.transport.get_extra_info("socket")
@@ -514,24 +563,33 @@
             return False
         return int.from_bytes(waiting, sys.byteorder) > 0
 
-    def close(self) -> None:
-        """Close once the answer is out."""
-        if not self.closing and self.transport is not None:
-            self.closing = True
-            self.front.idle.pop(self, None)
-            self.transport.close()
-            if self.transport.get_write_buffer_size():  # guards against a client that never reads the rest
-                self.front.loop.call_later(STUCK, self.transport.abort)
-
-    def _linger(self) -> None:
-        """Close once the client has read its answer.
+    def linger(self) -> None:
+        """End this side once the answer is out, then throw away what comes until the client has ended too.
 
-        Guards against a reset that takes the answer with it: it is what closing does while bytes come in.
+        Guards against a reset, which takes the answer with it: it is what closing does over unread bytes.
         """
-        if not self.closing and self.transport is not None:
-            self.closing = True
+        if self.closing or self.transport is None:
+            return
+        self.stage = Stage.LINGERING
+        self._let_go()
+        self.front.lingers(self)
+        if not self.transport.is_closing():
             self.transport.write_eof()
-            self.front.loop.call_later(LINGER, self.transport.abort)
+        loop = self.front.loop
+        self.slow = loop.call_later(LINGER, self._lingered, loop.time() + STUCK)
+
+    def _lingered(self, last: float) -> None:
+        assert self.transport is not None
+        loop = self.front.loop
+        if self.transport.get_write_buffer_size() and loop.time() < last:
+            self.slow = loop.call_later(LINGER, self._lingered, last)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close at once, whatever is still on its way."""
+        if self.transport is not None:
+            self.transport.abort()
 
 
 class Front:
@@ -543,6 +601,10 @@
         self.socket: socket.socket | None = None
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # longest idle first
+        self.lingering: dict[ClientConnection, None] = {}  # no longer among the connections; longest first
+        self.stopped = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._left, self._gone = asyncio.Event(), asyncio.Event()
         self.server: asyncio.Server | None = None
 
     @property
@@ -570,31 +632,71 @@
         )
 
     def took(self, connection: ClientConnection) -> None:
-        """A connection came in; over the cap the longest idle one goes."""
+        """A connection came in; over the cap the longest idle one goes, and then whoever lingers."""
         self.connections.add(connection)
         self.node.counts["connected"] += 1
         self.idle[connection] = None
         if self.crowded:
             oldest = next(iter(self.idle))
             if oldest is not connection:
-                oldest.close()
-            elif len(self.connections) > self.limit + OVER:
-                connection.close()
+                oldest.linger()
+        if len(self.connections) + len(self.lingering) > self.limit + OVER:
+            first = next(iter(self.lingering), connection)
+            self.lingering.pop(first, None)
+            first.close()
+
+    def lingers(self, connection: ClientConnection) -> None:
+        """This side has ended it: it no longer stands in the way of others."""
+        self.lost(connection)
+        self.lingering[connection] = None
 
     def lost(self, connection: ClientConnection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
         self.idle.pop(connection, None)
-
-    @property
-    def reading(self) -> bool:
-        """Whether a request has come in part."""
-        return any(connection.mid and not connection.closing for connection in self.connections)
+        self.lingering.pop(connection, None)
+        if not self.connections:
+            self._left.set()
+        if not self.connections and not self.lingering:
+            self._gone.set()
 
     def stop(self) -> None:
-        """Accept no more and close what is idle; a request that has come meanwhile is still read."""
+        """Accept no more and end what is idle; a request that has come meanwhile is still answered."""
+        self.stopped = True
         if self.server is not None:
+            self._empty()
             self.server.close()
         for connection in list(self.idle):
             if not connection.unread:
-                connection.close()
+                connection.linger()
+
+    def _empty(self) -> None:
+        """Take what waits in the listener's queue: it would be reset."""
+        assert self.socket is not None
+        with contextlib.suppress(OSError):  # none is left
+            while True:
+                sock, _ = self.socket.accept()
+                sock.setblocking(False)
+                self.tasks.add(task := self.loop.create_task(self._accept(sock)))
+                task.add_done_callback(self.tasks.discard)
+
+    async def _accept(self, sock: socket.socket) -> None:
+        await self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+
+    async def drained(self, wait: float) -> None:
+        """Once stopped: wait until every connection has had its last answer, `wait` seconds at most."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=wait)
+        if self.connections:
+            self._left.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._left.wait(), wait)
+
+    async def close(self, wait: float) -> None:
+        """End every connection; returns when all is written and all clients have ended, or after `wait`."""
+        for connection in list(self.connections):
+            connection.linger()
+        if self.lingering:
+            self._gone.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._gone.wait(), wait)
