SIGTERM while a process takes over from another ends it at once

Cause: serve() awaited take_place(), which waits up to 3 s (FRESH) for a list of discovery, without looking at the signal; it then listened, and began the end only after that: later than SIGKILL where deadlines are short.

Change: take_place runs under unless(stop, ...), as the way back of the fleet's room does; a process that is told to end there never listens.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -112,16 +112,17 @@
         node.event(recovered)
     if not config.settings.must_ask:
         node.discovery.watch(True)
-    if fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside)):
-        if beside:
-            await take_place(node, front, recovered is None)
+    ready = fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside))
+    if ready and beside:
+        ready = await unless(stop, take_place(node, front, recovered is None))
+    if ready:
         await listen(node, front, pair, fleet)
         await stop.wait()
         await end(node, front, pair, fleet)
     else:
         node.stopping = True
         pair.refresh()
-        if not pair.beside:
+        if fleet is not None and not pair.beside:
             fleet.leave()
     discovery.watch(False)
     node.pool.close()
