--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -475,3 +475,29 @@
 
 
 test_once_closed_nothing_is_taken = on_uvloop(_closed)
+
+
+async def _unframed(tmp: Path) -> None:
+    """Ruled out: an answer that ends with its connection does not look whole where it broke off."""
+    go = asyncio.Event()
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000))
+        await writer.drain()
+        await go.wait()
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    async with front_of(tmp, Backend("b0", respond)) as front:
+        peer = Peer()
+        await peer.reach(front)
+        peer.sock.send(b"GET /read HTTP/1.0\r\nRequest-Id: 1\r\n\r\n")
+        assert (await peer.read(60_000)).startswith(b"HTTP/1.1 200 OK")
+        go.set()
+        with pytest.raises(ConnectionResetError):
+            await peer.read(100_000)
+        peer.sock.close()
+
+
+test_an_answer_with_no_framing_that_breaks_off_ends_in_a_reset = on_uvloop(_unframed)
