--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -30,7 +30,8 @@
     from dillport.net.fleet import Fleet
 
 ACCEPT = 0.8  # s to go on accepting after SIGTERM: connections come for 0.4 s more
-END = 0.2  # s before SIGKILL by which the last answer is out: the process has still to end
+END = 0.2  # s before SIGKILL by which the last answer is written
+LEAVE = 0.1  # s before SIGKILL by which it is out: the process has still to end
 CLOSE = 0.3  # s before that when idle connections are closed: a request that crosses it is still answered
 FRESH = 3.0  # s for discovery to tell the list to a process that takes over; it has 6 s to be ready
 
@@ -111,20 +112,20 @@
         node.event(recovered)
     if not config.settings.must_ask:
         node.discovery.watch(True)
-    if fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside)):
-        if beside:
-            await take_place(node, front, recovered is None)
+    ready = fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside))
+    if ready and beside:
+        ready = await unless(stop, take_place(node, front, recovered is None))
+    if ready:
         await listen(node, front, pair, fleet)
         await stop.wait()
         await end(node, front, pair, fleet)
     else:
         node.stopping = True
         pair.refresh()
-        if not pair.beside:
+        if fleet is not None and not pair.beside:
             fleet.leave()
     discovery.watch(False)
     node.pool.close()
-    await asyncio.sleep(0.05)  # the last answers leave
     console.close()
     node.bans.stop()
     pair.stop()
@@ -197,7 +198,8 @@
 async def end(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
     """Answer all that was taken, before SIGKILL comes."""
     loop = asyncio.get_running_loop()
-    last = loop.time() + until_killed(node.settings) - END
+    killed = loop.time() + until_killed(node.settings)
+    last = killed - END
     pair.refresh()
     node.succeeded, node.stopping = pair.beside, True
     if fleet is not None and not node.succeeded:
@@ -208,9 +210,9 @@
     else:
         await asyncio.sleep(min(ACCEPT, last - CLOSE - loop.time()))
     front.stop()
-    while front.reading and loop.time() < last:
-        await asyncio.sleep(0.01)
+    await front.drained(max(0.0, last - loop.time()))
     await node.finish(max(0.0, last - loop.time()))
+    await front.close(max(0.0, killed - LEAVE - loop.time()))
 
 
 def main() -> int:
