A body whose client left before all of it was passed on ends its attempt, not the body

Cause: where the settings allow no cancel, node._call_off left an attempt alone once its head was written. node._close then dropped the upload, its rest with it, and the next Connection._pump found nothing to send and all of it in (upload.complete), so that it wrote the last chunk: the backend took a part for the whole. Change: an attempt whose last byte has not left is called off with its request; it never ran. Attempt.began is gone. Result: test_a_body_whose_client_left_... fails without it where cancelling is not allowed (the backend reads a last chunk), passes with it. Ruled out: a stated length, which the backend waits for in vain; an upload that goes out again, as its prefix is put back in front of the queue.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -317,9 +317,13 @@
             self._call_off(request, long)  # nothing bounds the time of what a long one would leave behind
 
     def _call_off(self, request: Open, begun: bool) -> None:
-        """No answer is owed any more: what has not begun does not; what has begun ends only where asked."""
+        """No answer is owed any more: what has not left whole does not; what has ends only where asked.
+
+        Guards, beside a request that begins for nobody, against a body whose rest was thrown away with its
+        client: its end would be told as if that had been all of it.
+        """
         for item in request.attempts:
-            runs = item.attempt is not None and item.attempt.began
+            runs = item.attempt is not None and item.attempt.left
             if not item.over and (begun or not runs):
                 self._stop(item)
                 self._outcome(item, Answer(api.Status.CANCELLED if runs else api.Status.MOOT))
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -95,14 +95,13 @@
     `data` is the request, or only its head where an upload follows.
     """
 
-    __slots__ = ("began", "begin", "connection", "data", "done", "upload", "wanted")
+    __slots__ = ("begin", "connection", "data", "done", "upload", "wanted")
 
     def __init__(
         self, data: bytes, done: Callable[[Answer], None], begin: Begin, upload: Upload | None, wanted: Wanted
     ) -> None:
         self.data, self.done, self.begin, self.upload, self.wanted = data, done, begin, upload, wanted
         self.connection: Connection | None = None
-        self.began = False  # some of it has been written: before that it waits for its connection
 
     @property
     def left(self) -> bool:
@@ -288,7 +287,7 @@
     def write(self, attempt: Attempt) -> None:
         """Send the attempt's request."""
         assert self.transport is not None
-        self.attempt, attempt.connection, attempt.began = attempt, self, True
+        self.attempt, attempt.connection = attempt, self
         self._reset()
         self.asked = True
         self.transport.write(attempt.data)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -321,6 +321,54 @@
         assert on.dials.empty() and on.node.pool.count == 0
 
 
+@dataclass
+class Stalled(Raw):
+    """Reads nothing of its connection until it is let go."""
+
+    go: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.go.wait()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        await super()._serve(reader, writer)
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+async def test_a_body_whose_client_left_before_all_of_it_was_passed_on_never_looks_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, cancel: bool
+) -> None:
+    """All of it is in, part of it waits here for a slow backend: that part is thrown away with the client."""
+    backend = Stalled("b0")
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": cancel}) as on:
+        assert backend.server is not None
+        backend.server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client = await on.client()
+        head = b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        client.writer.write(head + b"%x\r\n%b\r\n" % (2 * SMALL, b"x" * 2 * SMALL))
+        gate = await on.dialled()
+        (connection,) = {
+            item.attempt.connection
+            for request in on.node.open.values()
+            for item in request.attempts
+            if item.attempt is not None
+        }
+        assert connection is not None
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        gate.set()
+        await on.until(lambda: connection.blocked)
+        client.writer.write(b"5\r\nhello\r\n0\r\n\r\n")
+        (request,) = on.node.open.values()
+        await on.until(lambda: request.upload is not None and request.upload.complete)
+        assert connection.blocked
+        await on.leave(client, False)
+        backend.go.set()
+        got = await asyncio.wait_for(backend.raw.get(), WAIT)
+        assert got and not got.endswith(b"0\r\n\r\n") and b"hello" not in got
+        assert on.nothing_left()
+
+
 async def test_a_client_that_stays_is_served_though_it_is_not_read_from(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
