Return of a tier: a failed call of discovery keeps its place in the round, however long it took

Cause: `Turns.failed` counted the whole round from the moment in which the call was heard to have failed. With 200 nodes (a round of 5 s) and a call that is given up after 3.05 s, 8.05 s lay between two calls of a node, beyond the 6 s in which what discovery has counts as told; and calls that failed late left their places.

Change: the round counts from the call's begin: 5 s at 200 nodes, still 40 calls a second at most.

`test_a_failed_turn_keeps_its_place_however_long_the_call_took` fails without it (80 nodes: 5.05 s, 200: 7 and 8.05 s). Open: beyond 240 nodes the round itself is longer than 6 s, as 25 ms for each node are what spares discovery.

--- a/dillport/recovery/turns.py
+++ b/dillport/recovery/turns.py
@@ -19,7 +19,7 @@
 
     def __init__(self, me: int, slot: float) -> None:
         self.me, self.slot = me, slot
-        self.due = math.inf
+        self.due = self.began = math.inf  # the next call, and the last one
         self.asked = 0  # calls so far
 
     def plan(self, now: float, nodes: Iterable[int]) -> None:
@@ -33,13 +33,13 @@
 
     def taken(self, now: float, nodes: int) -> None:
         """The turn has come; the next one follows if nothing comes of it."""
-        self.asked += 1
+        self.asked, self.began = self.asked + 1, now
         self.due = now + UNANSWERED * self._round(nodes)
 
     def failed(self, now: float, nodes: int) -> None:
-        """Once more after a whole round of `nodes`."""
+        """Once more at this node's place in the next round of `nodes`, however long the call took to fail."""
         if self.due < math.inf:
-            self.due = now + self._round(nodes)
+            self.due = max(now, min(self.began, now) + self._round(nodes))
 
     def done(self) -> None:
         """Discovery has told the list."""
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -57,6 +57,7 @@
 from dillport.recovery.shares import share_of
 from dillport.recovery.trust import TABLE, Trust, Verdict
 from dillport.recovery.trust import Kind as What
+from dillport.recovery.turns import Turns
 
 A = TypeVar("A", bound=Action)
 
@@ -532,6 +533,25 @@
     assert max(first) - min(first) <= 40 * 25 + 300
 
 
+@pytest.mark.parametrize("took", [0.0, 2_000.0, 3_050.0])
+@pytest.mark.parametrize("count", [10, 80, 200])
+def test_a_failed_turn_keeps_its_place_however_long_the_call_took(count: int, took: float) -> None:
+    """From one call to the next: what discovery has by then is due 6 s after it is back."""
+    calls = list[float]()
+    for me in range(count):
+        turns = Turns(me, 25.0)
+        turns.plan(0.0, range(count))
+        own = list[float]()
+        while (now := turns.due) < 40_000.0:
+            own.append(now)
+            turns.taken(now, count)
+            turns.failed(now + took, count)
+        steps = [b - a for a, b in itertools.pairwise(own)]
+        assert 1_000.0 <= min(steps) <= max(steps) <= 5_000.0
+        calls += own
+    assert max(sum(at <= other < at + 1_000.0 for other in calls) for at in calls[:: count // 10]) <= 40
+
+
 def test_a_successor_takes_the_phase_over_and_leaves_it_only_forward() -> None:
     tier = returned(3, rows=(OUT,))
     old = tier.nodes[0]
