Discovery: a test that a room that steers the watch leaves a slow list alone

`Returning.list_failed` stops the watch until the node's next turn. It is told of a call's failure only where no slow call goes on, else a list that takes 9 s would never be had in a return. The test fails without that condition in `Discovery._again` (2 of 4 cases), and holds that a stop leaves no timer behind: one call a turn.

Ruled out by it: that the fleet's reader calls beside its turn, or opens two watches.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from itertools import pairwise
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -19,7 +20,7 @@
 from dillport.net import config
 from dillport.net.config import Address
 from dillport.net.discovery import Discovery, Stage
-from dillport.net.node import Node
+from dillport.net.node import Node, Rooms
 from dillport.net.watchdog import PERIOD
 from tests.sockets import configuration
 
@@ -440,6 +441,38 @@
     assert [line.ended < 9.01 for line in world.lines] == [False, True, True]
 
 
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("play", ["slow", "mute"])
+def test_a_room_that_steers_the_watch_hears_of_failures_but_not_of_a_list_that_still_comes(
+    tmp_path: Path, must_ask: bool, play: str
+) -> None:
+    """It would stop every call, the slow one with them, and wait for its next turn."""
+    world = World(tmp_path, must_ask, play)
+    failed = list[float]()
+
+    def steer(discovery: Discovery) -> None:
+        def list_failed() -> None:
+            failed.append(world.now)
+            discovery.watch(False)
+            if world.now < 25:
+                world.loop.call_later(1.0, discovery.watch, True)
+
+        rooms = SimpleNamespace(list_failed=list_failed, listed=lambda *_: None, unchanged=lambda: None)
+        discovery.node.fleet = cast(Rooms, rooms)
+        # The module is heard until its turn is over.
+        watcher = SimpleNamespace(watch=lambda on: None if failed else discovery.watch(on))
+        discovery.node.discovery = cast(Discovery, watcher)
+
+    node = world.play(30, steer)
+    if play == "slow":
+        assert failed == [] and [round(at, 6) for at, _ in world.heard[1:]] == [9.0]
+    else:
+        # No timer is left behind a stop: the room's turn alone brings the next call.
+        assert not node.ready
+        assert [round(at, 2) for at in world.dialled] == [0.0, 4.05, 8.1, 12.15, 16.2, 20.25, 24.3]
+        assert [round(at, 2) for at in failed] == [round(t + 3.05, 2) for t in world.dialled]
+
+
 def test_an_object_that_never_ends_gives_way_to_a_long_list_that_does(tmp_path: Path) -> None:
     """Guards against a call that trickles for ever and keeps its place from those that come to something."""
     world = World(tmp_path, False, "endless", "slow")
