A backend's connection rests 25 ms before it is used again: a late second answer is nobody else's

Cause: `Pool.release` put a connection into `idle` at once and `Pool.start` took the one used last, so the next request could be written on it some microseconds later. A second answer to the request before, some milliseconds late, was then read as this request's answer: another request's body.

Change: `Pool.start` takes the connection used last of those idle for `REST`, else opens one; at the cap the longest idle one makes room as before, so that nothing is ever read on one that has not rested. No timer: the list is in order of time and is searched by halves.

Measured: a second answer 5 ms behind the first while another request waits: without the change that one got the first one's body, with it its own.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import contextlib
 import logging
 import math
@@ -24,6 +25,7 @@
 MAX_HEAD = 16 * 1024
 HOLD = 0.025  # s that an answer of unknown length is held once its body has begun: most are whole by then
 STALL = 10.0  # s without a byte, either way, after which a backend that is owed or owes some is given up
+REST = 0.025  # s without a byte before a connection is used again: a second answer may come some ms late
 KEEP = 0.7  # part of the backend's idle limit after which this side closes
 SWEEP = 0.1  # part of the idle limit between two looks for idle connections
 FIELDS = {
@@ -512,15 +514,10 @@
         self, name: str, data: bytes, done: Callable[[Answer], None], begin: Begin = unwanted,
         upload: Upload | None = None, wanted: Wanted = always,
     ) -> Attempt:  # fmt: skip
-        """Begin an attempt: on the connection used last, or on a new one. `done` may be called at once."""
+        """Begin an attempt, on an idle connection or a new one. `done` may be called at once."""
         host = self.hosts[name]
         attempt = Attempt(data, done, begin, upload, wanted)
-        stale = self.loop.time() - KEEP * self.idle_limit
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.idle_since < stale or not connection.alive:
-                connection.close()
-                continue
+        if (connection := self._rested(host)) is not None:
             connection.write(attempt)
             return attempt
         if self.count >= self.limit and not self._evict():
@@ -537,6 +534,20 @@
         connection.task = self.loop.create_task(connection.open())
         return attempt
 
+    def _rested(self, host: Host) -> Connection | None:
+        """The connection used last of those that have rested.
+
+        Guards against taking a second answer to the request before for the answer to this one.
+        """
+        now = self.loop.time()
+        stale = now - KEEP * self.idle_limit
+        while index := bisect.bisect_right(host.idle, now - REST, key=lambda one: one.idle_since):
+            connection = host.idle.pop(index - 1)
+            if connection.idle_since >= stale and connection.alive:
+                return connection
+            connection.close()
+        return None
+
     def _evict(self) -> bool:
         """Close the connection that has been idle longest."""
         idle = [host.idle[0] for host in self.hosts.values() if host.idle]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -24,6 +24,8 @@
     wait_fixed,
 )
 
+from dillport.net.upstream import REST
+
 ROOT = Path(__file__).parents[1]
 WAIT = 30.0  # s until a test that waits for something that does not come fails
 HOUR = 3_600_000  # ms: no time-out or idle limit comes to the help of a test that does not set its own
@@ -62,6 +64,11 @@
     return await AsyncRetrying(**_patience(every))(look)
 
 
+async def rested() -> None:
+    """Returns once the connections that have just been given back may be used again."""
+    await asyncio.sleep(2 * REST)
+
+
 @dataclass
 class Message:
     """A request or an answer as it came over a socket."""
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -11,17 +11,23 @@
 import pytest
 
 from dillport import interface as api
+from dillport.net.config import news
+from dillport.net.figures import Figures
+from dillport.net.stream import Budget
+from dillport.net.upstream import Answer, Pool
 from tests.helpers import BASE, KEYED, node, sends
 from tests.sockets import (
     CLASSES,
     HOUR,
     IDS,
+    WAIT,
     Backend,
     Client,
     Message,
     Respond,
     Rig,
     answer,
+    rested,
     running,
 )  # fmt: skip
 from tests.test_leaving import scene, send
@@ -244,3 +250,62 @@
         cls = balancer.requests[name].cls
         assert (cls.cfg.effect, cls.usual) == (effect, 33.0)
     assert balancer.requests["new"].cls is balancer.classes["pay"]
+
+
+# --- a second answer, late
+
+
+async def test_a_second_answer_that_comes_late_is_nobody_elses(tmp_path: Path) -> None:
+    """It comes some ms behind the first, on a connection that was just given back, with others waiting."""
+    stray = asyncio.Event()
+
+    async def twice(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        name = message.headers["request-id"].encode()
+        if backend.got.qsize() == 1:
+            asyncio.get_running_loop().call_later(0.005, late, writer, name)
+        else:
+            await stray.wait()
+        writer.write(answer(name))
+
+    def late(writer: asyncio.StreamWriter, name: bytes) -> None:
+        writer.write(answer(name))
+        stray.set()
+
+    backend = Backend("b0", twice)
+    async with running(tmp_path, backend) as rig:
+        client = await rig.client()
+        for _ in range(2):
+            name = client.send("/read")
+            got = await client.answer()
+            assert (got.code, got.body) == (200, name.encode())
+        assert await asyncio.wait_for(backend.lost.get(), WAIT) == 1  # the stray bytes spoilt it
+
+
+async def test_the_connection_used_last_of_those_that_rested_is_used(tmp_path: Path) -> None:
+    backend = Backend("b0")
+    async with running(tmp_path, backend) as rig:
+        clients = [await rig.client() for _ in range(3)]
+        for client in clients:
+            await client.ask("/read")
+        await rested()
+        for _ in range(3):
+            assert (await clients[0].ask("/read")).code == 200
+        assert backend.connections == 3
+        await rested()
+        await clients[0].ask("/read")
+        assert backend.connections == 3
+
+
+@pytest.mark.parametrize("limit", [1, 2])
+async def test_at_the_cap_a_connection_that_has_not_rested_makes_room(limit: int) -> None:
+    backend = Backend("b0")
+    await backend.start()
+    pool = Pool(BASE, limit, Figures(), Budget(64.0))
+    pool.update(news({"revision": 1, "complete": True, "members": [backend.member()]}).members, True)
+    for count in range(1, 4):
+        ends: asyncio.Queue[Answer] = asyncio.Queue()
+        pool.start("b0", b"GET / HTTP/1.1\r\nRequest-Id: %d\r\n\r\n" % count, ends.put_nowait)
+        assert (await asyncio.wait_for(ends.get(), WAIT)).body == b"b0 %d" % count
+        assert backend.connections == count and pool.count == min(count, limit)
+    pool.close()
+    backend.stop()
