Tests: timers and an answer in one turn make one end; what came whole is never said not to have run

Ruled out: a deadline, an attempt's time-out and an answer's bytes in one turn of the loop, in all six orders and for all three effects: one answer to the client, one outcome for each attempt, nothing left in the books. Ruled out, under both loops: a reset that stands unread when the request is written never ran (the write fails, no byte is taken); an end that stands unread may have run; a small request has left when the call returns (nothing is queued to the end of the turn, and no Nagle under the loop the program runs on); a reset right behind the last byte of 4 MB, 20 times over from another thread, is always called a reset.

--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import socket
+import struct
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
+import uvloop
 
 from dillport import interface as api
 from dillport.net.config import news
 from dillport.net.figures import Figures
 from dillport.net.stream import Budget
-from dillport.net.upstream import Answer, Pool
+from dillport.net.upstream import Answer, Attempt, Pool
 from tests.helpers import BASE, KEYED, node, sends
 from tests.sockets import (
     CLASSES,
@@ -30,7 +36,7 @@
     rested,
     running,
 )  # fmt: skip
-from tests.test_leaving import scene, send
+from tests.test_leaving import never, scene, send
 
 ERROR = answer(b"", "500 Internal Server Error")
 SPAN = 300.0  # ms
@@ -309,3 +315,148 @@
         assert backend.connections == count and pool.count == min(count, limit)
     pool.close()
     backend.stop()
+
+
+# --- one end each
+
+
+@pytest.mark.parametrize("path", ["/read", "/pay", "/once"])
+@pytest.mark.parametrize("order", list(itertools.permutations(["deadline", "timeout", "answer"])))
+async def test_two_timers_and_an_answer_in_one_turn_make_one_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, order: tuple[str, ...], path: str
+) -> None:
+    backends = Backend("b0", never), Backend("b1", never)
+    async with scene(tmp_path, monkeypatch, *backends) as on:
+        on.freely = 9
+        client, module = await on.client(), on.node
+        name = send(client, path)
+        await on.until(lambda: sum(backend.got.qsize() for backend in backends) == 1)
+        request = module.open[name]
+        item = request.attempts[0]
+        connection = item.attempt.connection if item.attempt is not None else None
+        assert connection is not None
+        due: dict[str, Callable[[], None]] = {
+            "deadline": partial(module._deadline, name),
+            "timeout": partial(module._timeout, item),
+            "answer": partial(connection.data_received, answer(b"x")),
+        }
+        for what in order:
+            due[what]()
+        assert ((await client.answer()).code == 200) == (order[0] == "answer")
+        assert (await client.ask("/up")).body.endswith(b"up\n")  # and not a second answer
+        ends = [count for what, count in module.counts.items() if what.startswith("attempt_")]
+        assert sum(ends) == len(request.attempts) and on.nothing_left()
+        assert sum(sum(counts.values()) for counts in module.figures.ends.values()) == 1
+
+
+# --- what is said never to have run
+
+
+class Peer:
+    """A backend's end of a pool's connection, on sockets that wait."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.pool = Pool(BASE, 9, Figures(), Budget(64.0))
+        row = {"id": "b0", "host_port": f"127.0.0.1:{self.listener.getsockname()[1]}", "phase": "in_service"}
+        self.pool.update(news({"revision": 1, "complete": True, "members": [row]}).members, True)
+        self.ends: asyncio.Queue[Answer] = asyncio.Queue()
+
+    def start(self, data: bytes) -> Attempt:
+        """Begin an attempt."""
+        return self.pool.start("b0", data, self.ends.put_nowait)
+
+    async def end(self) -> api.Status:
+        """How it ends."""
+        return (await asyncio.wait_for(self.ends.get(), WAIT)).status
+
+    async def idle(self) -> socket.socket:
+        """The backend's end of a connection that has served one request and rested."""
+        loop = asyncio.get_running_loop()
+        self.start(b"one")
+        self.listener.setblocking(False)
+        peer, _ = await loop.sock_accept(self.listener)
+        peer.setblocking(False)
+        assert await loop.sock_recv(peer, 9) == b"one"
+        await loop.sock_sendall(peer, answer(b"x"))
+        assert await self.end() is api.Status.OK
+        await rested()
+        return peer
+
+    def close(self) -> None:
+        """Clean up."""
+        self.pool.close()
+        self.listener.close()
+
+
+def reset(sock: socket.socket) -> None:
+    """Close with a RST."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+RUNS = pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+Run = Callable[[Coroutine[Any, Any, None]], None]
+
+
+@RUNS
+def test_a_reset_before_the_write_never_ran_and_an_end_may_have(run: Run) -> None:
+    """Both come while the connection is idle, and the loop has not seen them when the request is written."""
+
+    async def body() -> None:
+        here = Peer()
+        for leave, status in ((reset, api.Status.CONNECT_FAILED), (socket.socket.close, api.Status.RESET)):
+            peer = await here.idle()
+            leave(peer)
+            here.start(b"two")  # in the same turn of the loop
+            assert await here.end() is status
+            assert here.pool.count == 0
+        here.close()
+
+    run(body())
+
+
+@RUNS
+def test_a_write_has_left_when_the_call_returns(run: Run) -> None:
+    """No loop and no system holds a small request back: what was written is called so at once."""
+
+    async def body() -> None:
+        here = Peer()
+        peer = await here.idle()
+        peer.setblocking(True)
+        peer.settimeout(WAIT)
+        attempt = here.start(b"two")
+        assert attempt.left and peer.recv(9) == b"two"  # without a turn of the loop in between
+        assert attempt.connection is not None and attempt.connection.transport is not None
+        sock = attempt.connection.transport.get_extra_info("socket")
+        assert run is asyncio.run or sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        reset(peer)
+        assert await here.end() is api.Status.RESET
+        here.close()
+
+    run(body())
+
+
+@RUNS
+def test_what_came_whole_is_never_said_not_to_have_run(run: Run) -> None:
+    """A reset right behind the last byte, while the loop may not yet know that this has left."""
+    size = 4_000_000
+
+    async def body() -> None:
+        loop, here = asyncio.get_running_loop(), Peer()
+
+        def take() -> None:
+            peer, _ = here.listener.accept()
+            left = size
+            while left:
+                left -= len(peer.recv(min(left, 1 << 16)))
+            reset(peer)
+
+        for _ in range(20):
+            taken = loop.run_in_executor(None, take)
+            here.start(b"x" * size)
+            assert await here.end() is api.Status.RESET
+            await taken
+        here.close()
+
+    run(body())
