A class whose aim gets shorter is not shed whole: its usual time is bounded by its times

Cause: at SIGHUP `Balancer._configure` hands the class's usual time on, learned or still the first guess (a quarter of the old aim), and `_recovered` takes an heir's. Where it lies over the new aim, `_fits` refuses every request of the class, none is sent, and nothing is ever learned.

Change: a usual time that is handed on is bounded by what an answer may take to be worth something.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -87,10 +87,19 @@
         held, self.cfg = self.classes, settings
         self.classes = {c.name: replace(held[c.name], cfg=c) if c.name in held else Class(c, c.aim / 4)
                         for c in settings.classes}
+        for cls in self.classes.values():
+            cls.usual = self._in_time(cls.cfg, cls.usual)
         self.longest_aim = max(c.aim for c in settings.classes)
         self.looks = (settings.probing and settings.reports is not api.Reports.NONE
                       and settings.charges.probe * SAMPLE <= TRIFLE)
 
+    def _in_time(self, c: api.RequestClass, usual: float) -> float:
+        """A usual time under which requests of the class are sent.
+
+        Guards against a class whose aim got shorter: shed whole it would never learn that it can be met.
+        """
+        return min(usual, c.deadline if c.late_worth > 0 else c.aim)
+
     def _reconfigured(self, ev: api.Reconfigured) -> None:
         self._configure(ev.settings)
         self._reorder(set(self.up))
@@ -131,7 +140,7 @@
         self.trust, self.lost = 1.0 - keep * (1.0 - was.trust), keep * was.lost
         for name, (usual, dev, strain) in was.classes.items():
             if (c := self.classes.get(name)) is not None:
-                c.usual, c.dev = c.usual + keep * (usual - c.usual), keep * dev
+                c.usual, c.dev = self._in_time(c.cfg, c.usual + keep * (usual - c.usual)), keep * dev
                 c.strain += keep * (strain - c.strain)
         for name, (started, slow, trip, fails, left) in was.backends.items():
             b = self.backends.get(name)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -143,3 +143,17 @@
         got = await rig.stats()
         assert (got["config_reloads"], got["config_reload_errors"]) == (1, 3)
         assert got["completed"] == {"once": 0, "read-2": 1, "read": 1}
+
+
+@pytest.mark.parametrize("late_worth", [0.0, 0.5])
+def test_a_class_whose_times_get_shorter_is_still_sent(late_worth: float) -> None:
+    """Guards against a class that is shed whole, and so never learns that its new aim can be met."""
+    read = replace(SAFE, late_worth=late_worth)
+    shorter = replace(read, aim=read.aim / 8, deadline=read.deadline / 16)
+    balancer = node(replace(BASE, classes=(read,)), ["b0"])
+    learned = balancer.learned(1005.0)
+    balancer.handle(1010.0, api.Reconfigured(replace(BASE, classes=(shorter,))))
+    heir = node(replace(BASE, classes=(shorter,)), ["b0"])
+    heir.handle(1010.0, api.Recovered(learned, 0.0))
+    for one in (balancer, heir):
+        assert sends(one.handle(1020.0, api.Arrival("r", "read", 1020.0 + shorter.deadline)))
