--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -255,6 +255,20 @@
         assert on.nothing_left() and on.node.pool.count == 0
 
 
+async def test_a_request_that_a_fault_ends_while_it_dials_is_sent_on_to_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    backend = Backend("b0")
+    async with scene(tmp_path, monkeypatch, backend) as on:
+        client = await on.client()
+        name = send(client, "/once")
+        gate = await on.dialled()
+        on.node._abandon(name)
+        gate.set()
+        assert (await client.answer()).code == 502
+        assert on.nothing_left() and on.node.pool.count == 0 and backend.got.empty()
+
+
 # --- while nothing is read from it
 
 
