Upstream: a descriptor that the loop cannot take over ends its attempt

Cause: since the take-over of the descriptor left the try of open(), an error there would have left the attempt without an end (it was in it before). It is in it again, without the time limit's cancelling it half-way.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -167,11 +167,12 @@
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
                 await loop.sock_connect(self.sock, self.address)
+            self.handing = True
+            await loop.create_connection(lambda: self, sock=self.sock)
         except (OSError, TimeoutError):
+            self.handing = False
             self._fail(Status.CONNECT_FAILED)
             return
-        self.handing = True
-        await loop.create_connection(lambda: self, sock=self.sock)
         self.handing, attempt = False, self.attempt
         if self.closed:
             assert self.transport is not None
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -120,6 +120,26 @@
     run(uvloop.new_event_loop(), drive())
 
 
+def test_a_descriptor_that_the_loop_cannot_take_over_ends_its_attempt() -> None:
+    """It never ran; nothing is left counted."""
+
+    async def drive() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        pool = Pool(replace(BASE, connect_timeout=1000 * WAIT), 10, Figures(), Budget(192))
+        pool.hosts["b0"] = Host(listener.getsockname(), banned=False)
+        ended: asyncio.Queue[Answer] = asyncio.Queue()
+        pool.start("b0", b"GET / HTTP/1.1\r\n\r\n", ended.put_nowait)
+        assert (await ended.get()).status is Status.CONNECT_FAILED
+        assert not pool.count
+        listener.close()
+
+    class Unable(uvloop.Loop):
+        async def create_connection(self, *args: Any, **more: Any) -> Any:
+            raise OSError
+
+    run(Unable(), drive())
+
+
 # --- the client side, in one process with its clients, on the loop that is used
 
 
