Descriptors: clients over the cap and the console's callers are counted, so discovery keeps one

Cause: the parts of config.shares and SPARE did not add up to the limit. Measured at sockets 256 under an equal RLIMIT_NOFILE: 16 descriptors for the process itself and 1 for the watch, 134 clients with up to 16 more over the cap (`OVER` in Front.took) and 2 on their way out, 90 to backends, up to 33 callers of the console (CALLERS): 292 at the most. SPARE (32) covered the first and half of the callers. With all that held, a dial of discovery and a socket for a backend failed with EMFILE, and accepting, of the console too, closed whoever came.

Change: what is over the clients' cap, and 2 that leave, come off the part of backends (72 of 256, 379 of 1,024); few more at small limits, so that 64 descriptors still give backends 9. The console holds 8 callers, which with the process's own fit SPARE; its backlog stays 32.

Measured: nodes with 128 descriptors, discovery down at first, all backends' connections but one held by requests, the console full, clients idle, with half heads, or 1,024 at once: the list is had, the backend that only it names serves, the console answers, asked for and pushed (6 tests).

Ruled out: accepting at EMFILE (libuv 1.52 closes what it cannot take): 20 connections closed, no log line, under 0.1 s of processor in 0.5 s, no descriptor lost, served again after.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -24,8 +24,12 @@
     "terminating": api.Phase.DRAINING,
     "terminated": api.Phase.GONE,
 }
-SPARE = 32  # descriptors kept for the listeners, discovery, the loop and the log; callers of the console
+# Descriptors kept for what the process needs by itself: 16 for loop, log, listeners and lock, up to 3 for
+# discovery's calls, 4 for the files and the port of a fleet, the rest for the callers of the console.
+SPARE = 32
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
+OVER = 16  # connections over the clients' part that still get an answer of their own, at most
+LEAVING = 2  # more that are closed, and whose descriptors are given back some turns of the loop later
 
 
 class ConfigError(DillportError):
@@ -140,7 +144,12 @@
         """
         room = self.sockets - processes * SPARE
         clients = int(room * CLIENT_PART) if processes == 1 else self.sockets // 3
-        return clients, max(1, (room - clients) // processes)
+        return clients, max(1, (room - clients) // processes - over(clients) - LEAVING)
+
+
+def over(clients: int) -> int:
+    """How many connections more than that a process takes, to answer them and have them go."""
+    return max(1, min(OVER, clients // 8))
 
 
 def address(value: object) -> Address:
--- a/dillport/net/console.py
+++ b/dillport/net/console.py
@@ -20,7 +20,8 @@
 MAX_BODY = 64 * 1024  # no call needs one; what comes is read and thrown away
 PATIENCE = 2.5  # s for a call to come in whole
 LINGER = 1.0  # s for a caller to read its answer while it still sends
-CALLERS = 32  # connections at a time; over that the longest waiting one goes
+CALLERS = 8  # connections at a time; over that the longest waiting one goes
+BACKLOG = 32  # callers that wait to be accepted
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
@@ -194,7 +195,7 @@
 
     async def listen(self, address: Address) -> None:
         """Accept callers on this address only."""
-        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=CALLERS)
+        self.server = await self.loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
 
     def took(self, caller: Caller) -> None:
         """A caller came; guards the descriptors and true callers against those that finish no call."""
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -18,7 +18,7 @@
 
 from dillport import interface as api
 from dillport.interface import Effect
-from dillport.net.config import Address
+from dillport.net.config import Address, over
 from dillport.net.node import Node
 from dillport.net.stream import LARGEST, SMALL, Upload
 from dillport.net.upstream import Connection
@@ -28,7 +28,6 @@
 MAX_HEAD = 16 * 1024
 LINGER = 1.0  # s for a client to read why it was turned away before the connection is torn down
 BACKLOG = 1024  # connections that wait to be accepted
-OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.5  # s for a head to come in once it has begun, for the first one since the connection came
 RATE = 32_000  # bytes a second of a body that comes in after that, half of the slowest that is to be served
 STUCK = 20.0  # s for a client to read some of what waits for it
@@ -578,7 +577,7 @@
             oldest = next(iter(self.idle))
             if oldest is not connection:
                 oldest.close()
-            elif len(self.connections) > self.limit + OVER:
+            elif len(self.connections) > self.limit + over(self.limit):
                 connection.close()
 
     def lost(self, connection: ClientConnection) -> None:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,202 @@
+"""Whoever holds the descriptors: the list, a backend's connection and the console can still be had.
+
+The node may hold no more descriptors than its configuration names, as on the platform.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import resource
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.net.config import LEAVING, SPARE, Config, load, over
+from dillport.net.console import CALLERS
+from dillport.net.front import BACKLOG
+from tests.sockets import (
+    PATIENT,
+    Backend,
+    FakeDiscovery,
+    Message,
+    Rig,
+    configuration,
+    happens,
+    started,
+)
+
+SOCKETS = 128
+HALF = b"GET /read HTTP/1.1\r\nHost:"
+
+
+async def never(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+    """Answer nothing."""
+
+
+class Away(FakeDiscovery):
+    """Discovery that is down at first: its port is taken, and nobody listens."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+
+    async def start(self) -> None:
+        """Listen: it is back."""
+        self.server = await asyncio.start_server(self._serve, sock=self.sock)
+
+
+def config_of(tmp: Path, members: list[dict[str, Any]], discovery: int, **more: Any) -> Config:
+    """A configuration, left in a file as the node reads it."""
+    path, asking = tmp / "config.json", more.pop("asking", "automatic")
+    told = configuration(members, discovery, **more)
+    told["settings"]["discovery"] = asking
+    path.write_text(json.dumps(told))
+    return load({"PROXY_CONFIG": str(path)})
+
+
+@contextlib.asynccontextmanager
+async def node(tmp: Path, discovery: FakeDiscovery, *backends: Backend, **more: Any) -> AsyncIterator[Rig]:
+    """A node with a console that may hold `SOCKETS` descriptors and no more.
+
+    It knows these backends, each by many names: it limits what it sends to one.
+    """
+    for backend in backends:
+        await backend.start()
+    more = {"sockets": SOCKETS, "console": "127.0.0.1:0"} | more
+    members = [b.member(id=f"{b.name}-{number}") for b in backends for number in range(SOCKETS)]
+    config_of(tmp, members, discovery.port, **more)
+    async with started(tmp / "config.json", discovery) as rig:
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        yield rig
+    for backend in backends:
+        backend.stop()
+
+
+def held(rig: Rig) -> int:
+    """Descriptors of the node."""
+    return len(list(Path(f"/proc/{rig.process.pid}/fd").iterdir()))
+
+
+def used(rig: Rig) -> int:
+    """Processor time of the node, in ticks of 10 ms."""
+    fields = Path(f"/proc/{rig.process.pid}/stat").read_text().rpartition(") ")[2].split()
+    return int(fields[11]) + int(fields[12])
+
+
+class Crowd:
+    """Connections that are held, and may be closed by the node."""
+
+    def __init__(self) -> None:
+        self.socks: list[socket.socket] = []
+
+    def join(self, port: int, count: int, send: bytes = b"") -> None:
+        """So many more; none waits for the node to accept it."""
+        for _ in range(count):
+            sock = socket.socket()
+            sock.setblocking(False)
+            self.socks.append(sock)
+            with contextlib.suppress(BlockingIOError):
+                sock.connect(("127.0.0.1", port))
+            if send:
+                with contextlib.suppress(OSError):
+                    sock.send(send)
+
+    def leave(self) -> None:
+        """All go."""
+        for sock in self.socks:
+            sock.close()
+
+
+def idle(rig: Rig, crowd: Crowd) -> None:
+    """Connections that send nothing."""
+    crowd.join(rig.port, 2 * SOCKETS)
+
+
+def half(rig: Rig, crowd: Crowd) -> None:
+    """Connections that send half a head."""
+    crowd.join(rig.port, 2 * SOCKETS, HALF)
+
+
+def burst(rig: Rig, crowd: Crowd) -> None:
+    """The whole backlog at once."""
+    rig.process.send_signal(signal.SIGSTOP)
+    crowd.join(rig.port, BACKLOG, HALF)
+    rig.process.send_signal(signal.SIGCONT)
+
+
+@pytest.mark.parametrize("attack", [idle, half, burst])
+@pytest.mark.parametrize("asking", ["automatic", "subscribe"])
+async def test_the_list_a_backend_and_the_console_can_be_had_from_a_full_node(
+    tmp_path: Path, attack: Callable[[Rig, Crowd], None], asking: str
+) -> None:
+    """All that clients, backends and operators may hold is held when discovery returns."""
+    discovery, crowd = Away(), Crowd()
+    old, new = Backend("b0", never), Backend("b1")
+    await new.start()
+    async with node(tmp_path, discovery, old, asking=asking, **PATIENT) as rig:
+        upstream = load({"PROXY_CONFIG": str(rig.config)}).shares(1)[1]
+        for _ in range(upstream - 1):  # one is left for the backend that nobody knows yet
+            (await rig.client()).send("/read")
+            await old.got.get()
+        crowd.join(rig.console_port, 2 * CALLERS)
+        attack(rig, crowd)
+        await rig.stats()  # the node has taken in what came before
+        await discovery.start()
+        await asyncio.wait_for(discovery.asked.get(), 10)
+        assert held(rig) <= SOCKETS - 1
+        discovery.news(50, new.member(), complete=True)
+
+        async def served() -> bool:
+            client = await rig.client()
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                return (await client.ask("/read")).body.startswith(b"b1 ")
+            return False  # half heads are let go after their time
+
+        assert await happens(served)
+        assert (await rig.call("/healthcheck")).code == 200
+        crowd.leave()
+    new.stop()
+    assert discovery.server is not None
+    discovery.server.close()
+
+
+@pytest.mark.parametrize("sockets", [64, 128, 256, 1024, 4096])
+def test_all_that_may_be_held_is_within_the_limit(tmp_path: Path, sockets: int) -> None:
+    config = config_of(tmp_path, [], 1, sockets=sockets)
+    clients, upstream = config.shares(1)
+    assert clients + over(clients) + LEAVING + upstream + SPARE <= sockets
+    if sockets >= 4 * SPARE:  # there is room for two
+        clients, upstream = config.shares(2)  # the clients' connections are to the one or the other
+        assert clients + 2 * (over(clients) + LEAVING + upstream + SPARE) <= sockets
+
+
+async def test_accepting_without_descriptors_neither_spins_nor_logs_nor_stops(tmp_path: Path) -> None:
+    """Ruled out: the loop closes what it cannot take and goes on."""
+    discovery = FakeDiscovery()
+    await discovery.start()
+    async with node(tmp_path, discovery, Backend("b0")) as rig:
+        await discovery.asked.get()
+        before = held(rig)
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (before, SOCKETS))
+        for _ in range(20):
+            client = await rig.client()
+            with contextlib.suppress(ConnectionResetError):
+                assert await client.ended() == b""
+        ticks = used(rig)
+        await asyncio.sleep(0.5)  # the span that is measured
+        assert used(rig) - ticks < 10 and held(rig) == before
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+        assert (await (await rig.client()).ask("/read")).code == 200
+        rig.terminate()
+        assert await rig.end() == 0
+        assert not any("WARNING" in line or "ERROR" in line for line in rig.log)
+    assert discovery.server is not None
+    discovery.server.close()
