Front: a newcomer is served while the idle connection it displaced still leaves

Cause: `crowded` counted connections that were being closed: Front.took closes the longest idle one, whose descriptor is given back turns of the loop later, and a newcomer's request that is read before that met `_take`'s 503 "too many requests". And `took` closed the longest idle one whatever it was: with a request unread (a close then resets it away), or with its last answer unsent, where the close takes up to STUCK (20 s). As the newcomer stayed in any case, connections that read nothing could hold descriptors without bound.

Change: `crowded` leaves out those that close. `took` closes the longest idle one with nothing unsent and nothing unread, which is gone at once; where there is none and the few places over the cap are taken, the newcomer goes.

Measured: a node at its cap, a newcomer that connects and sends while the process is stopped: 503 before, 200 after, eight times. At the seam: the connection with unread bytes stays and the next one goes; 64 newcomers among 16 connections with unsent answers leave 16 + 2, all answers uncut (before, the slow ones were closed and every newcomer stayed).

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -546,8 +546,10 @@
 
     @property
     def crowded(self) -> bool:
-        """Whether there are more client connections than the cap."""
-        return len(self.connections) > self.limit
+        """Whether there are more client connections than the cap, besides those that leave."""
+        if len(self.connections) <= self.limit:
+            return False
+        return sum(not connection.closing for connection in self.connections) > self.limit
 
     @property
     def address(self) -> Address:
@@ -569,17 +571,28 @@
         )
 
     def took(self, connection: ClientConnection) -> None:
-        """A connection came in; over the cap the longest idle one goes."""
+        """A connection came in; over the cap the longest idle one goes, else it is one of a few more."""
         self.connections.add(connection)
         self.node.counts["connected"] += 1
         self.idle[connection] = None
-        if self.crowded:
-            oldest = next(iter(self.idle))
-            if oldest is not connection:
+        full = len(self.connections) > self.limit + over(self.limit)
+        if full or self.crowded:
+            oldest = self._oldest(connection)
+            if oldest is not None:
                 oldest.close()
-            elif len(self.connections) > self.limit + over(self.limit):
+            elif full:
                 connection.close()
 
+    def _oldest(self, newest: ClientConnection) -> ClientConnection | None:
+        """The longest idle one that nothing is owed and nothing has come from: it is gone at once."""
+        for connection in self.idle:
+            transport = connection.transport
+            if transport is None or connection is newest or transport.get_write_buffer_size():
+                continue
+            if not connection.unread:
+                return connection
+        return None
+
     def lost(self, connection: ClientConnection) -> None:
         """A connection has ended."""
         self.connections.discard(connection)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,7 +19,8 @@
 
 from dillport.net.config import LEAVING, SPARE, Config, load, over
 from dillport.net.console import CALLERS
-from dillport.net.front import BACKLOG
+from dillport.net.front import BACKLOG, ClientConnection, Front
+from dillport.net.node import Node
 from tests.sockets import (
     PATIENT,
     Backend,
@@ -200,3 +201,81 @@
         assert not any("WARNING" in line or "ERROR" in line for line in rig.log)
     assert discovery.server is not None
     discovery.server.close()
+
+
+# --- whose connection goes
+
+
+async def test_a_newcomer_is_served_while_the_idle_one_before_it_still_leaves(tmp_path: Path) -> None:
+    """The node reads its request before the connection that made room is gone."""
+    discovery = FakeDiscovery()
+    await discovery.start()
+    async with node(tmp_path, discovery, Backend("b0")) as rig:
+        clients = [await rig.client() for _ in range(load({"PROXY_CONFIG": str(rig.config)}).shares(1)[0])]
+        for client in clients:
+            assert (await client.ask("/read")).code == 200
+        for number in range(8):
+            rig.process.send_signal(signal.SIGSTOP)
+            last = await rig.client()
+            last.send("/read")
+            await last.writer.drain()
+            rig.process.send_signal(signal.SIGCONT)
+            assert (await last.answer()).code == 200
+            assert await clients[number].ended() == b""
+    assert discovery.server is not None
+    discovery.server.close()
+
+
+class FakeTransport(asyncio.Transport):
+    """A client's connection of which a test says what is unsent; `client` is its other end."""
+
+    def __init__(self, unsent: int = 0) -> None:
+        super().__init__()
+        self.sock, self.client = socket.socketpair()
+        self.unsent, self.closed = unsent, False
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.sock
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = True
+
+
+def front_of(tmp: Path, limit: int) -> Front:
+    """A listener's part for so many connections, without a listener."""
+    return Front(Node(config_of(tmp, [], 1)), limit)
+
+
+def comes(front: Front, unsent: int = 0) -> FakeTransport:
+    """One more connection, just accepted."""
+    transport = FakeTransport(unsent)
+    ClientConnection(front).connection_made(transport)
+    return transport
+
+
+async def test_a_request_that_has_come_unread_keeps_its_connection(tmp_path: Path) -> None:
+    """Guards against a reset that takes a request with it: the longest idle one without any goes."""
+    front = front_of(tmp_path, 3)
+    first, second, third = (comes(front) for _ in range(3))
+    first.client.send(b"GET /read HTTP/1.1\r\n")
+    last = comes(front)
+    assert [t.closed for t in (first, second, third, last)] == [False, True, False, False]
+    assert not front.crowded
+
+
+async def test_an_answer_that_is_not_out_yet_keeps_its_connection(tmp_path: Path) -> None:
+    """Guards the descriptors: one that is closed before its client has read all stays for long."""
+    front = front_of(tmp_path, 16)
+    slow = [comes(front, unsent=1) for _ in range(16)]
+    late = [comes(front, unsent=1) for _ in range(64)]
+    assert not any(transport.closed for transport in slow)
+    assert [transport.closed for transport in late] == [False] * over(16) + [True] * (64 - over(16))
