Upgrade: what stays open beside a successor is bounded by the whole process's cap

Cause: `share` in __main__ set `front.limit` to all connections held, so those over the cap became part of it, and as many more could come over that: 134 and 16 at sockets 256, then 150 and 16; with 72 to backends, 2 that leave and SPARE that is 272 of 256, and 16 more each time that a process appears beside.

Change: what may stay is bounded by the cap of a process that runs alone.

Measured: a full listener told twice of a process beside stays within 256 by its limits (272 before), and gets its own parts back after. Each of two processes has smaller parts than one alone, so an RLIMIT_NOFILE equal to `sockets` is never met by one for the other's sake.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -188,10 +188,13 @@
 
 
 def share(node: Node, front: Front, beside: bool) -> None:
-    """Keep to this process's part of the descriptors; what is open already may stay."""
-    clients, upstream = node.config.shares(2 if beside else 1)
-    front.limit = max(clients, len(front.connections)) if beside else clients
-    node.pool.limit = max(upstream, node.pool.count) if beside else upstream
+    """Keep to this process's part of the descriptors; what is open already within the whole may stay."""
+    clients, upstream = alone = node.config.shares(1)
+    if beside:
+        clients, upstream = node.config.shares(2)
+        clients = max(clients, min(len(front.connections), alone[0]))
+        upstream = max(upstream, node.pool.count)
+    front.limit, node.pool.limit = clients, upstream
 
 
 async def end(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -17,6 +17,7 @@
 
 import pytest
 
+from dillport.__main__ import share
 from dillport.net.config import LEAVING, SPARE, Config, load, over
 from dillport.net.console import CALLERS
 from dillport.net.front import BACKLOG, ClientConnection, Front
@@ -279,3 +280,19 @@
     late = [comes(front, unsent=1) for _ in range(64)]
     assert not any(transport.closed for transport in slow)
     assert [transport.closed for transport in late] == [False] * over(16) + [True] * (64 - over(16))
+
+
+async def test_what_stays_open_beside_a_successor_does_not_lift_the_cap(tmp_path: Path) -> None:
+    """Guards the descriptors of a full process: those over the cap are no part of what may stay."""
+    config = config_of(tmp_path, [], 1, sockets=256)
+    clients, upstream = config.shares(1)
+    front = Front(Node(config), clients)
+    for _ in range(clients + over(clients)):
+        comes(front, unsent=1)
+    front.node.pool.count = upstream
+    for _ in range(2):
+        share(front.node, front, True)
+        comes(front, unsent=1)
+        assert front.limit + over(front.limit) + LEAVING + front.node.pool.limit + SPARE <= 256
+    share(front.node, front, False)
+    assert (front.limit, front.node.pool.limit) == (clients, upstream)
