Front: idle connections that have not read their answers give up their places too

Nothing else ends one that is idle and never reads, so as many as the cap would have kept every newcomer out for good.

Change: over the cap the longest idle one goes whether or not its answer is out (it has STUCK to read it); only where the few places over the cap are taken, too, it has to be one that is gone at once, else the newcomer goes.

Measured at the seam: 16 connections that read nothing, a cap of 16: two newcomers get their places, 64 more do not (no more than 18 held), no unsent answer is cut at once; with an idle one that has read all, a newcomer at the full cap takes its place. Taken back alone, each condition of `took` and `_oldest` fails one of these tests or more.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -577,19 +577,18 @@
         self.idle[connection] = None
         full = len(self.connections) > self.limit + over(self.limit)
         if full or self.crowded:
-            oldest = self._oldest(connection)
+            oldest = self._oldest(connection, gone_at_once=full)
             if oldest is not None:
                 oldest.close()
             elif full:
                 connection.close()
 
-    def _oldest(self, newest: ClientConnection) -> ClientConnection | None:
-        """The longest idle one that nothing is owed and nothing has come from: it is gone at once."""
+    def _oldest(self, newest: ClientConnection, gone_at_once: bool) -> ClientConnection | None:
+        """The longest idle one that nothing has come from; one that is still owed its answer leaves late."""
         for connection in self.idle:
-            transport = connection.transport
-            if transport is None or connection is newest or transport.get_write_buffer_size():
+            if connection is newest or connection.transport is None or connection.unread:
                 continue
-            if not connection.unread:
+            if not (gone_at_once and connection.transport.get_write_buffer_size()):
                 return connection
         return None
 
