Backends: a new connection's socket is made once those it replaces have given theirs back

Cause: `Pool.start` made the socket at once (Connection.__init__), while `Connection.close` takes a connection off the count and its descriptor is given back in the next turn of the loop. A list that replaces the backends, or attempts that end together, with as many requests in the same turn held twice the backends' part for that turn.

Change: the socket is made at the start of `Connection.open`, which runs after the ends of those closed before it. No later than before: the connect began there already.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -136,9 +136,7 @@
 
     def __init__(self, pool: Pool, host: Host) -> None:
         self.pool, self.host, self.address = pool, host, host.address
-        family = socket.AF_INET6 if ":" in host.address[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setblocking(False)
+        self.sock: socket.socket | None = None
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
@@ -161,12 +159,23 @@
     # --- opening, closing
 
     async def open(self) -> None:
-        """Connect, then write the attempt that waits for it."""
+        """Connect, then write the attempt that waits for it.
+
+        The socket is made here, a turn of the loop after others were closed: by then theirs are given back.
+        """
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+        try:
+            sock = self.sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as err:
+            log.warning("no socket for a backend: %s", err)
+            self._fail(Status.MOOT)
+            return
+        sock.setblocking(False)
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
-                await loop.sock_connect(self.sock, self.address)
-                await loop.create_connection(lambda: self, sock=self.sock)
+                await loop.sock_connect(sock, self.address)
+                await loop.create_connection(lambda: self, sock=sock)
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
@@ -201,6 +210,8 @@
             self.host.idle.remove(self)
         if self.task is not None and not self.task.done() and self.task is not asyncio.current_task():
             self.task.cancel()
+        if self.sock is None:  # it was not yet to be opened
+            return
         if self.transport is None:
             self.sock.close()
             return
@@ -515,12 +526,7 @@
         if self.count >= self.limit and not self._evict():
             attempt.end(Answer(Status.MOOT))
             return attempt
-        try:
-            connection = Connection(self, host)
-        except OSError as err:  # guards the count of connections when no descriptor is left
-            log.warning("no socket for a backend: %s", err)
-            attempt.end(Answer(Status.MOOT))
-            return attempt
+        connection = Connection(self, host)
         self.count += 1
         connection.attempt, attempt.connection = attempt, connection
         connection.task = self.loop.create_task(connection.open())
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -29,6 +29,7 @@
     Message,
     Rig,
     configuration,
+    echo,
     happens,
     started,
 )
@@ -204,6 +205,44 @@
     discovery.server.close()
 
 
+async def test_connections_that_take_the_places_of_others_need_no_more_descriptors(tmp_path: Path) -> None:
+    """A new list and requests are read in one turn, when the old backends' connections are not gone yet."""
+    go, discovery, new = asyncio.Event(), FakeDiscovery(), Backend("b1")
+
+    async def together(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        await go.wait()
+        await echo(backend, message, writer)
+
+    await discovery.start()
+    await new.start()
+    old = Backend("b0", together)
+    async with node(tmp_path, discovery, old, **PATIENT) as rig:
+        await discovery.asked.get()
+        clients = [await rig.client() for _ in range(load({"PROXY_CONFIG": str(rig.config)}).shares(1)[1])]
+        for client in clients:
+            client.send("/read")
+            await old.got.get()
+        go.set()
+        for client in clients:
+            assert (await client.answer()).code == 200
+        most = held(rig) + 2  # whoever looks for another process of the node opens a file
+        resource.prlimit(rig.process.pid, resource.RLIMIT_NOFILE, (most, SOCKETS))
+        rig.process.send_signal(signal.SIGSTOP)
+        members = [new.member(id=f"b1-{number}") for number in range(SOCKETS)]
+        discovery.news(50, *members, complete=True)
+        assert discovery.writer is not None
+        await discovery.writer.drain()
+        for client in clients:
+            client.send("/read")
+            await client.writer.drain()
+        rig.process.send_signal(signal.SIGCONT)
+        for client in clients:
+            assert (await client.answer()).code == 200
+    new.stop()
+    assert discovery.server is not None
+    discovery.server.close()
+
+
 # --- whose connection goes
 
 
