--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -21,7 +21,7 @@
 
 from dillport import interface as api
 from dillport.interface import Effect
-from dillport.net.config import Address
+from dillport.net.config import Address, over
 from dillport.net.node import Node
 from dillport.net.stream import LARGEST, SMALL, Upload
 from dillport.net.upstream import Connection
@@ -31,7 +31,6 @@
 MAX_HEAD = 16 * 1024
 LINGER = 1.0  # s for a client to read its last answer and end its side, from when that answer is out
 BACKLOG = 1024  # connections that wait to be accepted
-OVER = 16  # connections over the cap that still get an answer of their own
 SLOW = 2.5  # s for a head to come in once it has begun, for the first one since the connection came
 RATE = 32_000  # bytes a second of a body that comes in after that, half of the slowest that is to be served
 STUCK = 20.0  # s for a client to read some of what waits for it
@@ -627,8 +626,10 @@
 
     @property
     def crowded(self) -> bool:
-        """Whether there are more client connections than the cap."""
-        return len(self.connections) > self.limit
+        """Whether there are more client connections than the cap, besides those that leave."""
+        if len(self.connections) <= self.limit:
+            return False
+        return sum(not connection.closing for connection in self.connections) > self.limit
 
     @property
     def address(self) -> Address:
@@ -654,15 +655,20 @@
         self.connections.add(connection)
         self.node.counts["connected"] += 1
         self.idle[connection] = None
-        if self.crowded:
-            oldest = next(iter(self.idle))
-            if oldest is not connection:
-                oldest.linger()
-        if len(self.connections) + len(self.lingering) > self.limit + OVER:
+        if self.crowded and (oldest := self._oldest(connection)) is not None:
+            oldest.linger()
+        if len(self.connections) + len(self.lingering) > self.limit + over(self.limit):
             first = next(iter(self.lingering), connection)
             self.lingering.pop(first, None)
             first.close()
 
+    def _oldest(self, newest: ClientConnection) -> ClientConnection | None:
+        """The longest idle one that nothing has come from."""
+        for connection in self.idle:
+            if connection is not newest and not connection.unread:
+                return connection
+        return None
+
     def lingers(self, connection: ClientConnection) -> None:
         """This side has ended it: it no longer stands in the way of others."""
         self.lost(connection)
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -154,9 +154,7 @@
 
     def __init__(self, pool: Pool, host: Host) -> None:
         self.pool, self.host, self.address = pool, host, host.address
-        family = socket.AF_INET6 if ":" in host.address[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setblocking(False)
+        self.sock: socket.socket | None = None
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
@@ -180,13 +178,24 @@
     # --- opening, closing
 
     async def open(self) -> None:
-        """Connect, then write the attempt that waits for it."""
+        """Connect, then write the attempt that waits for it.
+
+        The socket is made here, a turn of the loop after others were closed: by then theirs are given back.
+        """
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
+        try:
+            sock = self.sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as err:
+            log.warning("no socket for a backend: %s", err)
+            self._fail(Status.MOOT)
+            return
+        sock.setblocking(False)
         try:
             async with asyncio.timeout(self.pool.connect_timeout):
-                await loop.sock_connect(self.sock, self.address)
+                await loop.sock_connect(sock, self.address)
             self.handing = True
-            await loop.create_connection(lambda: self, sock=self.sock)
+            await loop.create_connection(lambda: self, sock=sock)
         except (OSError, TimeoutError):
             self.handing = False
             self._fail(Status.CONNECT_FAILED)
@@ -207,7 +216,7 @@
     @property
     def alive(self) -> bool:
         """Whether it is up and nothing waits to be read: that would be no answer to the next request."""
-        if self.transport is None or self.transport.is_closing():
+        if self.sock is None or self.transport is None or self.transport.is_closing():
             return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
@@ -238,8 +247,10 @@
         if self.transport is None and not self.handing:
             if self.task is not None and self.task is not asyncio.current_task():
                 self.task.cancel()
-            self.sock.close()
+            if self.sock is not None:  # else it was not yet to be opened
+                self.sock.close()
             return
+        assert self.sock is not None
         with contextlib.suppress(OSError):  # the other side was first
             self.sock.shutdown(socket.SHUT_RDWR)
         # Guards against closing a descriptor twice: by then it may be that of a client who waits.
@@ -571,12 +582,7 @@
         if self.count >= self.limit and not self._evict():
             attempt.end(Answer(Status.MOOT))
             return attempt
-        try:
-            connection = Connection(self, host)
-        except OSError as err:  # guards the count of connections when no descriptor is left
-            log.warning("no socket for a backend: %s", err)
-            attempt.end(Answer(Status.MOOT))
-            return attempt
+        connection = Connection(self, host)
         self.count += 1
         connection.attempt, attempt.connection = attempt, connection
         connection.task = self.loop.create_task(connection.open())
