Cold budget: a backend put back is sent its first requests by few nodes, not by all at once

Cause: `_maintenance` put each backend that was put back into `owed`, and `_back` sent it this node's next request past the draw. Change: only as many nodes as a cold backend surely bears send one at once (COLD_PART of the multiple of one request after the other), at least two, chosen by their even places on a ring that each backend's name turns. Few nodes do as before where the settings allow it.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -27,6 +27,7 @@
 TRIP_DRIFT = 1.005  # the least answer time of a backend is let rise by this with each answer: routes change
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
+FIRST = 2.0  # nodes at least that send at once to a backend that was put back: one may be idle or gone
 EJECT_MAX = 5  # doublings of the ejection time
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
@@ -107,7 +108,7 @@
         else:  # it was restarted meanwhile
             self.banned.discard(name)
             self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
-            if self.now - ev.since < self.cfg.ramp_time:
+            if self.now - ev.since < self.cfg.ramp_time and self._is_first(name):
                 self.owed.add(name)
             if (b := self.backends.get(name)) is not None:
                 b.restarted()
@@ -372,8 +373,18 @@
         else:
             self._finish(req, "none")
 
+    def _is_first(self, name: str) -> bool:
+        """Whether this node is one of those that send a backend that was put back a request at once.
+
+        All nodes hear of it at about the same time. It surely carries one request after the other; so much of
+        that as a cold one bears is spread over the nodes, for each backend from another place on.
+        """
+        usual = sum(c.usual for c in self.classes.values()) / max(1, len(self.classes))
+        surely = self.cfg.fall_multiple * self.cfg.cold_share * self.cfg.fall_window / max(usual, 1e-9)
+        return self._ring(name) * self.cfg.group_size < max(FIRST, COLD_PART * surely)
+
     def _back(self) -> Backend | None:
-        """A backend that was put back gets one request at once: cold and far ones might wait long for theirs,
+        """A backend that was put back gets a request at once: cold and far ones might wait long for theirs,
         and the operators look whether it is in use again."""
         for name in sorted(self.owed):
             b = self.backends.get(name)
@@ -677,5 +688,9 @@
         self.order.sort(key=lambda name: not self._near(name))
         self.home = len(near)
 
+    def _ring(self, name: str) -> float:
+        """This node's place on a ring, 0 to 1, that the nodes share out evenly; each backend turns it."""
+        return (self.cfg.me * GOLDEN + random.Random(name).random()) % 1.0
+
     def _near(self, name: str) -> bool:
         return self.cfg.charges.cross_zone <= TRIFLE or self.backends[name].entry.zone == self.cfg.zone
