Cold budget: the first of a lost zone to return is not fed with the whole zone's share

Cause: `_bears` thinned by the number drawn and by `up / fleet`. Change: the chance of a near backend is scaled by the zone's size over that of an even zone, as its traffic is that of a zone whatever its size. Nothing changes for zones of even size or where crossing is free.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -55,6 +55,7 @@
         self.order: list[str] = []  # the list in this node's own order
         self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
+        self.even = 0.0  # backends in each zone, were they spread evenly
         self.fleet = 0  # most backends ever listed: what a warm one's share is measured by
         self.backends: dict[str, Backend] = {}
         self.banned: set[str] = set()  # by the operators
@@ -214,7 +215,7 @@
             if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
                 continue
             warmth = self._warmth(b.entry)
-            if warmth < 1.0 and not self._bears(req, warmth, min(count, len(names))):
+            if warmth < 1.0 and not self._bears(req, b, warmth, min(count, len(names)), len(names)):
                 continue
             if self._legal(req, b):
                 out.append(b)
@@ -223,9 +224,14 @@
         req.cold_ok = False
         return out
 
-    def _bears(self, req: Request, warmth: float, among: float) -> bool:
-        """Whether a cold backend, one of so many that are drawn, may be given this request."""
+    def _bears(self, req: Request, b: Backend, warmth: float, among: float, of: int) -> bool:
+        """Whether a cold backend, one of `among` that are drawn of so many, may be given this request.
+
+        All nodes of a zone feed the first of its backends to return: they bear no more than in a full zone.
+        """
         chance = COLD_PART * self.cfg.fall_multiple * warmth * len(self.up) / self.fleet
+        if self._near(b.entry.backend):
+            chance *= min(1.0, max(self.home, of) / self.even)
         if self.admission is not None:
             if not self.admission.allows(req.dense):
                 return False
@@ -687,6 +693,7 @@
             self.order.insert(self.rng.randrange(len(self.order) + 1) if place is None else place, name)
         self.order.sort(key=lambda name: not self._near(name))
         self.home = len(near)
+        self.even = n / max(1, len({self.backends[name].entry.zone for name in self.up}))
 
     def _ring(self, name: str) -> float:
         """This node's place on a ring, 0 to 1, that the nodes share out evenly; each backend turns it."""
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -281,6 +281,12 @@
         assert cold.sent and cold.sent[0] < cold.start + 2500.0
 
 
+def test_the_first_of_a_lost_zone_to_return_is_not_fed_for_the_zone() -> None:
+    """All nodes of the zone prefer it while it is the only one of theirs."""
+    day = Day(60, 60, ZONES, at_once=1, lost=True, every=9999.0, length=6500.0)
+    assert plays(day, range(2))[0] <= 1.0
+
+
 @pytest.mark.parametrize("day", [DAYS["few nodes"][0], DAYS["six of thirty are busy"][0], BACK])
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
