Cold budget: a node that looks gives cold backends no chance for those that were not eligible

Change: a cold backend is considered only among the first that are wanted. While the tier returns, the admission bounds it, so nothing changes there. Without looking nothing changes: all names are wanted.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -210,12 +210,12 @@
         out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
         """
         out: list[Backend] = []
-        for name in self.rng.sample(names, min(len(names), 3 * count)):
+        for place, name in enumerate(self.rng.sample(names, min(len(names), 3 * count))):
             b = self.backends[name]
             if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
                 continue
             warmth = self._warmth(b.entry)
-            if warmth < 1.0 and not self._bears(req, b, warmth, min(count, len(names)), len(names)):
+            if warmth < 1.0 and not self._bears(req, b, warmth, place, count, len(names)):
                 continue
             if self._legal(req, b):
                 out.append(b)
@@ -224,11 +224,13 @@
         req.cold_ok = False
         return out
 
-    def _bears(self, req: Request, b: Backend, warmth: float, among: float, of: int) -> bool:
-        """Whether a cold backend, one of `among` that are drawn of so many, may be given this request.
+    def _bears(self, req: Request, b: Backend, warmth: float, place: int, count: int, of: int) -> bool:
+        """Whether a cold backend, drawn as the one at `place`, may be given this request; `count` of so many
+        are wanted, and what is drawn beyond that is drawn for those that were not eligible.
 
         All nodes of a zone feed the first of its backends to return: they bear no more than in a full zone.
         """
+        among: float = min(count, of)
         chance = COLD_PART * self.cfg.fall_multiple * warmth * len(self.up) / self.fleet
         if self._near(b.entry.backend):
             chance *= min(1.0, max(self.home, of) / self.even)
@@ -236,6 +238,8 @@
             if not self.admission.allows(req.dense):
                 return False
             chance, among = self.admission.eased(chance, among, warmth, self.trust)
+        elif place >= count:  # with those before it, it would get the chance of several
+            return False
         return req.cold_ok and self.rng.random() * among <= chance
 
     def _warmth(self, entry: api.Entry) -> float:
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -287,6 +287,11 @@
     assert plays(day, range(2))[0] <= 1.0
 
 
+def test_a_node_that_looks_gives_cold_backends_no_chance_for_others() -> None:
+    """Where most are cold it draws further, and each that it draws has the chance of one in three."""
+    assert plays(Day(9, 9, LOOKS, at_once=9, load=1.2, length=8000.0), (2, 3, 5))[0] <= 1.0
+
+
 @pytest.mark.parametrize("day", [DAYS["few nodes"][0], DAYS["six of thirty are busy"][0], BACK])
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
