Cold budget: new backends fall into as many subsets as any other

Cause: `_reorder` inserted a new backend at a place that each node drew for itself. Change: the place comes from this node's place on the even ring, turned by the backend's name.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -694,7 +694,9 @@
         for name in sorted(now - before):
             # One that was banned returns to its place: a node that fed it before feeds it again.
             place = self.places.pop(name, None)
-            self.order.insert(self.rng.randrange(len(self.order) + 1) if place is None else place, name)
+            # A new one falls into as many subsets as any other: twice the nodes would feed it twice as much.
+            spot = int(self._ring(name) * (len(self.order) + 1))
+            self.order.insert(spot if place is None else place, name)
         self.order.sort(key=lambda name: not self._near(name))
         self.home = len(near)
         self.even = n / max(1, len({self.backends[name].entry.zone for name in self.up}))
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -292,6 +292,29 @@
     assert plays(Day(9, 9, LOOKS, at_once=9, load=1.2, length=8000.0), (2, 3, 5))[0] <= 1.0
 
 
+def feeders(nodes: int, backends: int, seed: int) -> list[int]:
+    """How many nodes have each new backend in their subset after half of all were replaced at once."""
+    bank = [Balancer(replace(CAMPUS, me=me, group_size=nodes), seed * 1000 + me) for me in range(nodes)]
+    new = [f"{seed}n{i}" for i in range(backends // 2)]
+    for b in bank:
+        old = [entry(f"b{i}") for i in range(backends)]
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, old))
+        fresh = [*old[len(new) :], *(entry(name, started_at=1000.0) for name in new)]
+        b.handle(1000.0, api.ListUpdate(api.ListKind.FULL, fresh))
+    return [sum(name in b.order[: b.width] for b in bank) for name in new]
+
+
+def test_new_backends_are_fed_by_as_many_nodes_as_others() -> None:
+    """Drawn by each node for itself, some had twelve feeders where five are due."""
+    counts = [count for seed in range(20) for count in feeders(30, 30, seed)]
+    assert 4.5 < sum(counts) / len(counts) < 5.5
+    assert max(counts) <= 10 and sum(count > 8 for count in counts) <= len(counts) / 50
+
+
+def test_uneven_nodes_stay_within_the_budget_while_half_of_the_backends_are_new() -> None:
+    assert plays(Day(30, 30, HARD, spread=0.9, at_once=15, load=1.2, length=8000.0), (10, 16))[0] <= 1.0
+
+
 @pytest.mark.parametrize("day", [DAYS["few nodes"][0], DAYS["six of thirty are busy"][0], BACK])
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
