--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -27,6 +27,7 @@
 TRIP_DRIFT = 1.005  # the least answer time of a backend is let rise by this with each answer: routes change
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
+FIRST = 2.0  # nodes at least that send at once to a backend that was put back: one may be idle or gone
 EJECT_MAX = 5  # doublings of the ejection time
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
 RETRY_BANK = 3.0  # and how many can be saved up
@@ -56,6 +57,7 @@
         self.order: list[str] = []  # the list in this node's own order
         self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
+        self.even = 0.0  # backends in each zone, were they spread evenly
         self.fleet = 0  # most backends ever listed: what a warm one's share is measured by
         self.backends: dict[str, Backend] = {}
         self.banned: set[str] = set()  # by the operators
@@ -120,7 +122,7 @@
         else:  # it was restarted meanwhile
             self.banned.discard(name)
             self.returned[name] = max(self.returned.get(name, 0.0), ev.since)
-            if self.now - ev.since < self.cfg.ramp_time:
+            if self.now - ev.since < self.cfg.ramp_time and self._is_first(name):
                 self.owed.add(name)
             if (b := self.backends.get(name)) is not None:
                 b.restarted()
@@ -221,12 +223,12 @@
         out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
         """
         out: list[Backend] = []
-        for name in self.rng.sample(names, min(len(names), 3 * count)):
+        for place, name in enumerate(self.rng.sample(names, min(len(names), 3 * count))):
             b = self.backends[name]
             if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
                 continue
             warmth = self._warmth(b.entry)
-            if warmth < 1.0 and not self._bears(req, warmth, min(count, len(names))):
+            if warmth < 1.0 and not self._bears(req, b, warmth, place, count, len(names)):
                 continue
             if self._legal(req, b):
                 out.append(b)
@@ -235,13 +237,22 @@
         req.cold_ok = False
         return out
 
-    def _bears(self, req: Request, warmth: float, among: float) -> bool:
-        """Whether a cold backend, one of so many that are drawn, may be given this request."""
+    def _bears(self, req: Request, b: Backend, warmth: float, place: int, count: int, of: int) -> bool:
+        """Whether a cold backend, drawn as the one at `place`, may be given this request; `count` of so many
+        are wanted, and what is drawn beyond that is drawn for those that were not eligible.
+
+        All nodes of a zone feed the first of its backends to return: they bear no more than in a full zone.
+        """
+        among: float = min(count, of)
         chance = COLD_PART * self.cfg.fall_multiple * warmth * len(self.up) / self.fleet
+        if self._near(b.entry.backend):
+            chance *= min(1.0, max(self.home, of) / self.even)
         if self.admission is not None:
             if not self.admission.allows(req.dense):
                 return False
             chance, among = self.admission.eased(chance, among, warmth, self.trust)
+        elif place >= count:  # with those before it, it would get the chance of several
+            return False
         return req.cold_ok and self.rng.random() * among <= chance
 
     def _warmth(self, entry: api.Entry) -> float:
@@ -408,8 +419,18 @@
         else:
             self._finish(req, "none")
 
+    def _is_first(self, name: str) -> bool:
+        """Whether this node is one of those that send a backend that was put back a request at once.
+
+        All nodes hear of it at about the same time. It surely carries one request after the other; so much of
+        that as a cold one bears is spread over the nodes, for each backend from another place on.
+        """
+        usual = sum(c.usual for c in self.classes.values()) / max(1, len(self.classes))
+        surely = self.cfg.fall_multiple * self.cfg.cold_share * self.cfg.fall_window / max(usual, 1e-9)
+        return self._ring(name) * self.cfg.group_size < max(FIRST, COLD_PART * surely)
+
     def _back(self) -> Backend | None:
-        """A backend that was put back gets one request at once: cold and far ones might wait long for theirs,
+        """A backend that was put back gets a request at once: cold and far ones might wait long for theirs,
         and the operators look whether it is in use again."""
         for name in sorted(self.owed):
             b = self.backends.get(name)
@@ -723,9 +744,16 @@
         for name in sorted(now - before):
             # One that was banned returns to its place: a node that fed it before feeds it again.
             place = self.places.pop(name, None)
-            self.order.insert(self.rng.randrange(len(self.order) + 1) if place is None else place, name)
+            # A new one falls into as many subsets as any other: twice the nodes would feed it twice as much.
+            spot = int(self._ring(name) * (len(self.order) + 1))
+            self.order.insert(spot if place is None else place, name)
         self.order.sort(key=lambda name: not self._near(name))
         self.home = len(near)
+        self.even = n / max(1, len({self.backends[name].entry.zone for name in self.up}))
+
+    def _ring(self, name: str) -> float:
+        """This node's place on a ring, 0 to 1, that the nodes share out evenly; each backend turns it."""
+        return (self.cfg.me * GOLDEN + random.Random(name).random()) % 1.0
 
     def _near(self, name: str) -> bool:
         return self.cfg.charges.cross_zone <= TRIFLE or self.backends[name].entry.zone == self.cfg.zone
