Discovery: a watch that its own news has stopped tells no more of the same piece

Cause: `Call.on_body` went on with the objects behind the first one of a piece, and since a call has a stage it opened a closed one anew; the end of its connection would then have counted as the end of the next watch. It needs a room that stops the watch on news, which none does today.

Change: the loop ends with the call.

`test_a_watch_that_is_stopped_by_its_own_news_tells_no_more` fails without it.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -104,6 +104,8 @@
         now = self.owner.loop.time()
         self.dog.fed(now)
         for update in self._news(body):
+            if self.stage is Stage.OVER:  # by what it told first
+                return
             self.dog.told(now)
             self.stage = Stage.OPEN
             if self.told_at is None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -140,6 +140,10 @@
         self.good(beats=0)
         self.world.loop.call_at(self.begun + 1.9, self.raw, b"0\r\n\r\n")
 
+    def twice(self) -> None:
+        """Two lists in one piece."""
+        self.put(self.world.whole() + self.world.whole(revision=NEW))
+
     def garbage(self) -> None:
         """What is not HTTP."""
         self.raw(b"220 mail.example.com ESMTP\r\n")
@@ -473,6 +477,24 @@
         assert [round(at, 2) for at in failed] == [round(t + 3.05, 2) for t in world.dialled]
 
 
+def test_a_watch_that_is_stopped_by_its_own_news_tells_no_more(tmp_path: Path) -> None:
+    """Two objects in one piece: the second one would open the call anew, and its end close the next watch."""
+    world = World(tmp_path, False, "twice", "good")
+
+    def steer(discovery: Discovery) -> None:
+        def listed(*_: object) -> None:
+            if len(world.dialled) == 1:
+                discovery.watch(False)
+                discovery.watch(True)
+
+        rooms = SimpleNamespace(list_failed=lambda: None, listed=listed, unchanged=lambda: None)
+        discovery.node.fleet = cast(Rooms, rooms)
+
+    world.play(60, steer)
+    assert world.dialled == [0.0, 0.0]
+    assert [revision for _, revision in world.heard[1:]] == [8, 8]
+
+
 def test_an_object_that_never_ends_gives_way_to_a_long_list_that_does(tmp_path: Path) -> None:
     """Guards against a call that trickles for ever and keeps its place from those that come to something."""
     world = World(tmp_path, False, "endless", "slow")
