An endless answer that begins before its request is whole has a time too

Cause: `Node._begin` found no deadline running while a long body came in, and what is left of that body is thrown away from then on, so that `arrived` never started one: an early answer of unknown length that trickles had no end. Change: the client's time starts as the answer begins. Tested too: a connection that the backend says it closes, or that is HTTP/1.0, is not kept.

--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -415,6 +415,9 @@
             return None
         if item.timer is not None:
             item.timer.cancel()
+        if request.limit is None:  # its body still comes in, and nobody wants the rest of that
+            request.deadline = self.now() + request.wait
+            self._limit(item.request, request)
         request.streaming = True
         request.client.begin(source, size, content_type)
         took = self.now() - item.sent
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -23,7 +23,7 @@
 from tests.sockets import HOUR, WAIT, Backend, Message, answer, running
 from tests.test_console import CONSOLE
 from tests.test_node import _list
-from tests.test_size import Respond, ask_long
+from tests.test_size import Respond, ask_long, upload_head
 
 REQUEST = b"GET /read HTTP/1.1\r\nHost: b\r\n\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -199,6 +199,24 @@
     play(body)
 
 
+@pytest.mark.parametrize(
+    ("text", "end"),
+    [
+        (HEAD + b"Connection: close\r\nContent-Length: 5\r\n\r\nhello", Close.NOT),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello", Close.NOT),
+        (b"HTTP/1.0 200 OK\r\n\r\nhello", Close.FIN),
+        (HEAD + b"Connection: keep-alive\r\n\r\nhello", Close.FIN),
+    ],
+)
+def test_a_connection_that_the_backend_closes_is_not_kept(play: Play, text: bytes, end: Close) -> None:
+    async def body(wire: Wire) -> None:
+        for apart in (False, True):
+            got = await wire.exchange(text, end, apart)
+            assert (got.status, got.body) == (Status.OK, b"hello") and wire.pool.count == 0
+
+    play(body)
+
+
 # --- spoilt
 
 
@@ -500,6 +518,23 @@
         assert (figures["failed"]["read"], figures["pending"]) == (1, 0)
 
 
+async def test_one_that_begins_before_its_request_is_whole_is_broken_off_too(tmp_path: Path) -> None:
+    """From then on the client's time runs: nobody wants the rest of the body."""
+    backend = Backend("b0", drips(b"", b"x" * 9, 0.05, 10**9))
+    async with running(tmp_path, backend, console=CONSOLE) as rig:
+        client, loop = await rig.client(), asyncio.get_running_loop()
+        head = upload_head(None, "1", f"Request-Timeout: {TIME * 1000:.0f}m")
+        client.writer.write(head + chunk(SMALL + 1))
+        assert await asyncio.wait_for(client.reader.readuntil(b"xxx"), WAIT)
+        begun = loop.time()
+        with pytest.raises(ConnectionError):
+            await client.ended()
+        assert loop.time() - begun < TIME + SLACK
+        await backend.lost.get()
+        figures = await rig.stats()
+        assert (figures["failed"]["once"], figures["pending"]) == (1, 0)
+
+
 @pytest.mark.parametrize("head", [b"", b"Transfer-Encoding: chunked\r\n", b"Content-Length: 160000\r\n"])
 async def test_a_long_answer_that_comes_slowly_has_more_than_its_time(tmp_path: Path, head: bytes) -> None:
     chunked = b"chunked" in head
