Attempts without a descriptor are one warning in 10 s, not one each

Cause: `Pool.start` logged "no socket for a backend" for every attempt, thousands while idle clients hold the descriptors. Change: the pool's limited warnings. Result: test_attempts_without_a_descriptor gets 20 lines without it, 1 with it.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -561,7 +561,7 @@
         try:
             connection = Connection(self, host)
         except OSError as err:  # guards the count of connections when no descriptor is left
-            log.warning("no socket for a backend: %s", err)
+            self.warnings.warn("no socket", f"no socket for a backend: {err}")
             attempt.end(Answer(Status.MOOT))
             return attempt
         self.count += 1
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 import struct
@@ -568,3 +569,22 @@
     said = [r.getMessage() for r in caplog.records if "broken answer" in r.getMessage()]
     assert len(said) == 2 and "more since" not in said[0] and said[1].endswith("(19 more since such a line)")
     assert sum("not a load report" in r.getMessage() for r in caplog.records) == 1
+
+
+def test_attempts_without_a_descriptor_are_one_line_in_ten_seconds(
+    play: Play, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def no_socket(*args: Any) -> socket.socket:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def body(wire: Wire) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(socket, "socket", no_socket)
+            for _ in range(20):
+                wire.start()
+        for _ in range(20):
+            assert (await wire.ended()).status is Status.MOOT
+
+    with caplog.at_level(logging.WARNING):
+        play(body)
+    assert sum("no socket for a backend" in r.getMessage() for r in caplog.records) == 1
