--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -149,10 +149,11 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
-        self.closed = self.asked = self.wrote = self.blocked = False
-        self.idle_since = self.moved = self.begun = 0.0
+        self.closed = self.wrote = self.blocked = False
+        self.idle_since = self.moved = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
+        self.asked = False  # a request has begun to go out: what came before that is no answer
         self._reset()
 
     def _reset(self) -> None:
@@ -162,6 +163,7 @@
         self.length: int | None = None
         self.in_body = self.framed = self.paused = False
         self.sink: Sink | None = None  # where a long answer goes
+        self.begun = 0.0  # since when it does
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = False
 
