--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -158,11 +158,12 @@
         self.transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self.attempt: Attempt | None = None
-        self.closed = self.asked = self.wrote = self.blocked = False
+        self.closed = self.wrote = self.blocked = False
         self.handing = False  # the loop takes the descriptor over: closing it is for `open` alone, at the end
-        self.idle_since = self.moved = self.begun = 0.0
+        self.idle_since = self.moved = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
         self.watch: asyncio.TimerHandle | None = None  # for stalls
+        self.asked = False  # a request has begun to go out: what came before that is no answer
         self._reset()
 
     def _reset(self) -> None:
@@ -172,6 +173,7 @@
         self.length: int | None = None
         self.in_body = self.framed = self.paused = False
         self.sink: Sink | None = None  # where a long answer goes
+        self.begun = 0.0  # since when it does
         self.load = self.content_type = b""
         self.not_started = self.complete = self.excess = False
 
@@ -187,7 +189,7 @@
         try:
             sock = self.sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError as err:
-            log.warning("no socket for a backend: %s", err)
+            self.pool.warnings.warn("no socket", f"no socket for a backend: {err}")
             self._fail(Status.MOOT)
             return
         sock.setblocking(False)
