--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -82,6 +82,11 @@
         """The attempt's one end."""
         return await asyncio.wait_for(self.ends.get(), WAIT)
 
+    def rested(self) -> None:
+        """What rests has done so for a second."""
+        for connection in self.pool.hosts["b0"].idle:
+            connection.idle_since -= 1.0
+
     async def exchange(self, data: bytes, end: Close, apart: bool) -> Answer:
         """Answer a request with these bytes and this end, at once or once the bytes were read."""
         self.start()
@@ -324,6 +329,7 @@
         if text:
             peer.send(text)
         shut(peer, end)
+        wire.rested()
         wire.start()  # no turn of the loop in between
         other = await wire.accepted() if text or end is not Close.NOT else peer
         if other is peer:
@@ -425,6 +431,7 @@
         assert wire.begun and held.cancelled()  # it has become long by its size
         peer.send(b"0\r\n\r\n")
         assert (await wire.ended()).status is Status.OK and len(wire.begun) == SMALL + SMALL // 2
+        wire.rested()
         wire.start()
         await wire.asked(peer)
         assert connection.held is None
@@ -463,8 +470,10 @@
                 while not wire.begun:
                     await asyncio.sleep(0)
             connection = attempt.connection
-            assert connection is not None and attempt.long
-            connection.begun -= HOUR  # so long ago
+            assert connection is not None
+            connection.begun += HOUR  # it is not over yet
+            assert attempt.long
+            connection.begun -= 2 * HOUR
             assert attempt.long == bool(head)
             connection.pause()
             assert attempt.long
