Discovery: its warnings are limited by the piece that backends' warnings have

Reason: two pieces kept one line of a kind in 10 s. Change: discovery.warn uses net/limited.py; its own counts are gone.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-from collections import Counter
 from collections.abc import Iterator
 from enum import Enum
 from typing import cast
@@ -14,6 +13,7 @@
 
 from dillport import interface as api
 from dillport.net.config import Address, ListError, News, news_of
+from dillport.net.limited import LimitedWarnings
 from dillport.net.node import Node
 from dillport.net.objects import BrokenObject, Objects
 from dillport.net.watchdog import ANSWER, HURRY, LOOK, PERIOD, REST, SILENT, Watchdog
@@ -24,7 +24,6 @@
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
 LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
 MOST_OBJECT = 8 * 1024 * 1024  # bytes
-WARN_EVERY = 10.0  # s between two warnings of a kind
 
 
 class Stage(Enum):
@@ -173,8 +172,7 @@
         self.wait = WAIT_FIRST
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.warned: dict[str, float] = {}  # by kind, when last
-        self.muted: Counter[str] = Counter()
+        self.warnings = LimitedWarnings(log, self.loop.time)
 
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
@@ -228,15 +226,8 @@
             call.end()
 
     def warn(self, what: str, why: str = "") -> None:
-        """Log what went wrong, with how often it was left out: one such line in `WARN_EVERY` at most."""
-        now = self.loop.time()
-        if now - self.warned.get(what, -WARN_EVERY) < WARN_EVERY:
-            self.muted[what] += 1
-            return
-        self.warned[what] = now
-        more = self.muted.pop(what, 0)
-        text = f"{what}: {why:.200}" if why else what
-        log.warning("%s%s", text, f" ({more} more since such a line)" if more else "")
+        """Log what went wrong, one line of a kind now and then."""
+        self.warnings.warn(what, f"{what}: {why:.200}" if why else what)
 
     def news(self, update: News) -> None:
         """Apply an object by its revision: a change that is not newer than the list held is an old one."""
