An attempt waits for the end of a connection's rest rather than open another one

Cause: the rest of 25 ms made `Pool.start` open a connection wherever the idle ones had yet to rest.

Change: where none has rested the attempt waits for the first that will have (`Connection.rest`); what ends the rest (a stray byte, an end, a drain, a client that leaves) ends the attempt as never sent.

An attempt waits 25 ms at most.

--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -157,6 +157,7 @@
         self.closed = self.wrote = self.blocked = False
         self.idle_since = self.moved = 0.0
         self.held: asyncio.TimerHandle | None = None  # an answer of unknown length
+        self.resting: asyncio.TimerHandle | None = None  # an attempt that waits for the end of its rest
         self.watch: asyncio.TimerHandle | None = None  # for stalls
         self._reset()
 
@@ -182,12 +183,20 @@
         except (OSError, TimeoutError):
             self._fail(Status.CONNECT_FAILED)
             return
+        self._ready()
+
+    def rest(self, attempt: Attempt) -> None:
+        """Write an attempt as soon as this connection has rested."""
+        self.attempt, attempt.connection = attempt, self
+        self.resting = self.pool.loop.call_at(self.idle_since + REST, self._ready)
+
+    def _ready(self) -> None:
+        """The connection is up, or has rested: write what waits for it, if that is still to go out."""
         attempt = self.attempt
         if attempt is None or self.closed:
             self.close()
         elif not self.host.up or self.host.address != self.address or not attempt.wanted():
-            # Guards against sending to a backend that was taken off the list while the connection came up, or
-            # for a client that left meanwhile.
+            # Guards against sending to a backend that left the list meanwhile, or for a client that has gone.
             self._fail(Status.MOOT)
         else:
             self.write(attempt)
@@ -268,6 +277,7 @@
         """Send the attempt's request."""
         assert self.transport is not None
         self.attempt, attempt.connection, attempt.began = attempt, self, True
+        self.resting = None
         self._reset()
         self.transport.write(attempt.data)
         if attempt.upload is not None:
@@ -301,13 +311,16 @@
         self.watch = self.pool.loop.call_later(max(left, STALL / 10), self._stalled)
 
     def _unwatch(self) -> None:
-        for timer in (self.watch, self.held):
+        for timer in (self.watch, self.held, self.resting):
             if timer is not None:
                 timer.cancel()
-        self.watch = self.held = None
+        self.watch = self.held = self.resting = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A break before the request's last byte has left proves that it never ran; after, it may have."""
+        if self.resting is not None:  # it came before the request, and says nothing of the backend
+            self._fail(Status.MOOT)
+            return
         self._fail(Status.RESET if self.wrote and not self.blocked else Status.CONNECT_FAILED)
 
     def eof_received(self) -> bool:
@@ -328,8 +341,8 @@
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that belong to none spoil the connection."""
         self.moved = self.pool.loop.time()
-        if self.attempt is None:
-            self.close()
+        if self.attempt is None or self.resting is not None:
+            self._fail(Status.MOOT)
             return
         fault = ""
         try:
@@ -514,12 +527,21 @@
         self, name: str, data: bytes, done: Callable[[Answer], None], begin: Begin = unwanted,
         upload: Upload | None = None, wanted: Wanted = always,
     ) -> Attempt:  # fmt: skip
-        """Begin an attempt, on an idle connection or a new one. `done` may be called at once."""
+        """Begin an attempt, on an idle connection or a new one. `done` may be called at once.
+
+        Where the idle ones have yet to rest, the attempt waits for the first to have done so.
+        """
         host = self.hosts[name]
         attempt = Attempt(data, done, begin, upload, wanted)
         if (connection := self._rested(host)) is not None:
             connection.write(attempt)
             return attempt
+        while host.idle:  # none has rested: a short wait costs less than a connection
+            connection = host.idle.pop(0)
+            if connection.alive:
+                connection.rest(attempt)
+                return attempt
+            connection.close()
         if self.count >= self.limit and not self._evict():
             attempt.end(Answer(Status.MOOT))
             return attempt
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,7 +30,6 @@
     answer,
     configuration,
     echo,
-    rested,
     running,
     spawn,
 )  # fmt: skip
@@ -69,11 +68,9 @@
             assert (got.code, got.body) == (200, f"b0 {sent.headers['request-id']}".encode())
             assert sent.start == "GET /read/x?obj=7f HTTP/1.1"
             assert 0 < int(sent.headers["request-timeout"].removesuffix("u")) <= 2_000_000
-            await rested()
         body = b"x" * 65536
         assert (await client.ask("/once", method="POST", body=body)).code == 200
         assert (await backend.got.get()).body == body
-        await rested()
         assert (await client.pay()).code == 200
         assert (await backend.got.get()).headers["idempotency-key"] == "k1"
         assert backend.connections == 1  # each new one costs
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -20,7 +20,7 @@
 from dillport.net.config import news
 from dillport.net.figures import Figures
 from dillport.net.stream import Budget
-from dillport.net.upstream import Answer, Attempt, Pool
+from dillport.net.upstream import REST, Answer, Attempt, Pool
 from tests.helpers import BASE, KEYED, node, sends
 from tests.sockets import (
     CLASSES,
@@ -287,36 +287,53 @@
         assert await asyncio.wait_for(backend.lost.get(), WAIT) == 1  # the stray bytes spoilt it
 
 
-async def test_the_connection_used_last_of_those_that_rested_is_used(tmp_path: Path) -> None:
-    backend = Backend("b0")
-    async with running(tmp_path, backend) as rig:
-        clients = [await rig.client() for _ in range(3)]
-        for client in clients:
-            await client.ask("/read")
-        await rested()
-        for _ in range(3):
-            assert (await clients[0].ask("/read")).code == 200
-        assert backend.connections == 3
-        await rested()
-        await clients[0].ask("/read")
-        assert backend.connections == 3
-
-
-@pytest.mark.parametrize("limit", [1, 2])
-async def test_at_the_cap_a_connection_that_has_not_rested_makes_room(limit: int) -> None:
-    backend = Backend("b0")
+async def test_a_connection_is_used_again_once_it_has_rested() -> None:
+    """Guards the backends' tables too: requests one right behind the other open no further connection."""
+    loop, backend = asyncio.get_running_loop(), Backend("b0")
     await backend.start()
-    pool = Pool(BASE, limit, Figures(), Budget(64.0))
+    pool = Pool(BASE, 9, Figures(), Budget(64.0))
     pool.update(news({"revision": 1, "complete": True, "members": [backend.member()]}).members, True)
+    ends: asyncio.Queue[Answer] = asyncio.Queue()
+    back = -REST
     for count in range(1, 4):
-        ends: asyncio.Queue[Answer] = asyncio.Queue()
         pool.start("b0", b"GET / HTTP/1.1\r\nRequest-Id: %d\r\n\r\n" % count, ends.put_nowait)
+        await asyncio.wait_for(backend.got.get(), WAIT)
+        assert loop.time() - back >= REST
         assert (await asyncio.wait_for(ends.get(), WAIT)).body == b"b0 %d" % count
-        assert backend.connections == count and pool.count == min(count, limit)
+        back = pool.hosts["b0"].idle[0].idle_since
+    assert backend.connections == pool.count == 1
     pool.close()
     backend.stop()
 
 
+@pytest.mark.parametrize("spoil", ["bytes", "end", "drain", "drop"])
+async def test_what_ends_a_rest_ends_the_attempt_that_waits_for_it_as_never_sent(spoil: str) -> None:
+    here = Peer()
+    peer = await here.idle()
+    attempt = here.start(b"two")
+    assert attempt.began
+    await asyncio.get_running_loop().sock_sendall(peer, answer(b"x"))
+    assert await here.end() is api.Status.OK
+    attempt = here.start(b"three")
+    assert not attempt.began and not attempt.left
+    if spoil == "drop":
+        attempt.drop()
+    elif spoil == "drain":
+        here.pool.ban("b0", True)
+        assert await here.end() is api.Status.MOOT
+    else:
+        if spoil == "bytes":
+            await asyncio.get_running_loop().sock_sendall(peer, answer(b"late"))
+        else:
+            peer.shutdown(socket.SHUT_WR)
+        assert await here.end() is api.Status.MOOT
+    assert here.pool.count == 0
+    assert await asyncio.get_running_loop().sock_recv(peer, 9) == b"two"
+    assert await asyncio.get_running_loop().sock_recv(peer, 9) == b""
+    peer.close()
+    here.close()
+
+
 # --- one end each
 
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -15,7 +15,7 @@
 from dillport import interface as api
 from dillport.net.stream import LARGEST, LEAST, MOST, PREFIX, Budget, Upload
 from tests.helpers import BASE, answers, node, sends
-from tests.sockets import PATIENT, WAIT, Backend, Client, Message, Rig, answer, rested, running
+from tests.sockets import PATIENT, WAIT, Backend, Client, Message, Rig, answer, running
 from tests.test_console import CONSOLE
 from tests.test_node import says
 
@@ -148,7 +148,6 @@
         for _ in range(2):
             got = await ask_long(client)
             assert got.code == 200 and got.body == (PIECE * (size // len(PIECE) + 1))[:size]
-            await rested()
         assert "connection" not in got.headers
         assert backend.connections == (2 if form == "end" else 1)
         figures = await rig.stats()
@@ -278,7 +277,6 @@
             answered = await client.answer()
             assert (answered.code, answered.body) == (200, b"done") and got.pop() == body
             assert (await backend.got.get()).headers["request-id"] == name
-            await rested()
         assert backend.connections == 1
         assert (await rig.stats())["upstream_requests"] == 2
 
