--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -603,8 +603,8 @@
             patch.setattr(socket, "socket", no_socket)
             for _ in range(20):
                 wire.start()
-        for _ in range(20):
-            assert (await wire.ended()).status is Status.MOOT
+            for _ in range(20):
+                assert (await wire.ended()).status is Status.MOOT
 
     with caplog.at_level(logging.WARNING):
         play(body)
