A client that reads no answers is seen to leave, too, before an attempt begins

Cause: reading pauses in two states, for a long body that a backend does not take (paused_at) and for a client that pipelines and reads nothing (deaf); ClientConnection.left looked at the socket only in the first. Change: in both. Result: test_a_client_that_reads_no_answers_and_leaves_... fails without it (the request is sent on after the client's end), passes with it.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -298,7 +298,7 @@
 
         A read would tell, but what was sent before the end stands before it.
         """
-        if not self.paused_at or self.transport is None:
+        if not (self.paused_at or self.deaf) or self.transport is None:
             return False
         look = select.poll()
         try:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -335,6 +335,32 @@
         assert on.dials.empty() and on.node.pool.count == 0
 
 
+async def test_a_client_that_reads_no_answers_and_leaves_is_sent_on_to_nobody(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing more is read of one that pipelines and reads nothing: its last request stands before its end."""
+    backend = Raw("b0")
+    async with scene(tmp_path, monkeypatch, backend, limits={"cancel": False}) as on:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(on.front.address)
+        await on.until(lambda: bool(on.front.connections))
+        (connection,) = on.front.connections
+        assert connection.transport is not None
+        here = connection.transport.get_extra_info("socket")
+        here.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        text = b"GET /up HTTP/1.1\r\n\r\n" * 2500 + b"GET /read HTTP/1.1\r\nRequest-Id: 1\r\n\r\n"
+        assert len(text) < SMALL and sock.send(text) == len(text)  # one read
+        gate = await on.dialled()
+        assert connection.deaf and not connection.left
+        sock.shutdown(socket.SHUT_WR)
+        gate.set()
+        assert await asyncio.wait_for(backend.raw.get(), WAIT) == b""
+        await on.until(on.nothing_left)
+        assert on.node.counts["left"] == on.node.counts["attempt_moot"] == 1
+        sock.close()
+
+
 @dataclass
 class Stalled(Raw):
     """Reads nothing of its connection until it is let go."""
