--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -338,7 +338,7 @@
 async def test_a_client_that_reads_no_answers_and_leaves_is_sent_on_to_nobody(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Nothing more is read of one that pipelines and reads nothing: its last request stands before its end."""
+    """Nothing more is read of one that pipelines and reads nothing; its request stands before its end."""
     backend = Raw("b0")
     async with scene(tmp_path, monkeypatch, backend, limits={"cancel": False}) as on:
         sock = socket.socket()
