--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -333,6 +333,12 @@
     assert plays(Day(30, 30, HARD, spread=0.9, at_once=15, load=1.2, length=8000.0), (16,))[0] <= 1.0
 
 
+def test_uneven_nodes_stay_within_the_budget_while_half_of_few_backends_are_new() -> None:
+    """Few backends are fed by nearly all nodes, also by those that see several times the mean, in a burst."""
+    day = Day(20, 12, HARD, spread=0.9, at_once=6, load=0.75, burst=1.5)
+    assert plays(day, (14, 18, 30))[0] <= 1.0
+
+
 @pytest.mark.parametrize("day", [DAYS["few nodes"][0], DAYS["six of thirty are busy"][0], BACK])
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -351,3 +351,18 @@
         assert front.limit + over(front.limit) + LEAVING + front.node.pool.limit + SPARE <= 256
     share(front.node, front, False)
     assert (front.limit, front.node.pool.limit) == (clients, upstream)
+
+
+async def test_two_processes_of_a_node_keep_to_one_limit_together(tmp_path: Path) -> None:
+    """An idle flood fills the first before the second comes, and then that one."""
+    config = config_of(tmp_path, [], 1, sockets=256)
+    clients, upstream = config.shares(1)
+    old, new = Front(Node(config), clients), Front(Node(config), clients)
+    for _ in range(clients):
+        comes(old)
+    old.node.pool.count = upstream
+    held = 0
+    for front in (old, new):
+        share(front.node, front, True)
+        held += front.limit + over(front.limit) + LEAVING + front.node.pool.limit + SPARE
+    assert held <= 256, held
