--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -53,10 +53,15 @@
 what = "backends:2"
 """
 
+AT_ONCE = 2  # runs
+
 
 @pytest.fixture(scope="module")
 def broken(tmp_path_factory: pytest.TempPathFactory) -> dict[str, dict[str, int]]:
-    """The rules that each defect broke, by the judge; all runs at once, each in its block of addresses."""
+    """The rules that each defect broke, by the judge; few runs at once, each in its block of addresses.
+
+    They go by the real clock: all at once they are late on a slow machine, and the judge blames that.
+    """
     folder = tmp_path_factory.mktemp("judge")
     (folder / "spec.toml").write_text(SPEC)
     spec = load(folder / "spec.toml")
@@ -69,8 +74,13 @@
         return dict(judged.broken)
 
     async def every() -> dict[str, dict[str, int]]:
-        defects = ["none", "refuse", *RULES]
-        return dict(zip(defects, await asyncio.gather(*map(one, defects)), strict=True))
+        defects, places = ["none", "refuse", *RULES], asyncio.Semaphore(AT_ONCE)
+
+        async def in_turn(defect: str) -> dict[str, int]:
+            async with places:
+                return await one(defect)
+
+        return dict(zip(defects, await asyncio.gather(*map(in_turn, defects)), strict=True))
 
     return asyncio.run(every())
 
