Front: crowded is the plain count, as what lingers is no longer among the connections

The sum over connections that are not closing was needed while a closed one stayed among them; since linger() and connection_lost take it out in the same call, it always came to the count. Change: the count alone. Result: the tests of closing, of descriptors at the seam, and those of the cap and the end pass; behaviour as before.

--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -626,10 +626,8 @@
 
     @property
     def crowded(self) -> bool:
-        """Whether there are more client connections than the cap, besides those that leave."""
-        if len(self.connections) <= self.limit:
-            return False
-        return sum(not connection.closing for connection in self.connections) > self.limit
+        """Whether there are more client connections than the cap; those that linger are not among them."""
+        return len(self.connections) > self.limit
 
     @property
     def address(self) -> Address:
