A backend that comes later joins its own side of the order, and lists may come in pieces

Need: where zones are priced a node's order has near ones first, but a new backend was given its place in the whole order and then sorted to its side: with three zones two in three of the near ones that came later stood behind all others (`_reorder`). The longer a fleet lives, the fewer nodes feed its newer backends: of 1,500 that came 64 at a time some had 40 feeders and some none where five are due (standard deviation 7.1). And the first share sent to other zones was worked out of whatever a first piece held.

Change: a new one is placed among the near or the far ones by itself. `ListUpdate.more` says that further pieces of the same list follow; until the first list is whole the first share follows it.

Where zones have no price nothing changes.

--- a/dillport/index.py
+++ b/dillport/index.py
@@ -7,9 +7,8 @@
 
 import heapq
 import math
-from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 
 from dillport import interface as api
 from dillport.state import Backend
@@ -131,57 +130,35 @@
         one, two = (self.far, self.near) if far else (self.near, self.far)
         return one.window(first, last) + two.window(first - len(one), last - len(one))
 
+    def side(self, near: bool) -> Places:
+        """The near ones or the far ones."""
+        return self.near if near else self.far
+
     def index(self, name: str) -> int:
-        """The position of a name that is here."""
-        if self.records[name].near:
-            return self.near.index(name)
-        return len(self.near) + self.far.index(name)
+        """The position of a name that is here, on its side."""
+        return self.side(self.records[name].near).index(name)
 
-    def lay(self, names: Sequence[str], near: Callable[[Backend], bool]) -> None:
-        """Put these at the end, in their order."""
-        for name in names:
-            self._insert(math.inf, name, near(self.records[name]))
-
-    def join(self, spots: Iterable[tuple[int, str]], near: Callable[[Backend], bool]) -> None:
-        """Insert each at a position of the whole as the ones before it have left it; then near ones go first.
-
-        What stands here moves for each of them no more than in a plain list that is sorted by `near`.
-        """
-        wide, home = len(self), len(self.near)
-        names, gaps = list[str](), list[int]()  # the new ones; how many of those here stand before each
-        for spot, name in spots:
-            spot = min(spot, wide + len(names))
-            at = bisect_left(range(len(names)), spot, key=lambda i: gaps[i] + i)
-            gaps.insert(at, spot - at)
-            names.insert(at, name)
-        nears = fars = 0
-        for gap, name in zip(gaps, names, strict=True):
-            if near(self.records[name]):
-                self._insert(min(gap, home) + nears, name, True)
-                nears += 1
-            else:
-                self._insert(max(0, gap - home) + fars, name, False)
-                fars += 1
+    def join(self, name: str, near: bool, at: float = math.inf) -> None:
+        """Insert one at a position of its side, at the end unless told otherwise."""
+        places = self.side(near)
+        self.records[name].near = near
+        places.insert(int(min(at, len(places))), name)
 
     def leave(self, name: str) -> None:
         """One that is here may have no new work any more."""
-        (self.near if self.records[name].near else self.far).remove(name)
+        self.side(self.records[name].near).remove(name)
 
     def turn(self, name: str, near: bool) -> None:
         """One that is here has become near or far: it stands next to those that it leaves."""
         self.leave(name)
-        self._insert(math.inf if near else 0, name, near)
+        self.join(name, near, math.inf if near else 0)
 
     def sort(self, near: Callable[[Backend], bool]) -> None:
         """Tell all near ones and far ones apart anew; each side keeps its order."""
         names = list(self)
         self.far, self.near = Places(self.records), Places(self.records)
-        self.lay(names, near)
-
-    def _insert(self, at: float, name: str, near: bool) -> None:
-        places = self.near if near else self.far
-        self.records[name].near = near
-        places.insert(int(min(at, len(places))), name)
+        for name in names:
+            self.join(name, near(self.records[name]))
 
 
 class Zone:
@@ -226,17 +203,10 @@
             b.entry = entry
             self._count(b)
 
-    def join(self, spots: Sequence[tuple[int, str]], near: Callable[[Backend], bool]) -> None:
-        """These may have new work from now on; see `Order.join`."""
-        self.order.join(spots, near)
-        for _, name in spots:
-            self._count(self.records[name])
-
-    def lay(self, names: Sequence[str], near: Callable[[Backend], bool]) -> None:
-        """The first that may have new work."""
-        self.order.lay(names, near)
-        for name in names:
-            self._count(self.records[name])
+    def join(self, b: Backend, near: bool, at: float = math.inf) -> None:
+        """One may have new work from now on; see `Order.join`."""
+        self.order.join(b.entry.backend, near, at)
+        self._count(b)
 
     def leave(self, name: str) -> None:
         """One may have no new work any more."""
--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -213,11 +213,15 @@
 
 @dataclass(slots=True)
 class ListUpdate:
-    """News of the backends; `FAILED` carries none."""
+    """News of the backends; `FAILED` carries none.
+
+    A list that is too long for one event comes in pieces, each but the first as `CHANGES`: what leaves first.
+    """
 
     kind: ListKind
     entries: list[Entry]
     revision: int = 0
+    more: bool = False  # further pieces of the same list follow
 
 
 @dataclass(slots=True)
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -58,6 +58,7 @@
         self._configure(settings)
         self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
+        self.opening = False  # the first list is coming in pieces
         self.even = 0.0  # backends in each zone, were they spread evenly
         self.fleet = 0  # most backends ever listed: what a warm one's share is measured by
         self.banned: set[str] = set()  # by the operators
@@ -740,15 +741,16 @@
             entries = [replace(self.backends[x].entry, phase=api.Phase.GONE) for x in left_out] + entries
         for entry in entries:
             self.index.list(entry)
-        self._refresh({entry.backend: None for entry in entries})
+        self._refresh({entry.backend: None for entry in entries}, ev.more)
 
-    def _refresh(self, names: Iterable[str]) -> None:
+    def _refresh(self, names: Iterable[str], more: bool = False) -> None:
         """Who of these may have new work has changed, or may have: this node's own order of the list.
 
         The first `width` are the subset it feeds, the next its reserve. Small subsets keep connections few
         and own counts telling. They start evenly laid; changes move few.
         """
         empty = not self.order
+        self.opening = self.opening or empty
         listed = [b for name in names if (b := self.backends.get(name)) is not None]
         came = sorted(b.entry.backend for b in listed if b.block is None and self._takes(b))
         for b in listed:
@@ -760,28 +762,33 @@
         if empty:
             self._lay_out(came)
         else:
-            wide = len(self.order)
-            self.index.join([self._spot(name, wide + i) for i, name in enumerate(came)], self._near)
+            for b in (self.backends[name] for name in came):
+                near = self._near(b)
+                self.index.join(b, near, self._spot(b.entry.backend, len(self.order.side(near))))
         self.fleet = max(self.fleet, len(self.order))
         self._measure()
+        if self.opening:  # nobody knows yet which zone serves well: all that is listed gets the same
+            self.spill = 1.0 - self.home / max(1, len(self.order))
+        self.opening = self.opening and more
 
-    def _spot(self, name: str, wide: int) -> tuple[int, str]:
-        """Where a new one goes in an order of so many.
+    def _spot(self, name: str, wide: int) -> int:
+        """Where a new one goes among so many, the near ones or the far ones.
 
         One that was banned returns to its place: a node that fed it before feeds it again. A new one falls
         into as many subsets as any other: twice the nodes would feed it twice as much.
         """
         place = self.places.pop(name, None)
-        return int(self._ring(name) * (wide + 1)) if place is None else place, name
+        return int(self._ring(name) * (wide + 1)) if place is None else place
 
     def _lay_out(self, names: list[str]) -> None:
-        near = [name for name in names if self._near(self.backends[name])] or names
+        nears = {name for name in names if self._near(self.backends[name])}
+        near = [name for name in names if name in nears] or names
         wide, own = len(near), min(self._width(len(names)), len(near))
         first = int(self.cfg.me * GOLDEN % 1.0 * wide)
         even = [near[(first + j * wide // own) % wide] for j in range(own)]  # whole steps: none twice
         rest = sorted(set(names) - set(even))
-        self.index.lay(even + self.rng.sample(rest, len(rest)), self._near)
-        self.spill = 1.0 - len(near) / max(1, len(names))
+        for name in even + self.rng.sample(rest, len(rest)):
+            self.index.join(self.backends[name], name in nears)
 
     def _width(self, wide: int) -> int:
         """How many of so many backends this node feeds."""
