Recovery: who says full counts as running, so one lost datagram makes no crash a split

A run of all tests failed once in test_one_crash_among_live_peers_...: a node served without the line 'phase full, path crash'. The phases are logged before 'serves on' on the same pipe, so it was no race of the test: another path was taken.

Those that say full to this node now count as running too.

--- a/dillport/recovery/core.py
+++ b/dillport/recovery/core.py
@@ -130,7 +130,7 @@
         self._roll_at, self._roll_wait = math.inf, config.roll
         self._heard: dict[int, Heard] = {}
         self._hearsay = 0  # bits of all whom peers say that they see
-        self._settled = False  # whether a peer was heard that did not return with this node
+        self._settled = False  # whether peers were heard that did not return with this node
         self._members: frozenset[int] = frozenset({me})
         self._quorum_seen = False
         self._held: list[Row] = []  # of the disk, until the peers are asked
@@ -499,7 +499,8 @@
             case State() as state:
                 self._heard[node] = Heard(state, self.now)
                 self._hearsay |= state.nodes
-                self._settled |= bool(settled_among((state,), self.count))
+                if self.phase <= Phase.ASK and not self._settled:
+                    self._settled = bool(settled_among(self._states(), self.count))
                 self.exchange.hears(node, message.hash, self.now, self._patience())
                 self._answer(message, state)
             case Rows() as rows:
--- a/dillport/recovery/phases.py
+++ b/dillport/recovery/phases.py
@@ -54,5 +54,10 @@
 
 
 def settled_among(heard: Sequence[State], count: int) -> list[State]:
-    """Those that say FULL and see at least half of the tier running, not returning."""
-    return [s for s in heard if s.phase >= Phase.FULL and 2 * (s.present - s.young) >= count]
+    """Those that say FULL while at least half of the tier runs and is not returning.
+
+    By what each sees, or by how many say so here. Guards against an old view of each other: where one has
+    missed that another is FULL, it takes that one for returning until it is told again, seconds later.
+    """
+    full = [s for s in heard if s.phase >= Phase.FULL]
+    return [s for s in full if 2 * max(s.present - s.young, len(full)) >= count]
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -52,7 +52,7 @@
     decode,
     encode,
 )
-from dillport.recovery.phases import Path, Phase
+from dillport.recovery.phases import Path, Phase, settled_among
 from dillport.recovery.register import BUCKETS, Register, Row
 from dillport.recovery.shares import share_of
 from dillport.recovery.trust import TABLE, Trust, Verdict
@@ -372,6 +372,23 @@
     assert entered[-1][0] < 20 and not tier.of(5, Admit) and len(tier.of(5, AskList)) == 1
 
 
+def test_a_crash_is_told_though_one_peer_missed_that_the_other_is_full() -> None:
+    """Guards against a `split` where a datagram was lost: that peer takes the other for returning."""
+    tier = settled(3)
+    del tier.nodes[2]
+    old = State(1, 100_000.0, Phase.WARMING, 0, Flag(0), 5, 0.0, math.inf, 0, 0b111)
+    tier.event(1, Received(0, encode(Message(Kind.ANSWER, 0, tier.nodes[0].register.hash, old), tier.now)))
+    core = tier.start(2, 2)
+    tier.run(300)
+    assert (core.phase, core.path) == (Phase.FULL, Path.CRASH)
+
+
+def test_who_says_full_counts_as_running_and_fewer_than_half_are_no_tier() -> None:
+    say = [State(1, 1e5, Phase.FULL, 0, Flag(0), 5, 0.0, math.inf, young, 0b111) for young in (2, 2)]
+    assert settled_among(say[:1], 3) == [] and settled_among(say, 3) == say
+    assert settled_among(say, 4) == say and settled_among(say, 5) == []
+
+
 def test_a_restart_of_all_one_by_one_is_no_power_cut() -> None:
     tier = settled(6)
     for node in range(6):
