Descriptors: two processes of a node keep to one limit together, by what each says it may hold

While an upgrade ran, each process worked out its part alone: a third for clients counted once for the two, and what was open might stay.

net/parts.py: each process says in its slot how many descriptors it may hold, before it holds more. The last to come may grow, into what no other claims, and looks once more whether another has come before it uses that; the others only shrink, idle connections first, and nothing in use is cut. A newcomer listens once it has its 3/8, or after the 3 s that it waits for discovery anyway. With a console and 256 or more, 37 are kept free for a newcomer that is not seen yet. What cannot be read counts as half.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -24,7 +24,8 @@
 from dillport.net.front import Front
 from dillport.net.handover import SOON, SUFFIX, give, take
 from dillport.net.node import Node
-from dillport.net.pair import Pair, steer, unsteer
+from dillport.net.pair import LOOK, Pair, steer, unsteer
+from dillport.net.parts import Parts
 
 if TYPE_CHECKING:
     from dillport.net.fleet import Fleet
@@ -94,7 +95,9 @@
     if fleet is not None:
         node.discovery = fleet.steer(node, discovery, known)
     front, console = Front(node, config.shares(1)[0]), Console(node)
-    pair = Pair(node.meeting, partial(beside_changed, node, front, fleet))
+    pair = Pair(node.meeting, partial(beside_changed, node, fleet))
+    parts = Parts(node, front, pair)
+    pair.looked = lambda: share(node, front, pair.beside, parts)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -104,6 +107,7 @@
         await console.listen(config.console)
         logging.info("console on %s:%d", *console.address)
         beside = pair.start()
+        share(node, front, beside, parts)
         node.bans.start(beside, *(fleet.bans() if fleet is not None else ()))
     if fleet is not None:
         fleet.take_over()
@@ -114,11 +118,11 @@
         node.discovery.watch(True)
     ready = fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside))
     if ready and beside:
-        ready = await unless(stop, take_place(node, front, recovered is None))
+        ready = await unless(stop, take_place(node, parts, recovered is None))
     if ready:
         await listen(node, front, pair, fleet)
         await stop.wait()
-        await end(node, front, pair, fleet)
+        await end(node, front, pair, parts, fleet)
     else:
         node.stopping = True
         pair.refresh()
@@ -134,13 +138,15 @@
     logging.info("%s ends", config.name)
 
 
-async def take_place(node: Node, front: Front, ask: bool) -> None:
+async def take_place(node: Node, parts: Parts, ask: bool) -> None:
     """Another process of this node runs: be as ready as it is before both listen; `ask` it what it knows."""
     logging.info("another process of this node runs: taking over")
-    share(node, front, True)
     node.event(TakingOver())
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(node.fresh.wait(), FRESH)
+        async with asyncio.timeout(FRESH):
+            await node.fresh.wait()
+            while not parts.enough:
+                await asyncio.sleep(LOOK)
     if ask:
         node.loop.call_later(SOON, inherit, node)
 
@@ -169,9 +175,8 @@
     return not stop.is_set()
 
 
-def beside_changed(node: Node, front: Front, fleet: Fleet | None, beside: bool) -> None:
+def beside_changed(node: Node, fleet: Fleet | None, beside: bool) -> None:
     """The other process of this node has begun or ended; a successor then takes its place as a member."""
-    share(node, front, beside)
     if beside and fleet is not None and not node.stopping:
         fleet.hand_over()
     if beside and node.listening and not node.stopping:  # a successor has come
@@ -188,17 +193,24 @@
         logging.info("handover: learned state taken over, limit %.1f", left.learned.limit)
 
 
-def share(node: Node, front: Front, beside: bool) -> None:
-    """Keep to this process's part of the descriptors; what is open already within the whole may stay."""
-    clients, upstream = alone = node.config.shares(1)
-    if beside:
-        clients, upstream = node.config.shares(2)
-        clients = max(clients, min(len(front.connections), alone[0]))
-        upstream = max(upstream, node.pool.count)
-    front.limit, node.pool.limit = clients, upstream
+def share(node: Node, front: Front, beside: bool, parts: Parts | None = None) -> None:
+    """Keep to this process's part of the descriptors: half of them where no part can be told.
 
+    What is idle beyond that goes at once, what is in use when it ends; until then it counts as held.
+    """
+    limits = parts.limits() if parts is not None else None
+    clients, upstream = limits or node.config.shares(2 if beside else 1)
+    before, front.limit, node.pool.limit = front.limit, clients, upstream
+    node.pool.trim()
+    if clients < before:
+        front.displace()
+        # Guards requests against a 503 for being over a cap that was lowered under them.
+        front.limit = max(clients, min(before, len(front.connections)))
+    if parts is not None:
+        parts.tell()
 
-async def end(node: Node, front: Front, pair: Pair, fleet: Fleet | None) -> None:
+
+async def end(node: Node, front: Front, pair: Pair, parts: Parts, fleet: Fleet | None) -> None:
     """Answer all that was taken, before SIGKILL comes."""
     loop = asyncio.get_running_loop()
     killed = loop.time() + until_killed(node.settings)
@@ -208,7 +220,7 @@
     if fleet is not None and not node.succeeded:
         fleet.leave()
     if node.succeeded and front.socket is not None:
-        steer(front.socket, 0 if pair.later else 1)
+        parts.leaving = steer(front.socket, 0 if pair.later else 1)
         await asyncio.sleep(last - CLOSE - loop.time())  # to the last: it may come on any open connection
     else:
         await asyncio.sleep(min(ACCEPT, last - CLOSE - loop.time()))
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -30,6 +30,9 @@
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 OVER = 16  # connections over the clients' part that still get an answer of their own, at most
 LEAVING = 2  # more that are closed, and whose descriptors are given back some turns of the loop later
+LEAST = SPARE + LEAVING + 3  # of a process with one client, one over that, and one connection to a backend
+ELDER = 5 / 8  # part of all descriptors that a process keeps to beside one that came later
+ELDER_CLIENTS = 0.75  # of those, but for what it needs by itself, at most
 
 
 class ConfigError(DillportError):
@@ -136,15 +139,38 @@
     keys: frozenset[str] = frozenset()  # what the file says, for the one that replaces it
     class_keys: frozenset[str] = frozenset()
 
-    def shares(self, processes: int) -> tuple[int, int]:
-        """Connections of clients and to backends for each of so many processes under one limit.
+    @property
+    def alone(self) -> int:
+        """Descriptors of a process that knows of no other. A second one needs the least before it is seen.
 
-        Clients may come to either process with all their connections: they use a third of the descriptors at
-        most, and what one process has the other has not. Backends get the rest, in even parts.
+        Without a console none comes; under the smallest limits what it needs is not kept free.
         """
-        room = self.sockets - processes * SPARE
-        clients = int(room * CLIENT_PART) if processes == 1 else self.sockets // 3
-        return clients, max(1, (room - clients) // processes - over(clients) - LEAVING)
+        kept_free = self.console is not None and self.sockets >= 8 * SPARE
+        return self.sockets - (LEAST if kept_free else 0)
+
+    @property
+    def elders(self) -> int:
+        """Descriptors of all processes beside one that came later."""
+        return int(self.sockets * ELDER)
+
+    def shares(self, processes: int) -> tuple[int, int]:
+        """Connections of clients and to backends for each of so many that know nothing of each other."""
+        return self.within(self.alone if processes == 1 else self.sockets // processes)
+
+    def within(self, part: int) -> tuple[int, int]:
+        """Connections of clients and to backends for a process that may hold so many descriptors."""
+        return _split(part, int((part - SPARE) * CLIENT_PART))
+
+    def elder(self, part: int) -> tuple[int, int]:
+        """The same where one came later: the clients' connections are still here, a third of all at most."""
+        return _split(part, min(self.sockets // 3, int((part - SPARE) * ELDER_CLIENTS)))
+
+
+def _split(part: int, clients: int) -> tuple[int, int]:
+    """So many clients where there is room for one connection to a backend too; what is left for those."""
+    room = part - SPARE - LEAVING
+    clients = max(1, min(clients, room - 2))
+    return clients, max(1, room - clients - over(clients))
 
 
 def over(clients: int) -> int:
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -660,7 +660,12 @@
             self.lingering.pop(first, None)
             first.close()
 
-    def _oldest(self, newest: ClientConnection) -> ClientConnection | None:
+    def displace(self) -> None:
+        """Under a lower cap the longest idle ones go; those with a request under way may stay, and count."""
+        while self.crowded and (oldest := self._oldest()) is not None:
+            oldest.linger()
+
+    def _oldest(self, newest: ClientConnection | None = None) -> ClientConnection | None:
         """The longest idle one that nothing has come from."""
         for connection in self.idle:
             if connection is not newest and not connection.unread:
--- a/dillport/net/pair.py
+++ b/dillport/net/pair.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 LOOK = 0.1  # s between two looks whether another process runs
+WORD = 128  # bytes of a word that are read
 SLOTS = 4  # processes of one node at a time: two, or more where upgrades follow one another closely
 # Not in the socket module; <asm-generic/socket.h>, the same on all machines that Python is common on.
 SO_ATTACH_REUSEPORT_CBPF, SO_DETACH_REUSEPORT_BPF = 51, 68
@@ -36,6 +37,8 @@
     def __init__(self, where: Path, tell: Callable[[bool], None]) -> None:
         self.slots = [where.with_suffix(f".slot{number}") for number in range(SLOTS)]
         self.tell = tell  # told when another process appears, and when no other is left
+        self.looked: Callable[[], None] = lambda: None  # called after each look
+        self.words: dict[int, str] = {}  # what the others have said last, by slot
         self.mine = self.lock = -1
         self.beside = False
         self.later = False  # the other process was there first
@@ -61,17 +64,27 @@
                 os.close(fd)
                 continue
             self.mine, self.lock = number, fd
+            os.ftruncate(fd, 0)  # the word of a process that is gone
             return
         raise SlotError(f"{SLOTS} processes of this node run already")
 
-    def _others(self) -> bool:
+    def say(self, word: str) -> bool:
+        """Leave a line for the others in this process's slot, always as long; False where that cannot be."""
         try:
-            return any(_held(path) for number, path in enumerate(self.slots) if number != self.mine)
-        except OSError:  # no descriptor is left to look with: what was seen last holds
-            return self.beside
+            line = word.encode()
+            return os.pwrite(self.lock, line, 0) == len(line)
+        except OSError as err:
+            log.debug("slot %d: %s", self.mine, err)
+            return False
+
+    def _others(self) -> bool:
+        """Read what the others say; whether there are any."""
+        self.read()  # where no descriptor is left to look with, what was seen last holds
+        return bool(self.words)
 
     def _look(self) -> None:
         self.refresh()
+        self.looked()
         self._again()
 
     def refresh(self) -> None:
@@ -82,6 +95,18 @@
             self.later = self.later and beside
             self.tell(beside)
 
+    def read(self) -> dict[int, str] | None:
+        """What the others say at this moment, by slot; None where that cannot be seen.
+
+        Who comes or goes is told at the next look.
+        """
+        try:
+            words = {n: _held(path) for n, path in enumerate(self.slots) if n != self.mine}
+        except OSError:
+            return None
+        self.words = {number: word for number, word in words.items() if word is not None}
+        return self.words
+
     def _again(self) -> None:
         self.timer = asyncio.get_running_loop().call_later(LOOK, self._look)
 
@@ -97,22 +122,22 @@
             self.lock = self.mine = -1
 
 
-def _held(path: Path) -> bool:
-    """Whether a process has this slot; raises OSError where that cannot be seen.
+def _held(path: Path) -> str | None:
+    """What the process says that has this slot, None where none has; raises OSError where that is not seen.
 
     A shared lock for a moment is in nobody's way but a newcomer's.
     """
     try:
         fd = os.open(path, os.O_RDWR | os.O_CLOEXEC)
     except FileNotFoundError:
-        return False
+        return None
     try:
         fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
     except BlockingIOError:
-        return True
+        return os.pread(fd, WORD, 0).decode("latin-1")
     finally:
         os.close(fd)
-    return False
+    return None
 
 
 def steer(sock: socket.socket, index: int) -> bool:
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -568,6 +568,11 @@
                 self.close_idle(name)
             host.address = member.address
 
+    def trim(self) -> None:
+        """Under a lower limit the longest idle connections go; the others stay while they are used."""
+        while self.count > self.limit and self._evict():
+            pass
+
     def ban(self, name: str, out: bool) -> None:
         """Take note of a ban or its end; what still waits for a connection there is moot."""
         (self.banned.add if out else self.banned.discard)(name)
