Long lists: decoded and taken in turns of the loop, up to a part of the node's memory

A whole list of 70,000 (10.4 MB) was refused, as an object had 8 MiB at most, and a list was decoded and handed to the module in one turn of the loop. Now an object of over 64 KiB is cut into runs of rows and decoded a run a turn, none of it taken before all is sound; news of over 256 entries are compared with what is in force and given to the module in pieces of 128, first what stops. Between turns the loop rests as long as the turn took, once the node serves. The most that an object may have is a twelfth of the memory, 8 MiB at least, and is said at the start. Small lists take the way that they took.

--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -150,6 +150,7 @@
     gc.freeze()
     await front.listen(node.config.listen, shared=node.config.console is not None)
     node.listening = True
+    node.turns.hurry = False
     if front.socket is not None and node.config.console is not None:
         unsteer(front.socket)
     node.pulse(node.loop.time())
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -7,7 +7,7 @@
 import re
 import socket
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Generator, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, Literal, TypeVar
@@ -17,6 +17,7 @@
 from dillport import interface as api
 from dillport import wire
 from dillport.errors import DillportError
+from dillport.net.rows import OddList, layout
 
 PREFIX = "PROXY_"
 PHASES = {
@@ -67,11 +68,12 @@
 
 @dataclass(slots=True, frozen=True)
 class News:
-    """One list, or one line of a watch."""
+    """One list, or one line of a watch; or, `again`, entries as they were told before."""
 
     revision: int
     complete: bool
     members: tuple[Member, ...]
+    again: bool = False
 
 
 # What the fields hold in JSON. An integer is taken for a float, and what is unknown is skipped.
@@ -118,6 +120,7 @@
 
 
 _decoder = msgspec.json.Decoder(_List)
+_run_decoder = msgspec.json.Decoder(list[_Row])
 
 
 @dataclass(slots=True, frozen=True)
@@ -167,8 +170,11 @@
     return host, int(port)
 
 
-def _fitted(raw: object, form: type[Form]) -> Form:
-    """What was read, as `form`; raises ValueError with the dotted field, its value, what would do."""
+def _fitted(raw: object, form: type[Form], under: str = "") -> Form:
+    """What was read, as `form`; raises ValueError with the dotted field, its value, what would do.
+
+    `under` is the dotted field that `raw` itself is the value of.
+    """
     try:
         return msgspec.convert(raw, form)
     except msgspec.ValidationError as err:
@@ -177,14 +183,16 @@
     value: Any = raw
     for part in re.findall(r"[^.\[\]]+", path):
         value = value[int(part)] if isinstance(value, list) else value[part]
+    path = f"{under}.{path}".strip(".")
     if missing := re.fullmatch("Object missing required field `(.*)`", text):
         raise ValueError(f"{path}.{missing[1]} is missing".removeprefix("."))
     raise ValueError(f"{path or 'the whole'} makes no sense: {value!r:.120}, {text[:1].lower()}{text[1:]}")
 
 
-def _news(told: _List) -> News:
+def _members(rows: Sequence[_Row], first: int = 0) -> list[Member]:
+    """The backends of some rows, of which the first has that index; raises ListError."""
     members = []
-    for index, row in enumerate(told.members):
+    for index, row in enumerate(rows, first):
         try:
             cell = int(row.cell)
         except (TypeError, ValueError, OverflowError):
@@ -203,27 +211,99 @@
             kind=str(row.flavor),
         )
         members.append(Member(entry, where))
-    return News(told.revision, told.complete, tuple(members))
+    return members
+
+
+def _news(told: _List) -> News:
+    return News(told.revision, told.complete, tuple(_members(told.members)))
+
+
+def _told(told: _List) -> News:
+    out = _news(told)
+    if out.complete:
+        _distinct(out.members, 0, set())
+    return out
+
+
+def _distinct(members: Sequence[Member], first: int, seen: set[str]) -> None:
+    """Guards against a whole list that names a backend twice: nobody knows which word counts.
+
+    Takes the ids into `seen`; the first of `members` has that index. Raises ListError.
+    """
+    names = [member.entry.backend for member in members]
+    if len(set(names)) == len(names) and seen.isdisjoint(names):
+        seen.update(names)
+        return
+    for index, name in enumerate(names, first):
+        if name in seen:
+            raise ListError(f"members[{index}].id makes no sense: {name!r:.120} is there twice")
+        seen.add(name)
 
 
 def news(raw: object) -> News:
     """A list in discovery's form; raises ListError."""
+    return _told(_fitted_list(raw))
+
+
+def _fitted_list(raw: object) -> _List:
     try:
-        told = _fitted(raw, _List)
+        return _fitted(raw, _List)
     except ValueError as err:
         raise ListError(str(err)) from None
-    return _news(told)
 
 
-def news_of(data: bytes) -> News:
+def news_of(data: bytes | bytearray) -> News:
     """A list in discovery's form, as it came; raises ListError, or what `json` raises where it is no JSON."""
+    return _told(_list_of(data))
+
+
+def _list_of(data: bytes | bytearray) -> _List:
     try:
-        told = _decoder.decode(data)
+        return _decoder.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         # Once more in two steps: to name what does not fit, and as `json` takes a little more (NaN in a field
         # that nobody reads, a key that is there twice).
-        return news(json.loads(data))
-    return _news(told)
+        return _fitted_list(json.loads(data))
+
+
+def _rows_of(data: bytes | bytearray, first: int) -> list[_Row]:
+    """An array of rows, of which the first has that index; as `_list_of`."""
+    try:
+        return _run_decoder.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        try:
+            raw = json.loads(data)
+        except (ValueError, RecursionError) as err:
+            raise ValueError(f"from members[{first}] on: {err}") from None
+        try:
+            return [_fitted(row, _Row, f"members[{index}]") for index, row in enumerate(raw, first)]
+        except ValueError as err:
+            raise ListError(str(err)) from None
+
+
+def news_in_turns(data: bytearray) -> Generator[None, None, News]:
+    """As `news_of`, in turns of some milliseconds; `data` is used up.
+
+    Nothing comes of it before all is sound. What is laid out as no list is (`members` written with escapes,
+    or there twice) takes one long turn.
+    """
+    try:
+        parts = yield from layout(data)
+    except OddList:
+        return news_of(data)
+    told = _list_of(data[: parts.rows] + data[parts.last :])
+    members, seen, gone = list[Member](), set[str](), 0
+    for end in parts.runs:
+        # What is decoded is given back: the entries need the room.
+        run = b"[" + data[max(0, parts.rows - gone) : end - gone] + b"]"
+        del data[: end + 1 - gone]
+        gone = end + 1
+        rows = _members(_rows_of(run, len(members)), len(members))
+        if told.complete:
+            _distinct(rows, len(members), seen)
+        members += rows
+        yield
+    return News(told.revision, told.complete, tuple(members))
 
 
 def address_at(raw: Mapping[str, Any], env: Mapping[str, str], name: str) -> Address:
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+from collections import deque
 from collections.abc import Iterator
 from enum import Enum
 from typing import cast
@@ -12,7 +13,7 @@
 import httptools
 
 from dillport import interface as api
-from dillport.net.config import Address, ListError, News, news_of
+from dillport.net.config import Address, ListError, News, news_in_turns, news_of
 from dillport.net.limited import LimitedWarnings
 from dillport.net.node import Node
 from dillport.net.objects import BrokenObject, Objects
@@ -23,7 +24,17 @@
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
 LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
-MOST_OBJECT = 8 * 1024 * 1024  # bytes
+MOST_OBJECT = 8 * 1024 * 1024  # bytes that an object may have on any node
+MOST_PART = 1 / 12  # of the node's memory that it may have: entries take some four times their bytes, twice
+DONE = object()
+
+Brought = bytes | bytearray | BrokenObject | None
+"""What a call brings: an object or an empty line, what cannot become one, its end."""
+
+
+def most_object(memory_mb: float) -> int:
+    """Bytes of one object at most, for a node with so much memory."""
+    return max(MOST_OBJECT, int(memory_mb * MOST_PART * 1024 * 1024))
 
 
 class Stage(Enum):
@@ -46,10 +57,12 @@
         self.dog = Watchdog(owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT))
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
-        self.objects = Objects(MOST_OBJECT)
+        self.objects = Objects(most_object(owner.node.config.memory_mb))
         self.timer: asyncio.TimerHandle | None = None
         self.told_at: float | None = None  # when it first told something
         self.done = self.doubt = False
+        self.paused = False
+        self.spoilt = False  # nothing that still comes of it makes sense
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask, unless the call was closed while its connection came up."""
@@ -78,8 +91,8 @@
         if now < self._due():
             self.doubt = False
             self._arm()
-        elif not self.doubt:  # the node may have stood still itself, with news unread
-            self.doubt = True
+        elif not self.doubt or self.owner.reads(self):
+            self.doubt = True  # the node may have stood still itself, with news unread, or it decodes a list
             self.timer = self.owner.loop.call_later(LOOK, self._look)
         elif self.watch and self.dog.trickles(now) and self.owner.slow is None:
             self.doubt, self.stage = False, Stage.SLOW
@@ -94,48 +107,99 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self.owner.warn("discovery: broken answer", str(err))
-            self.end()
+            self._over()
 
     def on_body(self, body: bytes) -> None:
         """Objects may be cut anywhere."""
-        if self.stage is Stage.OVER or self.parser.get_status_code() != 200:
+        if self.stage is Stage.OVER or self.spoilt or self.parser.get_status_code() != 200:
             return
         now = self.owner.loop.time()
         self.dog.fed(now)
-        for update in self._news(body):
-            if self.stage is Stage.OVER:  # by what it told first
-                return
-            self.dog.told(now)
-            self.stage = Stage.OPEN
-            if self.told_at is None:
-                self.told_at = now
-            self.owner.told(self)
-            if update is None:
-                self.owner.node.unchanged()
-            else:
-                self.done = not self.watch
-                self.owner.news(update)
-
-    def _news(self, body: bytes) -> Iterator[News | None]:
         try:
             for item in self.objects.feed(body):
-                yield news_of(item) if item else None
+                self.dog.told(now)
+                self.owner.read(self, item)
+                if self.over:  # by what it told first
+                    return
+        except BrokenObject as err:
+            self.spoilt = True
+            self.owner.read(self, err)
+
+    def heard(self, what: Brought) -> Iterator[None]:
+        """Take it, unless the call was closed since; a long list takes some turns."""
+        if self.stage is Stage.OVER:
+            return
+        if what is None:
+            self.end()
+            return
+        try:
+            if isinstance(what, BrokenObject):
+                raise what
+            update: News | None
+            if isinstance(what, bytearray):
+                update = yield from news_in_turns(what)
+            else:
+                update = news_of(what) if what else None
         except (ListError, BrokenObject) as err:
             self._broken(err)
+            return
         except (ValueError, RecursionError) as err:
             self._broken(BrokenObject(str(err)))
+            return
+        self._told(update)
+
+    def _told(self, update: News | None) -> None:
+        now = self.owner.loop.time()
+        self.dog.told(now)
+        self.stage = Stage.OPEN
+        if self.told_at is None:
+            self.told_at = now
+        self.owner.told(self)
+        if update is None:
+            self.owner.node.unchanged()
+        else:
+            self.done = not self.watch
+            self.owner.news(update)
 
     def _broken(self, err: ListError | BrokenObject) -> None:
         """What it said is lost, and later changes do not repeat it: only the whole list will do."""
+        if self.stage is Stage.OVER:  # nobody wants it any more
+            return
         self.owner.warn("discovery: bad list", err.line)
         self.owner.revision = 0
         self.end()
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
-        if not (self.watch or self.stage is Stage.OVER or self.objects.between):
-            self._broken(BrokenObject("the answer ends before its JSON does"))
-        self.end()
+        if not (self.watch or self.stage is Stage.OVER or self.spoilt or self.objects.between):
+            self.owner.read(self, BrokenObject("the answer ends before its JSON does"))
+        self._over()
+
+    def _over(self) -> None:
+        """Nothing more comes; what came whole before is still taken."""
+        if self.owner.reads(self):
+            self.spoilt = True
+            self.owner.read(self, None)
+        else:
+            self.end()
+
+    @property
+    def over(self) -> bool:
+        """Whether it is closed."""
+        return self.stage is Stage.OVER
+
+    def pause(self) -> None:
+        """Read no more for now: guards against lists that come faster than they are decoded."""
+        if not self.paused and self.transport is not None and self.stage is not Stage.OVER:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.paused and self.transport is not None and self.stage is not Stage.OVER:
+            self.paused = False
+            if not self.transport.is_closing():
+                self.transport.resume_reading()
 
     def close(self) -> None:
         """Nobody wants it any more."""
@@ -153,7 +217,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The other side may have ended it."""
-        self.end()
+        self._over()
 
 
 class Discovery:
@@ -172,7 +236,11 @@
         self.wait = WAIT_FIRST
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.unread: deque[tuple[Call, Brought]] = deque()
+        self.reading: Call | None = None  # whose word is being taken
         self.warnings = LimitedWarnings(log, self.loop.time)
+        memory_mb = node.config.memory_mb
+        log.info("list: at most %.1f MiB in one object, of %g MB", most_object(memory_mb) / 2**20, memory_mb)
 
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
@@ -229,6 +297,37 @@
         """Log what went wrong, one line of a kind now and then."""
         self.warnings.warn(what, f"{what}: {why:.200}" if why else what)
 
+    def read(self, call: Call, what: Brought) -> None:
+        """Take what a call brought, after all that came before it: at once, unless there is a long list."""
+        self.unread.append((call, what))
+        if self.reading is None:
+            work = self._read()
+            if next(work, DONE) is not DONE:
+                self.node.turns.add(work)
+        if self.reads(call):
+            call.pause()
+
+    def reads(self, call: Call) -> bool:
+        """Whether something that a call brought is still to be taken."""
+        return call is self.reading or any(call is other for other, _ in self.unread)
+
+    def _read(self) -> Iterator[None]:
+        while self.unread:
+            call, what = self.unread.popleft()
+            self.reading = call
+            try:
+                for _ in call.heard(what):
+                    yield
+                    if call.stage is Stage.OVER:
+                        break
+            except Exception:  # a defect: what it says from here on would be without what is lost
+                call.end()
+                raise
+            finally:
+                self.reading = None
+            if not self.reads(call):
+                call.resume()
+
     def news(self, update: News) -> None:
         """Apply an object by its revision: a change that is not newer than the list held is an old one."""
         if update.complete:
--- /dev/null
+++ b/dillport/net/listing.py
@@ -0,0 +1,174 @@
+"""The way of the list into the node: news in their order, a long one in turns of the loop.
+
+Short news are taken at once. Of a long one, what is as it was costs the module nothing; first goes what has
+to stop, then comes the rest, in pieces. It counts as taken when all of it is in.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
+from itertools import chain, islice
+from typing import TypeVar
+
+from dillport import interface as api
+from dillport.net.config import Member, News
+from dillport.net.turns import Turns
+from dillport.net.upstream import Pool
+
+SHORT = 256  # entries up to which news are taken at once, and backends held up to which a whole list is
+PIECE = 128  # entries that the module takes in one turn
+LOOKS = 1024  # entries that are compared in one turn
+
+Item = TypeVar("Item")
+Taken = Callable[[News | None, api.ListKind], None]
+"""Told of news that are in force; None: discovery has said that nothing is new."""
+
+
+class Listing:
+    """Takes the news of the list in their order."""
+
+    def __init__(
+        self, pool: Pool, tell: Callable[[api.ListUpdate], None], taken: Taken, turns: Turns
+    ) -> None:
+        """`pool` and `tell`, which leads to the module, get each piece; `pool` says what is in force."""
+        self.pool, self.tell, self.taken, self.turns = pool, tell, taken, turns
+        self.waiting: deque[tuple[News | None, api.ListKind]] = deque()  # the first one is being taken
+        self._stopped: dict[str, News] = {}  # what is told to stop by news that wait, by the last of them
+        self._working = False
+        self._begun = False  # the module has been told a list
+
+    def put(self, news: News | None, kind: api.ListKind) -> None:
+        """Take news; None: nothing is new.
+
+        What was told before, as what was saved is, goes before what discovery has told since, and a whole
+        list of that leaves nothing of it.
+        """
+        if self.waiting and news is not None and (news.again or kind is api.ListKind.SAVED):
+            if any(held is api.ListKind.FULL for _, held in self.waiting):
+                return
+            if kind is api.ListKind.SAVED:
+                self.waiting = deque(item for item in self.waiting if item[1] is not kind)
+            self.waiting.appendleft((news, kind))
+            return
+        if kind is api.ListKind.FULL:  # what came before is of no use; what is in of it is in force
+            self._stopped.clear()
+            if self.waiting:
+                self.waiting.clear()
+                self.waiting.append((news, kind))
+                return
+        if self.waiting:
+            self.waiting.append((news, kind))
+            if news is not None:
+                self._stop(news)
+        elif news is None:
+            self.taken(None, kind)
+        elif len(news.members) <= SHORT and (kind is api.ListKind.CHANGES or len(self.pool.hosts) <= SHORT):
+            self._begun = True
+            self.pool.update(news.members, kind is not api.ListKind.CHANGES)
+            self.tell(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
+            self.taken(news, kind)
+        else:
+            self.waiting.append((news, kind))
+            if not self._working:  # else this comes of what it has just taken
+                self.turns.add(self._work())
+
+    def _stop(self, news: News) -> None:
+        """What is told to stop need not wait for its turn, and what was told before raises it no more."""
+        last = {member.entry.backend: member for member in news.members}
+        stop = [member for member in last.values() if member.entry.phase is not api.Phase.UP]
+        self._stopped |= dict.fromkeys([member.entry.backend for member in stop], news)
+        if len(stop) <= SHORT and (now := tuple(m for m in stop if m.entry.backend in self.pool.hosts)):
+            self._tell(now, news.revision)
+
+    def _work(self) -> Iterator[None]:
+        """Take all that waits, a piece a turn. What is put meanwhile may change what is first."""
+        self._working = True
+        try:
+            while self.waiting:
+                item = news, kind = self.waiting[0]
+                for _ in self._pieces(news, kind) if news is not None else ():
+                    yield
+                    if self.waiting[0] is not item:
+                        break
+                if self.waiting[0] is item:
+                    self.waiting.popleft()
+                    self._stopped = {name: by for name, by in self._stopped.items() if by is not news}
+                    self.taken(news, kind)
+                    rest = list(news.members) if news is not None else []
+                    del item, news
+                    while rest:  # to let go of all at once would be a long turn, too
+                        del rest[-LOOKS:]
+                        yield
+        except Exception:  # a defect: what comes next is not to wait for ever
+            self.waiting.clear()
+            raise
+        finally:
+            self._working = False
+
+    def _pieces(self, news: News, kind: api.ListKind) -> Iterator[None]:
+        """Put one object in force, a step a turn."""
+        named = dict[str, Member]()  # the last word of each
+        for some in _cut(news.members, LOOKS):
+            named.update((member.entry.backend, member) for member in some)
+            yield
+        told = 0
+        whole = kind is not api.ListKind.CHANGES
+        for piece in chain(self._left_out(named) if whole else (), self._changed(named)):
+            if piece:
+                self._tell(piece, news.revision)
+                told += 1
+            yield
+        if not told:  # it was heard
+            self._tell((), news.revision)
+
+    def _tell(self, piece: tuple[Member, ...], revision: int) -> None:
+        # The module is to ask discovery once it has the first of a saved list. Told again, such a piece would
+        # count as all there is.
+        kind = api.ListKind.CHANGES if self._begun else api.ListKind.SAVED
+        self._begun = True
+        if self._stopped:
+            up = api.Phase.UP
+            piece = tuple(m for m in piece if m.entry.phase is not up or m.entry.backend not in self._stopped)
+        self.pool.update(piece, False)
+        self.tell(api.ListUpdate(kind, [member.entry for member in piece], revision))
+
+    def _left_out(self, named: Mapping[str, Member]) -> Iterator[tuple[Member, ...]]:
+        """What a whole list names no more, as gone; empty where a turn found nothing."""
+        hosts = self.pool.hosts
+        for some in _cut(tuple(hosts), LOOKS):
+            left = [hosts[name] for name in some if name not in named]
+            gone = [
+                Member(replace(host.entry, phase=api.Phase.GONE), host.address)
+                for host in left if host.entry is not None
+            ]  # fmt: skip
+            yield from _cut(gone, PIECE) if gone else ((),)
+
+    def _changed(self, named: Mapping[str, Member]) -> Iterator[tuple[Member, ...]]:
+        """What is not in force as it was told: first all that stops, then what serves, then the others."""
+        hosts, serve, others = self.pool.hosts, list[Member](), list[Member]()
+        for some in _cut(named.values(), LOOKS):
+            stop = []
+            for member in some:
+                entry = member.entry
+                host = hosts.get(entry.backend)
+                if host is None and entry.phase is api.Phase.GONE:
+                    continue
+                if host is not None and host.entry == entry and host.address == member.address:
+                    continue
+                if entry.phase is api.Phase.UP:
+                    serve.append(member)
+                elif host is not None and (host.listed or entry.phase is api.Phase.GONE):
+                    stop.append(member)
+                else:
+                    others.append(member)
+            yield from _cut(stop, PIECE) if stop else ((),)
+        yield from _cut(serve, PIECE)
+        yield from _cut(others, PIECE)
+
+
+def _cut(items: Iterable[Item], size: int) -> Iterator[tuple[Item, ...]]:
+    rest = iter(items)
+    while some := tuple(islice(rest, size)):
+        yield some
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -17,7 +17,9 @@
 from dillport.net.bans import Bans, stem
 from dillport.net.config import Config, News
 from dillport.net.figures import End, Figures
+from dillport.net.listing import Listing
 from dillport.net.stream import Budget, Upload
+from dillport.net.turns import Turns
 from dillport.net.upstream import Answer, Attempt, Connection, Pool, Sink
 from dillport.policy import Balancer
 
@@ -146,6 +148,8 @@
         self.bans = Bans(self.meeting, self.maintain)
         self.budget = Budget(config.memory_mb)
         self.pool = Pool(config.settings, config.shares(1)[1], self.figures, self.budget)
+        self.turns = Turns(self.loop)
+        self.listing = Listing(self.pool, self.event, self._listed, self.turns)
         self.open: dict[str, Open] = {}
         self.discovery: Watcher | None = None
         self.fleet: Rooms | None = None
@@ -330,19 +334,24 @@
 
     def list(self, news: News, kind: api.ListKind) -> None:
         """The list, or a change of it."""
-        self.pool.update(news.members, kind is not api.ListKind.CHANGES)
-        self.event(api.ListUpdate(kind, [m.entry for m in news.members], news.revision))
+        self.listing.put(news, kind)
+
+    def unchanged(self) -> None:
+        """Discovery says that nothing has changed, which is news too."""
+        self.listing.put(None, api.ListKind.CHANGES)
+
+    def _listed(self, news: News | None, kind: api.ListKind) -> None:
+        """News are in force."""
+        if news is None:
+            if not self.fresh.is_set() and self.fleet is not None:
+                self.fleet.unchanged()
+            self.fresh.set()
+            return
         if kind is not api.ListKind.SAVED:
             self.fresh.set()
             if self.fleet is not None:
                 self.fleet.listed(news, kind)
-        self.ready = self.ready or any(host.listed for host in self.pool.hosts.values())
-
-    def unchanged(self) -> None:
-        """Discovery says that nothing has changed, which is news too."""
-        if not self.fresh.is_set() and self.fleet is not None:
-            self.fleet.unchanged()
-        self.fresh.set()
+        self.ready = self.ready or self.pool.listed > 0
 
     def maintain(self, backend: str, out: bool, since: float) -> None:
         """The operators take a backend out, or have put it back at the time `since`."""
--- a/dillport/net/objects.py
+++ b/dillport/net/objects.py
@@ -11,17 +11,19 @@
 NOTHING = b""  # an empty line between objects
 QUOTE, BACKSLASH, COMMA, BRACE, BRACKET = b'"\\,{['
 ENDS = {ord("}"): BRACE, ord("]"): BRACKET}
+LONG = 64 * 1024  # bytes over which an object is decoded in turns
 DEEPEST = 64  # brackets within brackets; a list has three
 SHOWN = 60  # bytes of what is broken that an error shows
 
 # The runs of characters are possessive: a string that goes on in the next piece is not gone over again.
 _INK = rb'[^"\\\x00-\x1f]*+'
 _MORE = rb"\\[^\x00-\x1f]" + _INK
-_STRING = rb'"' + _INK + rb'(?:"|(?:' + _MORE + rb')+")'  # most have no backslash, and cost one branch
+STRING = rb'"' + _INK + rb'(?:"|(?:' + _MORE + rb')+")'  # most have no backslash, and cost one branch
 _RUN = rb'[^"{}\[\]]*+'
-_FLAT = rb"[{\[]" + _RUN + rb"(?:" + _STRING + _RUN + rb")*[}\]]"  # an object or array that nests nothing
+_FLAT = rb"[{\[]" + _RUN + rb"(?:" + STRING + _RUN + rb")*[}\]]"  # an object or array that nests nothing
+FLAT = re.compile(_FLAT)
 TEXT = re.compile(_INK + rb"(?:" + _MORE + rb")*")  # a string's inside, up to its quote or to what breaks it
-PLAIN = re.compile(_RUN + rb"(?:(?:" + _STRING + rb"|" + _FLAT + rb")" + _RUN + rb")*")
+PLAIN = re.compile(_RUN + rb"(?:(?:" + STRING + rb"|" + _FLAT + rb")" + _RUN + rb")*")
 GAP = re.compile(rb"[ \t\r\n]*+")
 
 
@@ -53,12 +55,15 @@
         """Whether no object is under way."""
         return not self.nest
 
-    def feed(self, data: bytes) -> Iterator[bytes]:
-        """The objects that end in `data`, NOTHING where empty lines stand; raises BrokenObject."""
+    def feed(self, data: bytes) -> Iterator[bytes | bytearray]:
+        """The objects that end in `data`, NOTHING where empty lines stand; raises BrokenObject.
+
+        Those of over `LONG` bytes are the caller's to empty: they are not copied.
+        """
         at = 0
         while at < len(data):
             if not self.nest:
-                begin, at = at, _end(GAP, data, at)
+                begin, at = at, end(GAP, data, at)
                 ends = data.count(b"\n", begin, at)
                 if ends > self.line:
                     yield NOTHING
@@ -76,8 +81,8 @@
             at = self._scan(data, at)
             self._hold(data[begin:at], quoted)
             if not self.nest:
-                whole, self.held, self.line = bytes(self.held), bytearray(), True
-                yield whole
+                whole, self.held, self.line = self.held, bytearray(), True
+                yield whole if len(whole) > LONG else bytes(whole)
 
     def _hold(self, piece: bytes, quoted: bool) -> None:
         """Keep a piece; blanks at its edges, unless in a string, are worth one."""
@@ -96,7 +101,7 @@
             if self.quoted:
                 at = self._string(data, at)
                 continue
-            begin, at = at, _end(PLAIN, data, at)
+            begin, at = at, end(PLAIN, data, at)
             sign = data[at] if at < len(data) else 0
             if sign in ENDS:
                 if self.nest.pop() != ENDS[sign]:
@@ -129,7 +134,7 @@
         if self.escaped:
             self.escaped = False
             at += 1
-        at = _end(TEXT, data, at)
+        at = end(TEXT, data, at)
         if at >= len(data):
             return at
         if data[at] == QUOTE:
@@ -141,6 +146,7 @@
         return at + 1
 
 
-def _end(pattern: re.Pattern[bytes], data: bytes, at: int) -> int:
+def end(pattern: re.Pattern[bytes], data: bytes | bytearray, at: int) -> int:
+    """Behind what the pattern matches there; `at` where it matches nothing."""
     found = pattern.match(data, at)
     return found.end() if found else at
--- a/dillport/net/returning.py
+++ b/dillport/net/returning.py
@@ -150,7 +150,7 @@
             ]  # fmt: skip
             self.node.list(News(self._saved.revision, True, tuple(drained)), api.ListKind.SAVED)
         elif again := [_copy(m) for name, m in self._list.items() if name in before - ids]:
-            self.node.list(News(self._saved.revision, False, tuple(again)), api.ListKind.CHANGES)
+            self.node.list(News(self._saved.revision, False, tuple(again), True), api.ListKind.CHANGES)
 
     # --- what brings the list
 
--- /dev/null
+++ b/dillport/net/rows.py
@@ -0,0 +1,139 @@
+"""A long list cut into runs of its rows, so that it can be decoded in turns. It decodes nothing itself."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Generator
+from dataclasses import dataclass
+
+from dillport.net.objects import (
+    BACKSLASH,
+    BRACE,
+    BRACKET,
+    COMMA,
+    ENDS,
+    FLAT,
+    GAP,
+    PLAIN,
+    QUOTE,
+    STRING,
+    TEXT,
+    end,
+)
+
+STEP = 64  # rows that are looked at at once
+RUN = 16 * 1024  # bytes of a run from which on it ends
+LOOKS = 8  # runs that are cut in one turn
+MEMBERS = b'"members"'
+ENDING = ord("]")
+
+_GAP = rb"[ \t\r\n]*+"
+_ROW = rb"\{[^\"{}\[\]]*+(?:" + STRING + rb"[^\"{}\[\]]*+)*+\}"
+FLAT_ROWS = re.compile(_GAP + _ROW + _GAP + rb"(?:," + _GAP + _ROW + _GAP + rb"){0,%d}+" % (STEP - 1))
+SCALAR = re.compile(rb'[^"{}\[\],]*+')
+COLON = re.compile(_GAP + rb":" + _GAP)
+
+
+class OddList(Exception):
+    """The bytes are not laid out as lists are; they may still be one."""
+
+
+@dataclass(slots=True, frozen=True)
+class Layout:
+    """Where the parts of a list lie among its bytes."""
+
+    rows: int  # where the first row begins
+    runs: tuple[int, ...]  # where each run of rows ends; a comma, or the array's end, follows
+    last: int  # the array's end
+
+
+def layout(data: bytes | bytearray) -> Generator[None, None, Layout]:
+    """Look through a whole object whose brackets match, in turns. Raises OddList.
+
+    Everything but the rows of `members` must be short enough for one turn; what is not still comes right.
+    """
+    try:
+        return (yield from _layout(data))
+    except IndexError:  # it ends before its brackets do: some close another kind
+        raise OddList from None
+
+
+def _layout(data: bytes | bytearray) -> Generator[None, None, Layout]:
+    found: Layout | None = None
+    at = end(GAP, data, 0) + 1
+    while True:
+        at = end(GAP, data, at)
+        key, at = at, _string(data, at)
+        if BACKSLASH in data[key:at]:  # it may spell "members", too
+            raise OddList
+        name = data[key:at]
+        if (value := end(COLON, data, at)) == at:
+            raise OddList
+        if name == MEMBERS:
+            if found is not None or data[value] != BRACKET:
+                raise OddList
+            found = yield from _rows(data, value + 1)
+            at = found.last + 1
+        else:
+            at = _value(data, value)
+        at = end(GAP, data, at)
+        if data[at] in ENDS:
+            break
+        if data[at] != COMMA:
+            raise OddList
+        at += 1
+    if found is None:
+        raise OddList
+    return found
+
+
+def _rows(data: bytes | bytearray, at: int) -> Generator[None, None, Layout]:
+    first, begin, runs = at, at, list[int]()
+    while True:
+        stop = end(FLAT_ROWS, data, at)
+        if stop == at:  # a row that nests something, or is none
+            stop = end(GAP, data, _value(data, end(GAP, data, at)))
+        if data[stop] == ENDING:
+            return Layout(first, (*runs, stop), stop)
+        if data[stop] != COMMA:
+            raise OddList
+        at = stop + 1
+        if at - begin >= RUN:
+            begin = at
+            runs.append(stop)
+            if len(runs) % LOOKS == 0:
+                yield
+
+
+def _string(data: bytes | bytearray, at: int) -> int:
+    if data[at] != QUOTE:
+        raise OddList
+    at = end(TEXT, data, at + 1)
+    if data[at] != QUOTE:
+        raise OddList
+    return at + 1
+
+
+def _value(data: bytes | bytearray, at: int) -> int:
+    """Behind the value that begins there; raises OddList where none does."""
+    if data[at] == QUOTE:
+        return _string(data, at)
+    if data[at] not in (BRACE, BRACKET):
+        if (stop := end(SCALAR, data, at)) == at:
+            raise OddList
+        return stop
+    if (stop := end(FLAT, data, at)) > at:
+        return stop
+    depth = 0
+    while True:  # the brackets match: it ends
+        sign = data[at]
+        if sign in ENDS:
+            depth -= 1
+        elif sign in (BRACE, BRACKET):
+            depth += 1
+        else:
+            raise OddList
+        at += 1
+        if not depth:
+            return at
+        at = end(PLAIN, data, at)
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -136,10 +136,11 @@
 class Host:
     """One backend: where it listens, whether it takes work, its idle connections, latest used last."""
 
-    __slots__ = ("address", "banned", "idle", "listed")
+    __slots__ = ("address", "banned", "entry", "idle", "listed")
 
-    def __init__(self, address: Address, banned: bool) -> None:
+    def __init__(self, address: Address, banned: bool, entry: api.Entry | None = None) -> None:
         self.address, self.banned = address, banned
+        self.entry = entry  # as the list has it; the module holds the same one
         self.listed = True  # as in service
         self.idle: list[Connection] = []
 
@@ -542,6 +543,7 @@
         self.configure(settings)
         self.limit, self.count = limit, 0
         self.hosts: dict[str, Host] = {}
+        self.listed = 0  # of them, as in service
         self.banned: set[str] = set()  # by the operators, listed or not
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
@@ -562,11 +564,17 @@
             if member.entry.phase is api.Phase.GONE:
                 self._remove(name)
                 continue
-            host = self.hosts.setdefault(name, Host(member.address, name in self.banned))
-            host.listed = member.entry.phase is api.Phase.UP
+            if (host := self.hosts.get(name)) is None:
+                host = self.hosts[name] = Host(member.address, name in self.banned)
+                self.listed += 1
+            self._list(host, member.entry.phase is api.Phase.UP)
             if not host.up or host.address != member.address:
                 self.close_idle(name)
-            host.address = member.address
+            host.entry, host.address = member.entry, member.address
+
+    def _list(self, host: Host, listed: bool) -> None:
+        self.listed += listed - host.listed
+        host.listed = listed
 
     def ban(self, name: str, out: bool) -> None:
         """Take note of a ban or its end; what still waits for a connection there is moot."""
@@ -579,7 +587,7 @@
     def _remove(self, name: str) -> None:
         """Forget a backend; an attempt that is out there ends on its own."""
         if name in self.hosts:
-            self.hosts[name].listed = False
+            self._list(self.hosts[name], False)
             self.close_idle(name)
             del self.hosts[name]
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -65,6 +65,7 @@
         super().__init__()
         self.world, self.protocol, self.play, self.open = world, protocol, play, True
         self.begun, self.ended = world.now, math.inf
+        self.unread: list[bytes] | None = None  # while the node does not read
         world.lines.append(self)
 
     def write(self, data: Any) -> None:
@@ -85,8 +86,23 @@
             self.open, self.ended = False, self.world.now
             self.world.loop.call_soon(self.protocol.connection_lost, None)
 
+    def is_closing(self) -> bool:
+        return not self.open
+
+    def pause_reading(self) -> None:
+        assert self.unread is None
+        self.unread = []
+
+    def resume_reading(self) -> None:
+        assert self.unread is not None
+        unread, self.unread = self.unread, None
+        for data in unread:
+            self.world.loop.call_soon(self.raw, data)
+
     def raw(self, data: bytes) -> None:
-        if self.open:
+        if self.open and self.unread is not None:
+            self.unread.append(data)
+        elif self.open:
             self.protocol.data_received(data)
 
     def put(self, text: bytes, first: bool = True) -> None:
