--- a/dillport/__main__.py
+++ b/dillport/__main__.py
@@ -112,10 +112,12 @@
     if fleet is not None:
         fleet.take_over()
     node.list(known, ListKind.SAVED)
-    if recovered is not None and not (fleet is not None and fleet.returning):
-        node.event(recovered)
     if not config.settings.must_ask:
         node.discovery.watch(True)
+    if node.listing.waiting:  # a long list: what was learned is of backends that are in it
+        await unless(stop, node.listing.settled())
+    if recovered is not None and not (fleet is not None and fleet.returning):
+        node.event(recovered)
     ready = fleet is None or not fleet.returning or await unless(stop, fleet.returned(beside))
     if ready and beside:
         ready = await unless(stop, take_place(node, parts, recovered is None))
@@ -156,6 +158,7 @@
     gc.freeze()
     await front.listen(node.config.listen, shared=node.config.console is not None)
     node.listening = True
+    node.turns.hurry = False
     if front.socket is not None and node.config.console is not None:
         unsteer(front.socket)
     node.pulse(node.loop.time())
