A long list says which piece is its last

Need: the module works out its first share for other zones of the whole first list, which may come in pieces (`ListUpdate.more`).

--- a/dillport/net/listing.py
+++ b/dillport/net/listing.py
@@ -122,17 +122,17 @@
         for some in _cut(news.members, LOOKS):
             named.update((member.entry.backend, member) for member in some)
             yield
-        told = 0
         whole = kind is not api.ListKind.CHANGES
+        held: tuple[Member, ...] = ()  # the module is told which is the last, also where nothing has changed
         for piece in chain(self._left_out(named) if whole else (), self._changed(named)):
             if piece:
-                self._tell(piece, news.revision)
-                told += 1
+                if held:
+                    self._tell(held, news.revision)
+                held = piece
             yield
-        if not told:  # it was heard
-            self._tell((), news.revision)
+        self._tell(held, news.revision, more=False)
 
-    def _tell(self, piece: tuple[Member, ...], revision: int) -> None:
+    def _tell(self, piece: tuple[Member, ...], revision: int, more: bool = True) -> None:
         # The module is to ask discovery once it has the first of a saved list. Told again, such a piece would
         # count as all there is.
         kind = api.ListKind.CHANGES if self._begun else api.ListKind.SAVED
@@ -141,7 +141,7 @@
             up = api.Phase.UP
             piece = tuple(m for m in piece if m.entry.phase is not up or m.entry.backend not in self._stopped)
         self.pool.update(piece, False)
-        self.tell(api.ListUpdate(kind, [member.entry for member in piece], revision))
+        self.tell(api.ListUpdate(kind, [member.entry for member in piece], revision, more))
 
     def _left_out(self, named: Mapping[str, Member]) -> Iterator[tuple[Member, ...]]:
         """What a whole list names no more, as gone; empty where a turn found nothing."""
