Scale rig: points, plays, and slopes of four forms

Least squares on relative errors, as sizes lie over a factor of 16 and more; the simplest form within a tenth of the least residual wins.

--- /dev/null
+++ b/dillport/lab/scale/points.py
@@ -0,0 +1,124 @@
+"""What a play of the scale rig measures, and its slope: four forms, least squares, the simplest that fits."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+FORMS: dict[str, Callable[[NDArray[np.float64]], NDArray[np.float64]]] = {
+    "constant": np.zeros_like,
+    "log": np.log,
+    "root": np.sqrt,
+    "linear": np.array,
+}
+"""The forms a + b * f(size), the simplest first."""
+NEAR = 1.1  # a simpler form is taken where its residual is at most so many times the least one
+NOTHING = 1e-9  # a relative residual under this is rounding
+LEAST_PART = 0.01  # of the largest value: what is less is weighed as if it were that, so a zero weighs too
+LEAST_SIZES = 3  # a form has two numbers; a slope through two points fits always and shows nothing
+
+
+@dataclass(slots=True, frozen=True)
+class Point:
+    """One figure of one role, measured at one size."""
+
+    role: str  # "module", "list", "settings", "membership", "recovery", "durable", "discovery"
+    figure: str  # "answer", "choice", "change"
+    unit: str  # "ms", "us", "bytes", "datagrams/s", "entries"
+    size: int  # what it was measured at: backends, members, classes, tenants
+    value: float
+    exact: bool  # counted, and the same for a seed; else a time or a memory of the machine it was measured on
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """A figure over its sizes: value = a + b * f(size), f by `fit`."""
+
+    role: str
+    figure: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    exact: bool
+    fit: str  # a key of FORMS
+    a: float
+    b: float
+    residual: float  # root of the mean square of the relative errors, by what the form leaves free
+    target: int  # the size of two years
+    at_target: float  # what the fit gives there
+    beyond: float  # target by the largest size that was measured
+
+
+@dataclass(slots=True, frozen=True)
+class Play:
+    """One play: measures some figures at all its sizes, is bounded, ends by itself."""
+
+    name: str
+    run: Callable[[int], Iterable[Point]]  # from a seed; points come as they are measured
+    target: int  # the size of two years of what it grows by
+    limits: str  # what of it is hollow, what the stand-in or the world leaves out
+
+
+def fit(points: Sequence[Point], target: int) -> Slope:
+    """The slope of one figure of one role; raises ValueError for points of several, or of too few sizes.
+
+    Errors count in proportion to the value: sizes lie over a factor of 16 and more, and the largest would
+    hide what the small ones show.
+    """
+    if len({(p.role, p.figure, p.unit) for p in points}) != 1:
+        raise ValueError("the points are not of one figure")
+    if len({p.size for p in points}) < LEAST_SIZES:
+        raise ValueError(f"a slope needs {LEAST_SIZES} sizes")
+    ordered = sorted(points, key=lambda p: p.size)
+    sizes = np.array([p.size for p in ordered], dtype=np.float64)
+    values = np.array([p.value for p in ordered], dtype=np.float64)
+    scale = np.maximum(np.abs(values), max(LEAST_PART * float(np.max(np.abs(values))), NOTHING))
+    tried = {form: _least_squares(form, sizes, values, scale) for form in FORMS}
+    least = min(residual for _, _, residual in tried.values())
+    form = next(f for f, (_, _, residual) in tried.items() if residual <= max(NEAR * least, NOTHING))
+    a, b, residual = tried[form]
+    first = ordered[0]
+    return Slope(
+        role=first.role,
+        figure=first.figure,
+        unit=first.unit,
+        sizes=tuple(p.size for p in ordered),
+        values=tuple(p.value for p in ordered),
+        exact=all(p.exact for p in ordered),
+        fit=form,
+        a=a,
+        b=b,
+        residual=residual,
+        target=target,
+        at_target=at(form, a, b, target),
+        beyond=target / ordered[-1].size,
+    )
+
+
+def at(form: str, a: float, b: float, size: float) -> float:
+    """What a fit gives at a size."""
+    return a + b * float(FORMS[form](np.array([float(size)]))[0])
+
+
+def slopes(points: Iterable[Point], target: int) -> list[Slope]:
+    """The slopes of all figures that were measured at enough sizes, in the order in which they first came."""
+    groups: dict[tuple[str, str, str], list[Point]] = defaultdict(list)
+    for point in points:
+        groups[point.role, point.figure, point.unit].append(point)
+    return [fit(some, target) for some in groups.values() if len({p.size for p in some}) >= LEAST_SIZES]
+
+
+def _least_squares(
+    form: str, sizes: NDArray[np.float64], values: NDArray[np.float64], scale: NDArray[np.float64]
+) -> tuple[float, float, float]:
+    """a, b, and the relative residual by the degrees of freedom that are left."""
+    columns = [np.ones_like(sizes)] if form == "constant" else [np.ones_like(sizes), FORMS[form](sizes)]
+    matrix = np.stack(columns, axis=1) / scale[:, None]
+    found, *_ = np.linalg.lstsq(matrix, values / scale, rcond=None)
+    errors = matrix @ found - values / scale
+    residual = float(np.sqrt(np.sum(errors**2) / max(1, len(values) - len(columns))))
+    return float(found[0]), float(found[1]) if len(found) > 1 else 0.0, residual
