Scale rig: the module's slopes

The size of two years and its arithmetic lie in one file. Times are processor time, batches sized by what the first call took, so that a play is bounded on a program whose change costs 200 ms.

--- /dev/null
+++ b/dillport/lab/scale/module.py
@@ -0,0 +1,201 @@
+"""The decision module at growing sizes of the list: its turns, its memory, and what replacements leave behind."""
+
+from __future__ import annotations
+
+import itertools
+import statistics
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+from dillport import interface as api
+from dillport import wire
+from dillport.lab.scale import fleet, size
+from dillport.lab.scale.points import NotPlayed, Play, Point
+from dillport.policy import Balancer
+
+SIZES = (200, 700, 2_200, 7_000, 22_000, 70_000)
+QUICK_SIZES = (200, 800, 3_200)
+STEP = 1000 * size.NODES / size.PEAK_PER_S  # ms between two requests of a node at the peak
+TOOK = 4.0  # ms of an answer
+FAILS_EVERY = 10  # the retry budget pays for one resend in seven requests
+KEPT = 200  # backends in service while they are replaced
+WINDOW = 100  # replacements whose median cost is one point
+
+LIMITS = (
+    "The very Balancer on a virtual clock, one request after the other, 193 a second; answers take 4 ms and come from "
+    "nobody. Three classes, nine zones, its own near, no console, no sockets: what net/ adds to a request is not in."
+)
+
+
+class Requests:
+    """One request after the other through one Balancer, with the processor time of each kind of turn."""
+
+    def __init__(self, balancer: Balancer, begin: float) -> None:
+        self.balancer, self.now = balancer, begin
+        self.numbers = itertools.count()
+        self.choice: list[int] = []  # ns
+        self.answer: list[int] = []
+        self.failure: list[int] = []
+
+    def one(self, fails: bool) -> None:
+        """A request that is served at once, or after a reset and a second attempt."""
+        self.now += STEP
+        name = f"{next(self.numbers):016x}"
+        arrival = api.Arrival(name, "c0", self.now + 1000.0)
+        begin = time.process_time_ns()
+        acts = self.balancer.handle(self.now, arrival)
+        self.choice.append(time.process_time_ns() - begin)
+        for number in range(2):
+            sent = next((a for a in acts if isinstance(a, api.Send)), None)
+            if sent is None:
+                raise AssertionError(f"a request at rest was not sent: {acts!r}")
+            self.now += TOOK / 4
+            if number or not fails:
+                break
+            broken = api.Outcome(name, 0, sent.backend, api.Status.RESET, TOOK / 4, False)
+            begin = time.process_time_ns()
+            acts = self.balancer.handle(self.now, broken)
+            self.failure.append(time.process_time_ns() - begin)
+        served = api.Outcome(name, number, sent.backend, api.Status.OK, TOOK, True)
+        begin = time.process_time_ns()
+        self.balancer.handle(self.now, served)
+        self.answer.append(time.process_time_ns() - begin)
+
+    def play(self, most_s: float, most: int) -> None:
+        """So many requests, or as many as fit into the time."""
+        until = time.process_time() + most_s
+        for number in range(most):
+            self.one(number % FAILS_EVERY == FAILS_EVERY - 1)
+            if number > FAILS_EVERY and time.process_time() > until:
+                return
+
+    def medians(self) -> Iterator[tuple[str, float]]:
+        """Figures in us, without the first tenth."""
+        for name in ("choice", "answer", "failure"):
+            took: list[int] = getattr(self, name)
+            yield name, statistics.median(took[len(took) // 10 :]) / 1000
+
+
+def node(backends: int, seed: int) -> Balancer:
+    """A Balancer that has not been told the list."""
+    return Balancer(wire.parse_settings(fleet.raw_settings(backends)), seed)
+
+
+def measure(backends: int, seed: int, most_s: float) -> Iterator[Point]:
+    """All figures of one size, each within a part of `most_s` seconds of processor time."""
+
+    def point(figure: str, unit: str, value: float) -> Point:
+        return Point("module", figure, unit, backends, value, False)
+
+    listed = fleet.entries(backends)
+    balancer = node(backends, seed)
+    balancer.handle(fleet.NOW - fleet.DAY / 2, api.ListUpdate(api.ListKind.SAVED, listed[:20], 1))
+    begin = time.process_time_ns()
+    balancer.handle(fleet.NOW - fleet.DAY / 2, api.ListUpdate(api.ListKind.FULL, listed, 2))
+    yield point("whole_list", "us", (time.process_time_ns() - begin) / 1000)
+    requests = Requests(balancer, fleet.NOW)
+    requests.play(most_s / 3, 4_000)
+    for figure, value in requests.medians():
+        yield point(figure, "us", value)
+    yield from (point(*figure) for figure in _changes(balancer, requests.now, backends, most_s / 3))
+    now = requests.now + fleet.DAY
+    yield point("unavailable", "us", fleet.spent_us(lambda: balancer.unavailable(now), most_s / 10, 200))
+    yield point("learned", "us", fleet.spent_us(lambda: balancer.learned(now), most_s / 10, 200))
+
+
+def _changes(
+    balancer: Balancer, now: float, backends: int, most_s: float
+) -> Iterator[tuple[str, str, float]]:
+    """One entry changed, over and over: it drains and is back; another takes its place; it starts anew."""
+    clock, numbers = fleet.clock(500.0, now), itertools.count()
+    fresh = itertools.count(backends)
+    places = list(range(backends))
+
+    def told(*changed: api.Entry) -> None:
+        balancer.handle(next(clock), api.ListUpdate(api.ListKind.CHANGES, list(changed), 3))
+
+    def drained() -> None:
+        turn = next(numbers)
+        phase = api.Phase.UP if turn % 2 else api.Phase.DRAINING
+        told(fleet.entry(places[turn // 2 * 7 % backends], phase))
+
+    def replaced() -> None:
+        place, new = next(numbers) * 7 % backends, next(fresh)
+        old, places[place] = places[place], new
+        told(fleet.entry(old, api.Phase.GONE), fleet.entry(new, started_at=now))
+
+    def restarted() -> None:
+        turn = next(numbers)
+        told(fleet.entry(places[turn * 7 % backends], started_at=now + turn))
+
+    for name, call in (("drain", drained), ("replace", replaced), ("restart", restarted)):
+        yield name, "us", fleet.spent_us(call, most_s / 3, 400)
+
+
+def memory(backends: int, seed: int) -> Point:
+    """What the module holds with its list, the entries and names with it."""
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        balancer = node(backends, seed)
+        balancer.handle(fleet.NOW, api.ListUpdate(api.ListKind.FULL, fleet.entries(backends), 2))
+        held = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    del balancer
+    return Point("module", "memory", "bytes", backends, float(held), False)
+
+
+def replacements(seed: int, most: int, marks: tuple[int, ...], most_s: float) -> Iterator[Point | NotPlayed]:
+    """So many backends replaced one after the other, with KEPT in service: a change's cost, then the memory."""
+    for figure, unit in (("change", "us"), ("memory", "bytes")):
+        balancer = node(KEPT, seed)
+        balancer.handle(fleet.NOW, api.ListUpdate(api.ListKind.FULL, fleet.entries(KEPT), 1))
+        until, took, held = time.process_time() + most_s / 2, [], 0
+        if unit == "bytes":
+            tracemalloc.start()
+        for number in range(most):
+            # As many a day as the size has; each drains before it goes.
+            now = fleet.NOW + number * fleet.DAY / size.RESTARTS_A_DAY
+            old, new = fleet.entry(number), fleet.entry(number + KEPT, started_at=now)
+            old.phase = api.Phase.GONE
+            begin = time.process_time_ns()
+            balancer.handle(now, api.ListUpdate(api.ListKind.CHANGES, [old, new], number + 2))
+            took.append(time.process_time_ns() - begin)
+            if number + 1 in marks:
+                if unit == "bytes":
+                    held = tracemalloc.get_traced_memory()[0]
+                    yield Point("replaced", figure, unit, number + 1, float(held), False)
+                else:
+                    value = statistics.median(took[-WINDOW:]) / 1000
+                    yield Point("replaced", figure, unit, number + 1, value, False)
+            if time.process_time() > until:
+                yield NotPlayed(f"replaced.{figure} beyond {number + 1} of {most}",
+                                f"it took more than {most_s / 2:g} s of processor time")  # fmt: skip
+                break
+        if unit == "bytes":
+            tracemalloc.stop()
+        del balancer
+
+
+def plays(quick: bool) -> list[Play]:
+    """The plays of the module."""
+    sizes, most_s = (QUICK_SIZES, 2.0) if quick else (SIZES, 18.0)
+
+    def run(seed: int) -> Iterator[Point]:
+        for backends in sizes:
+            yield memory(backends, seed)
+            yield from measure(backends, seed, most_s)
+
+    most = 2_000 if quick else size.REPLACED
+    marks = tuple(most * part // 20 for part in (1, 2, 4, 8, 14, 20))
+
+    def replaced(seed: int) -> Iterator[Point | NotPlayed]:
+        yield from replacements(seed, most, marks, 6.0 if quick else 90.0)
+
+    return [
+        Play("module", run, size.BACKENDS, LIMITS),
+        Play("replaced", replaced, size.REPLACED,
+             "The very Balancer, without requests, 200 in service: each change names one that is gone and one new."),
+    ]  # fmt: skip
--- a/dillport/lab/scale/points.py
+++ b/dillport/lab/scale/points.py
@@ -53,12 +53,20 @@
     beyond: float  # target by the largest size that was measured
 
 
+@dataclass(slots=True, frozen=True)
+class NotPlayed:
+    """What a play left out, or what did not come to an end within its bound."""
+
+    what: str
+    why: str
+
+
 @dataclass(slots=True, frozen=True)
 class Play:
     """One play: measures some figures at all its sizes, is bounded, ends by itself."""
 
     name: str
-    run: Callable[[int], Iterable[Point]]  # from a seed; points come as they are measured
+    run: Callable[[int], Iterable[Point | NotPlayed]]  # from a seed; points come as they are measured
     target: int  # the size of two years of what it grows by
     limits: str  # what of it is hollow, what the stand-in or the world leaves out
 
