--- a/dillport/cli/app.py
+++ b/dillport/cli/app.py
@@ -336,6 +336,27 @@
     raise typer.Exit(Exit.SHORT if any(d.differs for d in found) else Exit.HELD)
 
 
+@lab.command("scale")
+def lab_scale(
+    out: Out,
+    quick: Annotated[bool, typer.Option("--quick", help="Small sizes, within 2 minutes.")] = False,
+    seed: Annotated[int, typer.Option(min=0, help="Draws what is drawn; counted figures go by it.")] = 1,
+    as_json: AsJson = False,
+) -> None:
+    """What each role costs at growing sizes, and its slope to the size of two years. Within 15 minutes."""
+    from dillport.cli.scale import play_all, show_slopes
+    from dillport.lab.scale.rig import encode, write
+
+    with stopping():
+        result = play_all(quick, seed, console)
+        write(result, out)
+    if as_json:
+        print(encode(result).decode(), end="")
+    else:
+        show_slopes(result)
+        print(out / "scale.html")
+
+
 def _show_differences(result: dict[str, Any]) -> None:
     rows = Table(title=f"{result['experiment']}: A {result['a']}, B {result['b']}, {result['seeds']} seeds",
                  title_justify="left")  # fmt: skip
--- /dev/null
+++ b/dillport/lab/scale/discovery.py
@@ -0,0 +1,311 @@
+"""Discovery and hollow watchers on loopback: one stand-in that takes calls in turn, hundreds of watches."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import math
+import resource
+import statistics
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import cast
+
+import uvloop
+
+from dillport import interface as api
+from dillport import wire
+from dillport.lab.scale import fleet, size
+from dillport.lab.scale.points import NotPlayed, Play, Point
+from dillport.net.config import News
+from dillport.net.discovery import Discovery
+from dillport.net.node import Node
+
+WATCHERS = (50, 100, 200, 400, 800)
+QUICK_WATCHERS = (10, 20, 40)
+BURSTS = (1, size.RACK_MACHINES, 400, 2_000, size.LOST_ZONE)  # entries that one line changes
+QUICK_BURSTS = (1, size.RACK_MACHINES, 400)
+LISTED = 200  # entries of the whole list that watchers are told
+EVENTS_A_DAY = size.CHANGES_A_DAY + size.RESTARTS_A_DAY
+STREAM_WATCHERS = 4
+STREAM_AHEAD = 200  # lines that are sent before the last watcher is waited for
+TOLD = 40  # changes told to all, one after the other
+CALL = 0.004  # s of a call's work, as the platform's discovery has it
+CALL_MOST = 1.0  # s that a call may wait before it fails
+EMPTY_LINE = 2.0  # s between two empty lines of a watch
+WAIT = 40.0  # s for all watchers to have come as far
+SPARE = 100  # descriptors for all but the watches
+BATCH = 6  # bursts of each size, the median counts
+
+LIMITS = (
+    "A watcher is the very Discovery and Call of a node with nothing behind it: no module, no pool, no "
+    "clients. All of them and the stand-in are one process, so the processor time of a delivery holds both "
+    "ends. The stand-in takes calls in turn, 4 ms each, and fails what waits over 1 s; its list has 200 "
+    "entries. A change of the configuration is played as a line with one entry, as today's protocol has no "
+    "other word for it."
+)
+
+
+class StandIn(asyncio.Protocol):
+    """One call at the stand-in."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory, self.open = directory, False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Somebody calls."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """A watch is asked for; a call is one small piece."""
+        self.directory.call(self, b"from=0 " in data)
+
+    def chunk(self, data: bytes) -> None:
+        """A line, or an empty one."""
+        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """It is over."""
+        self.directory.watches.pop(self, None)
+
+
+@dataclass
+class Directory:
+    """The stand-in: calls in turn, a line to all watches."""
+
+    whole: bytes
+    watches: dict[StandIn, None] = field(default_factory=dict)
+    queue: deque[tuple[float, StandIn, bool]] = field(default_factory=deque)
+    calls: int = 0
+    failed: int = 0
+    sent: int = 0  # bytes of lists and changes
+    beats: asyncio.TimerHandle | None = None
+
+    def call(self, who: StandIn, anew: bool) -> None:
+        """A call waits for its turn."""
+        loop = asyncio.get_running_loop()
+        self.calls += 1
+        self.queue.append((loop.time(), who, anew))
+        if len(self.queue) == 1:
+            loop.call_later(CALL, self._handled)
+
+    def _handled(self) -> None:
+        loop = asyncio.get_running_loop()
+        came, who, anew = self.queue.popleft()
+        if loop.time() - came > CALL_MOST:
+            self.failed += 1
+            who.transport.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        elif not who.transport.is_closing():
+            who.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            who.chunk(self.whole if anew else b"\n")
+            self.sent += len(self.whole) * anew
+            self.watches[who] = None
+        if self.queue:
+            loop.call_later(CALL, self._handled)
+
+    def tell(self, line: bytes) -> None:
+        """A line to all watches."""
+        for watch in self.watches:
+            watch.chunk(line)
+        self.sent += len(line) * len(self.watches)
+
+    def beat(self) -> None:
+        """An empty line to all, now and then."""
+        for watch in self.watches:
+            watch.chunk(b"\n")
+        self.beats = asyncio.get_running_loop().call_later(EMPTY_LINE, self.beat)
+
+
+@dataclass
+class HollowNode:
+    """What a watch of the list needs of a node."""
+
+    settings: api.Settings
+    fleet: None = None
+    whole: int = 0  # lists
+    lines: int = 0  # changes
+    entries: int = 0  # in all of them
+    failed: int = 0
+
+    def list(self, news: News, kind: api.ListKind) -> None:
+        """A list, or a change."""
+        self.whole += kind is api.ListKind.FULL
+        self.lines += kind is api.ListKind.CHANGES
+        self.entries += len(news.members)
+
+    def unchanged(self) -> None:
+        """An empty line."""
+
+    def list_failed(self) -> None:
+        """A call has failed."""
+        self.failed += 1
+
+
+class Watchers:
+    """So many hollow watchers of one stand-in."""
+
+    def __init__(self, count: int, directory: Directory) -> None:
+        self.count, self.directory = count, directory
+        self.settings = wire.parse_settings(fleet.raw_settings(LISTED))
+        self.nodes: list[HollowNode] = []
+        self.discoveries: list[Discovery] = []
+        self.revisions = itertools.count(2)
+
+    async def start(self) -> None:
+        """The stand-in listens, all dial at once."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: StandIn(self.directory), "127.0.0.1", 0, backlog=2 * self.count
+        )
+        self.address = self.server.sockets[0].getsockname()[:2]
+        self.directory.beat()
+        for _ in range(self.count):
+            self.nodes.append(HollowNode(self.settings))
+            self.discoveries.append(self._dial(self.nodes[-1]))
+
+    def _dial(self, node: HollowNode) -> Discovery:
+        out = Discovery(cast(Node, node), self.address, 0)
+        out.watch(True)
+        return out
+
+    def restart(self, number: int) -> None:
+        """This one loses all it knew, and dials."""
+        self.discoveries[number].watch(False)
+        self.nodes[number] = HollowNode(self.settings)
+        self.discoveries[number] = self._dial(self.nodes[number])
+
+    async def until(self, done: Callable[[HollowNode], bool]) -> None:
+        """All have come so far; raises TimeoutError after WAIT."""
+        async with asyncio.timeout(WAIT):
+            while not all(done(node) for node in self.nodes):
+                await asyncio.sleep(0.002)
+
+    def change(self, count: int) -> bytes:
+        """A line that changes so many entries."""
+        revision = next(self.revisions)
+        phase = api.Phase.DRAINING if revision % 2 else api.Phase.UP
+        return fleet.line([fleet.entry(n, phase) for n in range(count)], revision, False)
+
+    async def tell(self, line: bytes) -> float:
+        """Tell a line to all, and wait until all have it; processor time in us."""
+        wanted, begin = self.nodes[0].lines + 1, time.process_time()
+        self.directory.tell(line)
+        await self.until(lambda node: node.lines >= wanted)
+        return (time.process_time() - begin) * 1e6
+
+    async def stop(self) -> None:
+        """All is closed."""
+        if self.directory.beats is not None:
+            self.directory.beats.cancel()
+        for one in self.discoveries:
+            one.watch(False)
+        self.server.close()
+        await asyncio.sleep(0.05)
+
+
+def _fits(watchers: int) -> bool:
+    """Whether both ends of so many watches find descriptors."""
+    return 2 * watchers + SPARE <= resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+async def play_watchers(count: int) -> list[Point]:
+    """All dial at once; changes go to all; a tenth loses all it knew and dials at once."""
+    directory = Directory(fleet.line(fleet.entries(LISTED), 1, True))
+    watchers = Watchers(count, directory)
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    await watchers.start()
+    try:
+        await watchers.until(lambda node: node.whole > 0)
+        joined, calls, failed = loop.time() - begin, directory.calls, directory.failed
+        sent = directory.sent
+        lines = [watchers.change(1) for _ in range(TOLD)]
+        took = [await watchers.tell(line) for line in lines]
+        told = directory.sent - sent
+        begin, before, some = loop.time(), directory.calls, math.ceil(count / 10)
+        for number in range(some):
+            watchers.restart(number)
+        await watchers.until(lambda node: node.whole > 0)
+        again = loop.time() - begin
+    finally:
+        await watchers.stop()
+    figures = [
+        ("join", "ms", joined * 1000, False),
+        ("join_calls", "calls", float(calls), False),
+        ("join_failed", "calls", float(failed), False),
+        ("delivery", "us", statistics.median(took) / count, False),
+        ("tell", "ms", statistics.median(took) / 1000, False),
+        ("told", "bytes", told / TOLD, True),
+        ("tenth_restarts", "ms", again * 1000, False),
+        ("tenth_calls", "calls", float(directory.calls - before), False),
+    ]
+    return [Point("discovery", name, unit, count, value, exact) for name, unit, value, exact in figures]
+
+
+async def play_bursts(sizes: tuple[int, ...]) -> list[Point]:
+    """Lines that change many entries: a rack, a zone; bytes, and the processor time at one watcher."""
+    watchers = Watchers(1, Directory(fleet.line(fleet.entries(LISTED), 1, True)))
+    await watchers.start()
+    out = []
+    try:
+        await watchers.until(lambda node: node.whole > 0)
+        for count in sizes:
+            lines = [watchers.change(count) for _ in range(BATCH)]
+            took = [await watchers.tell(line) for line in lines]
+            out.append(Point("burst", "line", "bytes", count, float(len(lines[0])), True))
+            out.append(Point("burst", "delivery", "us", count, statistics.median(took), False))
+    finally:
+        await watchers.stop()
+    return out
+
+
+async def play_day(events: int) -> list[Point]:
+    """A day's stream told fast: its bytes for a node, and the processor time, by how much of it is told."""
+    directory = Directory(fleet.line(fleet.entries(LISTED), 1, True))
+    watchers = Watchers(STREAM_WATCHERS, directory)
+    await watchers.start()
+    out = []
+    marks = [events * part // 16 for part in (1, 2, 4, 8, 16)]
+    try:
+        await watchers.until(lambda node: node.whole > 0)
+        begin, sent = time.process_time(), directory.sent
+        for number in range(1, events + 1):
+            directory.tell(watchers.change(1))
+            if number % STREAM_AHEAD == 0 or number in marks:
+                await watchers.until(lambda node, number=number: node.lines >= number)  # type: ignore[misc]
+            if number in marks:
+                spent = (time.process_time() - begin) * 1000 / STREAM_WATCHERS
+                told = (directory.sent - sent) / STREAM_WATCHERS
+                out.append(Point("day", "stream", "bytes", number, told, True))
+                out.append(Point("day", "processor", "ms", number, spent, False))
+        if any(node.lines != events for node in watchers.nodes):
+            raise ValueError("a watcher missed a change")
+    finally:
+        await watchers.stop()
+    return out
+
+
+def plays(quick: bool) -> list[Play]:
+    """The plays of discovery."""
+    counts, bursts = (QUICK_WATCHERS, QUICK_BURSTS) if quick else (WATCHERS, BURSTS)
+    events = EVENTS_A_DAY // 20 if quick else EVENTS_A_DAY
+
+    def discovery(_: int) -> Iterator[Point | NotPlayed]:
+        for count in counts:
+            if not _fits(count):
+                yield NotPlayed(f"discovery at {count}", "there are too few descriptors")
+                continue
+            try:
+                yield from uvloop.run(play_watchers(count))
+            except TimeoutError:
+                yield NotPlayed(f"discovery at {count}", f"not all had the list, or a change, in {WAIT:g} s")
+
+    return [
+        Play("discovery", discovery, size.NODES, LIMITS),
+        Play("burst", lambda _: uvloop.run(play_bursts(bursts)), size.LOST_ZONE, LIMITS),
+        Play("day", lambda _: uvloop.run(play_day(events)), EVENTS_A_DAY, LIMITS),
+    ]
--- a/dillport/lab/scale/fleet.py
+++ b/dillport/lab/scale/fleet.py
@@ -1,4 +1,4 @@
-"""What the plays share: a list of the size in the platform's form, settings, and a measure of processor time."""
+"""What the plays share: a list in the platform's form, settings, and a measure of processor time."""
 
 from __future__ import annotations
 
@@ -27,18 +27,18 @@
     return api.Entry(f"b{number:06d}", zone(number), number % 700, 1.0, phase, started_at, "std")
 
 
-def entries(count: int) -> list[api.Entry]:
+def entries(count: int, started_at: float = NOW - DAY) -> list[api.Entry]:
     """A whole list."""
-    return [entry(number) for number in range(count)]
+    return [entry(number, started_at=started_at) for number in range(count)]
 
 
 _WORDS = {api.Phase.UP: "in_service", api.Phase.DRAINING: "terminating", api.Phase.GONE: "terminated"}
 
 
 def line(some: Sequence[api.Entry], revision: int, complete: bool, address: str = "") -> bytes:
-    """A list, or a line of a watch, in the platform's form; `address`: where all of them listen, if at one place.
+    """A list, or a line of a watch, in the platform's form; `address`: where all of them listen.
 
-    Without it each has an address of its own, of the length that addresses have.
+    Without it each has one of its own, of the length that addresses have.
     """
     rows = [
         {"id": e.backend, "host_port": address or _address(e.backend), "locality": e.zone, "flavor": e.kind,
--- /dev/null
+++ b/dillport/lab/scale/listing.py
@@ -0,0 +1,279 @@
+"""The list at growing sizes: its bytes, its decoding, and one real node process that is told it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import re
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import cast
+
+import uvloop
+
+from dillport import interface as api
+from dillport.lab.figures import percentiles
+from dillport.lab.processes import limits
+from dillport.lab.programs import ROOT
+from dillport.lab.scale import fleet, size
+from dillport.lab.scale.points import NotPlayed, Play, Point
+from dillport.net.config import news_of
+from dillport.net.discovery import MOST_OBJECT
+from dillport.net.objects import BrokenObject, Objects
+
+SIZES = (200, 700, 2_200, 7_000, 22_000, 70_000)
+QUICK_SIZES = (200, 800, 3_200)
+NODE_SIZES = (200, 2_000, 7_000, 20_000, 70_000)
+QUICK_NODE_SIZES = (200, 1_000, 3_200)
+PIECE = 64 * 1024  # bytes that a socket gives at a time
+READY_MOST = 20.0  # s that a node has until it serves
+CHANGE_EVERY = 0.5  # s
+ANSWER_MOST = 5.0  # s for one answer
+HOST = "127.0.0.1"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+PAGE = os.sysconf("SC_PAGE_SIZE")
+TICKS = os.sysconf("SC_CLK_TCK")
+
+LIST_LIMITS = (
+    "Objects and news_of as the node's watch uses them, in pieces of 64 KiB, without the socket. Entries "
+    "have ids of seven characters and one kind."
+)
+NODE_LIMITS = (
+    "One process by `python -m dillport`, without the fleet's rooms. Discovery, one backend address under "
+    "all ids, and one client are one process of the rig beside it: the latencies hold their time too. One "
+    "request after the other, so fewer than 193 a second before a slow node; one entry changes each 0.5 s."
+)
+
+
+def lists(sizes: tuple[int, ...]) -> Iterator[Point | NotPlayed]:
+    """Bytes of a whole list and of a change, and the processor time to cut and decode it."""
+    for backends in sizes:
+        data = fleet.line(fleet.entries(backends), 2, True)
+        yield Point("list", "whole", "bytes", backends, float(len(data)), True)
+        change = fleet.line([fleet.entry(backends - 1)], 3, False)
+        yield Point("list", "change", "bytes", backends, float(len(change)), True)
+        try:
+            decode(data)
+        except BrokenObject as err:
+            yield NotPlayed(f"list.decode at {backends}", f"refused whole: {err.line}")
+            continue
+        took = fleet.spent_us(lambda data=data: decode(data), 1.0, 50)  # type: ignore[misc]
+        yield Point("list", "decode", "us", backends, took, False)
+
+
+def decode(data: bytes) -> int:
+    """Cut and decode a list as it comes; how many entries it has. Raises BrokenObject."""
+    objects, count = Objects(MOST_OBJECT), 0
+    for at in range(0, len(data), PIECE):
+        for item in objects.feed(data[at : at + PIECE]):
+            if item:
+                count += len(news_of(item).members)
+    return count
+
+
+class StandInBackend(asyncio.Protocol):
+    """Answers each request at once; a request is one head without a body."""
+
+    transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep where to answer."""
+        self.transport, self.held = cast(asyncio.Transport, transport), b""
+
+    def data_received(self, data: bytes) -> None:
+        """Count heads."""
+        self.held += data
+        heads = self.held.count(b"\r\n\r\n")
+        if heads:
+            self.held = self.held[self.held.rindex(b"\r\n\r\n") + 4 :]
+            self.transport.write(OK * heads)
+
+
+@dataclass
+class StandInDiscovery:
+    """Tells each watch the whole list, then a change now and then, as chunks."""
+
+    whole: bytes
+    watches: list[asyncio.StreamWriter] = field(default_factory=list)
+    calls: int = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One call."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.calls += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self._chunk(writer, self.whole)
+            self.watches.append(writer)
+            await reader.read()
+        if writer in self.watches:
+            self.watches.remove(writer)
+
+    def tell(self, line: bytes) -> None:
+        """All that watch."""
+        for writer in self.watches:
+            self._chunk(writer, line)
+
+    @staticmethod
+    def _chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+@dataclass
+class Client:
+    """One connection to the node, made anew where it ends; one request after the other."""
+
+    port: int
+    numbers: Iterator[int] = field(default_factory=itertools.count)
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def ask(self) -> tuple[int, float]:
+        """One request: its answer's status, 0 where none came, and the milliseconds it took."""
+        begin = time.perf_counter()
+        try:
+            async with asyncio.timeout(ANSWER_MOST):
+                if self.streams is None:
+                    self.streams = await asyncio.open_connection(HOST, self.port)
+                reader, writer = self.streams
+                name = f"{next(self.numbers):016x}"
+                writer.write(f"GET /c0 HTTP/1.1\r\nHost: node\r\nRequest-Id: {name}\r\n\r\n".encode())
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                length = re.search(rb"content-length: (\d+)", head)
+                await reader.readexactly(int(length[1]) if length else 0)
+                if b"connection: close" in head:
+                    self.close()
+                return int(head.split(b" ", 2)[1]), (time.perf_counter() - begin) * 1000
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            self.close()
+            return 0, (time.perf_counter() - begin) * 1000
+
+    def close(self) -> None:
+        """Break it off."""
+        if self.streams is not None:
+            self.streams[1].transport.abort()
+            self.streams = None
+
+
+def used(pid: int) -> tuple[float, float]:
+    """Seconds of processor time and bytes of memory that a process has used, and holds."""
+    fields = Path(f"/proc/{pid}/stat").read_text("utf-8").rpartition(")")[2].split()
+    pages = int(Path(f"/proc/{pid}/statm").read_text("utf-8").split()[1])
+    return (int(fields[11]) + int(fields[12])) / TICKS, float(pages * PAGE)
+
+
+async def spawn(folder: Path, backends: int, discovery: int) -> asyncio.subprocess.Process:
+    """A node that knows no backend yet."""
+    config = {
+        "name": "n7", "listen": f"{HOST}:0", "discovery": f"{HOST}:{discovery}", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 0, "complete": True, "members": []},
+        "settings": fleet.raw_settings(backends),
+    }  # fmt: skip
+    path = folder / "config.json"
+    path.write_text(json.dumps(config), "utf-8")
+    env = {k: v for k, v in os.environ.items() if not k.startswith("PROXY_")}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "dillport", cwd=ROOT,
+        env=env | {"PROXY_CONFIG": str(path), "TMPDIR": str(folder)},
+        stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limits(sorted(os.sched_getaffinity(0)), 1024),
+    )  # fmt: skip
+
+
+async def serves_on(process: asyncio.subprocess.Process) -> int:
+    """The port that it serves on, by its log."""
+    assert process.stderr is not None
+    async with asyncio.timeout(READY_MOST):
+        while text := (await process.stderr.readline()).decode("utf-8", "replace"):
+            if found := re.search(r"serves on \S+:(\d+)", text):
+                return int(found[1])
+    raise ConnectionError("the node has ended")
+
+
+async def _drop(process: asyncio.subprocess.Process) -> None:
+    """Read its log, so that it never waits for a reader."""
+    assert process.stderr is not None
+    while await process.stderr.read(65536):
+        pass
+
+
+async def play_node(backends: int, seconds: float) -> list[Point | NotPlayed]:
+    """One node process before a list of so many: until it serves, then a client and changes for a while."""
+    loop = asyncio.get_running_loop()
+    backend = await loop.create_server(StandInBackend, HOST, 0)
+    where = f"{HOST}:{backend.sockets[0].getsockname()[1]}"
+    told = fleet.entries(backends, time.time() * 1000 - fleet.DAY)
+    discovery = StandInDiscovery(fleet.line(told, 2, True, where))
+    server = await asyncio.start_server(discovery.serve, HOST, 0)
+    with tempfile.TemporaryDirectory(prefix="dillport-scale-") as folder:
+        begin = loop.time()
+        process = await spawn(Path(folder), backends, server.sockets[0].getsockname()[1])
+        try:
+            client = Client(await serves_on(process))
+            drop = loop.create_task(_drop(process))
+            while (await client.ask())[0] != 200:
+                if loop.time() - begin > READY_MOST:
+                    why = f"never ready: nothing served in {READY_MOST:g} s, {discovery.calls} calls"
+                    held = Point("node", "memory_unready", "bytes", backends, used(process.pid)[1], False)
+                    return [held, NotPlayed(f"node at {backends}", why)]
+                await asyncio.sleep(0.05)
+            ready_ms = (loop.time() - begin) * 1000
+            out = await _requests(process.pid, client, discovery, told, where, seconds)
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            server.close()
+            backend.close()
+    drop.cancel()
+    client.close()
+    out = {"ready": (ready_ms, "ms")} | out
+    return [Point("node", name, unit, backends, value, False) for name, (value, unit) in out.items()]
+
+
+async def _requests(
+    pid: int, client: Client, discovery: StandInDiscovery, told: list[api.Entry], where: str, seconds: float
+) -> dict[str, tuple[float, str]]:
+    loop = asyncio.get_running_loop()
+    took: list[float] = []
+    served, changes = 0, 0
+    begin, (cpu, _) = loop.time(), used(pid)
+    due = begin
+    while loop.time() < begin + seconds:
+        if loop.time() >= due:  # one drains, then it is back
+            item = told[changes // 2 * 7 % len(told)]
+            phase = api.Phase.UP if changes % 2 else api.Phase.DRAINING
+            changed = api.Entry(item.backend, item.zone, item.cell, 1.0, phase, item.started_at, item.kind)
+            changes, due = changes + 1, due + CHANGE_EVERY
+            discovery.tell(fleet.line([changed], changes + 2, False, where))
+        status, ms = await client.ask()
+        took.append(ms)
+        served += status == 200
+    spent, held = used(pid)
+    p50, p99 = percentiles(took, (50.0, 99.0))
+    return {
+        "p50": (p50, "ms"), "p99": (p99, "ms"), "memory": (held, "bytes"),
+        "core_per_request": ((spent - cpu) * 1e6 / len(took), "us"), "served": (served / len(took), "share"),
+    }  # fmt: skip
+
+
+def plays(quick: bool) -> list[Play]:
+    """The plays of the list."""
+    sizes, node_sizes = (QUICK_SIZES, QUICK_NODE_SIZES) if quick else (SIZES, NODE_SIZES)
+    seconds = 2.0 if quick else 8.0
+
+    def nodes(_: int) -> Iterator[Point | NotPlayed]:
+        for backends in node_sizes:
+            yield from uvloop.run(play_node(backends, seconds))
+
+    return [
+        Play("list", lambda _: lists(sizes), size.BACKENDS, LIST_LIMITS),
+        Play("node", nodes, size.BACKENDS, NODE_LIMITS),
+    ]
--- a/dillport/lab/scale/module.py
+++ b/dillport/lab/scale/module.py
@@ -1,4 +1,4 @@
-"""The decision module at growing sizes of the list: its turns, its memory, and what replacements leave behind."""
+"""The decision module at growing sizes of the list: turns, memory, what replacements leave behind."""
 
 from __future__ import annotations
 
@@ -23,8 +23,9 @@
 WINDOW = 100  # replacements whose median cost is one point
 
 LIMITS = (
-    "The very Balancer on a virtual clock, one request after the other, 193 a second; answers take 4 ms and come from "
-    "nobody. Three classes, nine zones, its own near, no console, no sockets: what net/ adds to a request is not in."
+    "The very Balancer on a virtual clock, one request after the other, 193 a second; answers take 4 ms and "
+    "come from nobody. Three classes, nine zones, its own near, no console, no sockets: what net/ adds to a "
+    "request is not in."
 )
 
 
@@ -46,18 +47,14 @@
         begin = time.process_time_ns()
         acts = self.balancer.handle(self.now, arrival)
         self.choice.append(time.process_time_ns() - begin)
-        for number in range(2):
-            sent = next((a for a in acts if isinstance(a, api.Send)), None)
-            if sent is None:
-                raise AssertionError(f"a request at rest was not sent: {acts!r}")
+        if fails:
             self.now += TOOK / 4
-            if number or not fails:
-                break
-            broken = api.Outcome(name, 0, sent.backend, api.Status.RESET, TOOK / 4, False)
+            broken = api.Outcome(name, 0, _sent(acts), api.Status.RESET, TOOK / 4, False)
             begin = time.process_time_ns()
             acts = self.balancer.handle(self.now, broken)
             self.failure.append(time.process_time_ns() - begin)
-        served = api.Outcome(name, number, sent.backend, api.Status.OK, TOOK, True)
+        self.now += TOOK / 4
+        served = api.Outcome(name, int(fails), _sent(acts), api.Status.OK, TOOK, True)
         begin = time.process_time_ns()
         self.balancer.handle(self.now, served)
         self.answer.append(time.process_time_ns() - begin)
@@ -77,6 +74,14 @@
             yield name, statistics.median(took[len(took) // 10 :]) / 1000
 
 
+def _sent(acts: list[api.Action]) -> str:
+    """Where an attempt went. One request at a time is always sent: raises ValueError where it is not."""
+    for act in acts:
+        if isinstance(act, api.Send):
+            return act.backend
+    raise ValueError(f"a request at rest was not sent: {acts!r}")
+
+
 def node(backends: int, seed: int) -> Balancer:
     """A Balancer that has not been told the list."""
     return Balancer(wire.parse_settings(fleet.raw_settings(backends)), seed)
@@ -148,7 +153,7 @@
 
 
 def replacements(seed: int, most: int, marks: tuple[int, ...], most_s: float) -> Iterator[Point | NotPlayed]:
-    """So many backends replaced one after the other, with KEPT in service: a change's cost, then the memory."""
+    """So many replaced one after the other, with KEPT in service: a change's cost, then the memory."""
     for figure, unit in (("change", "us"), ("memory", "bytes")):
         balancer = node(KEPT, seed)
         balancer.handle(fleet.NOW, api.ListUpdate(api.ListKind.FULL, fleet.entries(KEPT), 1))
@@ -197,5 +202,5 @@
     return [
         Play("module", run, size.BACKENDS, LIMITS),
         Play("replaced", replaced, size.REPLACED,
-             "The very Balancer, without requests, 200 in service: each change names one that is gone and one new."),
+             "The very Balancer, without requests, 200 in service: a change names one gone and one new."),
     ]  # fmt: skip
--- /dev/null
+++ b/dillport/lab/scale/rig.py
@@ -0,0 +1,175 @@
+"""Plays all roles one after the other: points, slopes, what was not played; `scale.json` and `scale.html`."""
+
+from __future__ import annotations
+
+import html
+import os
+import platform
+import subprocess
+import time
+from collections.abc import Callable, Iterable, Sequence
+from pathlib import Path
+
+import msgspec
+import numpy as np
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from dillport.lab.programs import ROOT
+from dillport.lab.report import BAD, GOOD, INK, page, png, table_html
+from dillport.lab.scale import discovery, listing, module, tables
+from dillport.lab.scale.points import FORMS, NotPlayed, Play, Point, Slope, slopes
+
+VERSION = 1
+MOST_S, MOST_QUICK_S = 900.0, 120.0  # for all plays; what does not fit any more is not played
+COLUMNS = 3
+
+
+class Played(msgspec.Struct, frozen=True):
+    """One play as it went."""
+
+    name: str
+    target: int
+    limits: str
+    seconds: float
+
+
+class Result(msgspec.Struct, frozen=True):
+    """What `scale.json` holds."""
+
+    version: int
+    seed: int
+    quick: bool
+    program: str  # see `program`
+    python: str
+    machine: str
+    load: float  # mean number of processes that wanted a core in the minute before: other work counts, too
+    seconds: float
+    plays: list[Played]
+    points: list[Point]
+    slopes: list[Slope]
+    not_played: list[NotPlayed]
+
+
+def program() -> str:
+    """The commit that is played, with a mark where files differ from it; "unknown" without git."""
+    done = subprocess.run(["git", "-C", str(ROOT), "describe", "--always", "--dirty", "--abbrev=12"],
+                          capture_output=True, check=False)  # fmt: skip
+    return done.stdout.decode().strip() if not done.returncode else "unknown"
+
+
+def all_plays(quick: bool) -> list[Play]:
+    """All plays in the order of their weight for the page."""
+    rooms = (module, listing, tables, discovery)
+    return [play for room in rooms for play in room.plays(quick)]
+
+
+def run(plays: Sequence[Play], seed: int, quick: bool, tell: Callable[[str, Point | None], None]) -> Result:
+    """Play them, one at a time. `tell` hears of each play as it begins, and of each point."""
+    load, begin = os.getloadavg()[0], time.monotonic()
+    most = MOST_QUICK_S if quick else MOST_S
+    points: list[Point] = []
+    found: list[Slope] = []
+    left: list[NotPlayed] = []
+    done: list[Played] = []
+    for play in plays:
+        started = time.monotonic()
+        if started - begin > most:
+            left.append(NotPlayed(play.name, f"the {most:g} s of the whole command were over"))
+            continue
+        tell(play.name, None)
+        mine: list[Point] = []
+        for item in play.run(seed):
+            if isinstance(item, NotPlayed):
+                left.append(item)
+            else:
+                mine.append(item)
+                tell(play.name, item)
+            if time.monotonic() - begin > most:
+                left.append(NotPlayed(f"{play.name}, the rest", f"the {most:g} s of the command were over"))
+                break
+        points += mine
+        found += slopes(mine, play.target)
+        done.append(Played(play.name, play.target, play.limits, round(time.monotonic() - started, 1)))
+    return Result(
+        version=VERSION,
+        seed=seed,
+        quick=quick,
+        program=program(),
+        python=platform.python_version(),
+        machine=f"{os.cpu_count()} cores, {platform.machine()}",
+        load=round(load, 2),
+        seconds=round(time.monotonic() - begin, 1),
+        plays=done,
+        points=[_rounded(p) for p in points],
+        slopes=found,
+        not_played=left,
+    )
+
+
+def _rounded(point: Point) -> Point:
+    """Counted figures as they are, others to six digits."""
+    value = point.value if point.exact else float(f"{point.value:.6g}")
+    return Point(point.role, point.figure, point.unit, point.size, value, point.exact)
+
+
+def encode(result: Result) -> bytes:
+    """`scale.json`: a line a point and a slope, so that two runs can be compared as text."""
+    text = msgspec.json.encode(result)
+    return msgspec.json.format(text, indent=1) + b"\n"
+
+
+def read(path: Path) -> Result:
+    """A result that was written; raises OSError, msgspec.MsgspecError."""
+    return msgspec.json.decode(path.read_bytes(), type=Result)
+
+
+def write(result: Result, out: Path) -> None:
+    """Both files; raises OSError."""
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "scale.json").write_bytes(encode(result))
+    (out / "scale.html").write_text(report(result), "utf-8")
+
+
+def report(result: Result) -> str:
+    """One HTML file: a plot and a row a slope, and what was left out."""
+    rows = [
+        (s.role, s.figure, s.unit, s.sizes[0], s.sizes[-1], s.fit, f"{s.residual:.1%}", s.target, s.at_target,
+         f"{s.beyond:.3g}", "counted" if s.exact else "measured")
+        for s in result.slopes
+    ]  # fmt: skip
+    head = ("role", "figure", "unit", "from", "to", "fit", "residual", "target", "there", "beyond", "")
+    kind = "quick" if result.quick else "whole"
+    return page(
+        "scale: lab report",
+        f"<p>{kind} run, seed {result.seed}, program {html.escape(result.program)}, Python {result.python}, "
+        f"{html.escape(result.machine)}, load {result.load:g} before it, {result.seconds:g} s</p>",
+        table_html(rows, head),
+        png(plots(result.slopes)) if result.slopes else "",
+        "<h2>Not played</h2>",
+        table_html([(n.what, n.why) for n in result.not_played], ("what", "why")),
+        "<h2>What is hollow</h2>",
+        table_html([(p.name, p.seconds, p.limits) for p in result.plays], ("play", "s", "")),
+    )
+
+
+def plots(found: Iterable[Slope]) -> Figure:
+    """Each slope: its points, its fit up to the size of two years."""
+    some = list(found)
+    rows = -(-len(some) // COLUMNS)
+    figure = Figure(figsize=(10.5, 2.6 * rows), layout="constrained")
+    axes: list[Axes] = figure.subplots(rows, COLUMNS, squeeze=False).ravel().tolist()
+    for ax, slope in zip(axes, some, strict=False):
+        last = max(slope.target, slope.sizes[-1])
+        line = np.geomspace(slope.sizes[0], last, 60)
+        ax.plot(line, slope.a + slope.b * FORMS[slope.fit](line), color=GOOD, lw=1.4)
+        ax.plot(slope.sizes, slope.values, "o", color=INK, ms=4)
+        ax.axvline(slope.target, color=BAD, lw=0.8, ls=":")
+        ax.set_xscale("log")
+        if min(slope.values) > 0:
+            ax.set_yscale("log")
+        ax.set_title(f"{slope.role} {slope.figure}, {slope.unit}: {slope.fit}", fontsize=8)
+        ax.tick_params(labelsize=7)
+    for ax in axes[len(some) :]:
+        ax.set_axis_off()
+    return figure
--- a/dillport/lab/scale/size.py
+++ b/dillport/lab/scale/size.py
@@ -1,4 +1,4 @@
-"""The size of two years, as the operators plan it, and the arithmetic that follows: the one place for both."""
+"""The size of two years, as the operators plan it, and what follows: the one place for both."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/dillport/lab/scale/tables.py
@@ -0,0 +1,70 @@
+"""The tables that a node is told at its start: classes (a route each) and tenants, at growing numbers."""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+from dillport import interface as api
+from dillport import wire
+from dillport.lab.scale import fleet, size
+from dillport.lab.scale.points import Play, Point
+from dillport.policy import Balancer
+
+ROUTES = (200, 900, 2_700, 7_000, 14_000)
+QUICK_ROUTES = (100, 400, 1_600)
+TENANTS = (5_000, 20_000, 60_000, 150_000, 350_000)
+QUICK_TENANTS = (1_000, 4_000, 16_000)
+LISTED = 200  # backends: what the list costs is not counted here
+
+LIMITS = (
+    "parse_settings on values that json has read, and the module's turn; the file's reading and what net/ "
+    "keeps of it are not in. A route is a class, as the settings have no other word; nothing reads the "
+    "tenants yet."
+)
+
+
+def measure(role: str, count: int, text: str, seed: int) -> Iterator[Point]:
+    """Making the settings out of their JSON, what they hold, and the turn of a reload."""
+    raw = json.loads(text)
+    begin = time.process_time_ns()
+    settings = wire.parse_settings(raw)
+    yield Point(role, "make", "ms", count, (time.process_time_ns() - begin) / 1e6, False)
+    del raw
+    yield Point(role, "reload", "ms", count, _reload_ms(settings, seed), False)
+    del settings
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        held = Balancer(wire.parse_settings(json.loads(text)), seed)
+        yield Point(role, "memory", "bytes", count, float(tracemalloc.get_traced_memory()[0] - before), False)
+        del held
+    finally:
+        tracemalloc.stop()
+
+
+def _reload_ms(settings: api.Settings, seed: int) -> float:
+    """The module's turn, where all classes have their record already."""
+    balancer = Balancer(wire.parse_settings(fleet.raw_settings(LISTED)), seed)
+    balancer.handle(fleet.NOW, api.ListUpdate(api.ListKind.FULL, fleet.entries(LISTED), 1))
+    balancer.handle(fleet.NOW, api.Reconfigured(settings))
+    event = api.Reconfigured(settings)
+    return fleet.spent_us(lambda: balancer.handle(fleet.NOW, event), 0.5, 50) / 1000
+
+
+def plays(quick: bool) -> list[Play]:
+    """The plays of the tables."""
+
+    def routes(seed: int) -> Iterator[Point]:
+        for count in QUICK_ROUTES if quick else ROUTES:
+            yield from measure("routes", count, json.dumps(fleet.raw_settings(LISTED, count)), seed)
+
+    def tenants(seed: int) -> Iterator[Point]:
+        for count in QUICK_TENANTS if quick else TENANTS:
+            rows = [{"name": f"t{n:06d}", "quota-per-s": 3.0, "share": 0.1} for n in range(count)]
+            text = json.dumps(fleet.raw_settings(LISTED) | {"projects": rows})
+            yield from measure("tenants", count, text, seed)
+
+    return [Play("routes", routes, size.ROUTES, LIMITS), Play("tenants", tenants, size.TENANTS, LIMITS)]
--- /dev/null
+++ b/tests/test_scale_rig.py
@@ -0,0 +1,183 @@
+"""The scale rig: small plays end by themselves, counted figures are exact, the result has its form."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import pytest
+import uvloop
+from typer.testing import CliRunner
+
+from dillport import interface as api
+from dillport.cli import scale as command
+from dillport.cli.app import app
+from dillport.lab.scale import discovery, fleet, listing, module, rig, size, tables
+from dillport.lab.scale.points import NotPlayed, Play, Point
+from dillport.net.config import news_of
+
+
+def figures(items: Sequence[Point | NotPlayed], exact: bool = False) -> dict[tuple[str, str, int], float]:
+    return {(p.role, p.figure, p.size): p.value for p in items
+            if isinstance(p, Point) and (p.exact or not exact)}  # fmt: skip
+
+
+def quiet(play: str, point: Point | None) -> None:
+    pass
+
+
+def linear(seed: int) -> Iterator[Point | NotPlayed]:
+    for n in (10, 40, 160):
+        yield Point("module", "answer", "us", n, 3.0 * n + seed, True)
+    yield NotPlayed("module at 640", "it never ended")
+
+
+PLANTED = Play("planted", linear, 640, "nothing is real")
+
+
+# --- the parts
+
+
+def test_a_list_in_the_platforms_form_comes_back_as_it_was() -> None:
+    told = [fleet.entry(0), fleet.entry(1, api.Phase.DRAINING), fleet.entry(2, api.Phase.GONE, 5.0)]
+    news = news_of(fleet.line(told, 3, True))
+    assert [m.entry for m in news.members] == told
+    assert (news.revision, news.complete) == (3, True)
+    assert len({m.address for m in news.members}) == 3
+    assert {m.address for m in news_of(fleet.line(told, 3, True, "127.0.0.1:9")).members} == {
+        ("127.0.0.1", 9)
+    }
+
+
+def test_the_modules_play_gives_each_figure_at_its_size() -> None:
+    found = [module.memory(60, 1), *module.measure(60, 1, 0.2)]
+    assert [p.figure for p in found] == [
+        "memory", "whole_list", "choice", "answer", "failure", "drain", "replace", "restart", "unavailable",
+        "learned",
+    ]  # fmt: skip
+    assert all(p.value > 0 and p.size == 60 and p.role == "module" for p in found)
+
+
+def test_each_request_of_the_modules_play_is_sent_and_each_failed_one_sent_again() -> None:
+    balancer = module.node(60, 1)
+    balancer.handle(fleet.NOW, api.ListUpdate(api.ListKind.FULL, fleet.entries(60), 1))
+    requests = module.Requests(balancer, fleet.NOW)
+    requests.play(60.0, 200)
+    assert (len(requests.choice), len(requests.answer), len(requests.failure)) == (200, 200, 20)
+    assert balancer.out == 0 and not balancer.requests
+
+
+def test_replacements_stop_at_their_bound_and_say_so() -> None:
+    whole = list(module.replacements(1, 40, (10, 40), 60.0))
+    assert list(figures(whole)) == [
+        ("replaced", figure, n) for figure in ("change", "memory") for n in (10, 40)
+    ]
+    cut = [p for p in module.replacements(1, 10_000, (10_000,), 0.02) if isinstance(p, NotPlayed)]
+    assert len(cut) == 2 and "of 10000" in cut[0].what
+
+
+def test_the_lists_bytes_are_counted_and_what_is_refused_is_left_out() -> None:
+    small = list(listing.lists((200, 800)))
+    assert figures(small, exact=True) == {
+        ("list", "whole", 200): 33227.0, ("list", "change", 200): 215.0,
+        ("list", "whole", 800): 133055.0, ("list", "change", 800): 213.0,
+    }  # fmt: skip
+    assert ("list", "decode", 800) in figures(small)
+
+
+def test_a_real_node_serves_before_a_stand_in() -> None:
+    found = uvloop.run(listing.play_node(60, 0.6))
+    assert list(figures(found)) == [
+        ("node", figure, 60) for figure in ("ready", "p50", "p99", "memory", "core_per_request", "served")
+    ]
+    assert figures(found)["node", "served", 60] == 1.0
+
+
+@pytest.mark.parametrize("play", tables.plays(True), ids=lambda play: play.name)
+def test_tables_grow(play: Play) -> None:
+    found = list(play.run(1))
+    assert {p.figure for p in found if isinstance(p, Point)} == {"make", "reload", "memory"}
+    sizes = sorted(n for (_, figure, n) in figures(found) if figure == "memory")
+    held = [figures(found)[play.name, "memory", n] for n in sizes]
+    assert held == sorted(held) and len(sizes) >= 3
+
+
+def test_hollow_watchers_get_all_that_is_told() -> None:
+    found = figures(uvloop.run(discovery.play_watchers(12)))
+    assert found["discovery", "join_calls", 12] == 12
+    assert found["discovery", "join_failed", 12] == 0
+    assert found["discovery", "tenth_calls", 12] == 2
+    line = len(fleet.line([fleet.entry(0, api.Phase.DRAINING)], 3, False))
+    assert found["discovery", "told", 12] == pytest.approx(12 * line, rel=0.02)
+
+
+def test_bursts_and_a_days_stream_are_counted() -> None:
+    bursts = figures(uvloop.run(discovery.play_bursts((1, 40, 90))), exact=True)
+    assert bursts["burst", "line", 40] == len(fleet.line(
+        [fleet.entry(n) for n in range(40)], 8, False))  # fmt: skip
+    day = uvloop.run(discovery.play_day(160))
+    again = uvloop.run(discovery.play_day(160))
+    assert figures(day, exact=True) == figures(again, exact=True)
+    assert sorted(n for (_, figure, n) in figures(day, exact=True)) == [10, 20, 40, 80, 160]
+
+
+def test_all_plays_name_what_is_hollow_and_the_size_of_two_years() -> None:
+    for quick in (True, False):
+        plays = rig.all_plays(quick)
+        assert len({play.name for play in plays}) == len(plays)
+        assert all(play.limits and play.target > 0 for play in plays)
+    assert {"module", "list", "node", "routes", "tenants", "discovery"} <= {p.name for p in plays}
+
+
+def test_sizes_span_what_a_slope_needs() -> None:
+    """Five sizes over a factor of 16, up to the size of two years where it can be had on one machine."""
+    for sizes in (module.SIZES, listing.SIZES, listing.NODE_SIZES, tables.ROUTES, tables.TENANTS,
+                  discovery.WATCHERS):  # fmt: skip
+        assert len(sizes) >= 5 and max(sizes) >= 16 * min(sizes)
+    assert module.SIZES[-1] == listing.SIZES[-1] == listing.NODE_SIZES[-1] == size.BACKENDS
+    assert (tables.ROUTES[-1], tables.TENANTS[-1]) == (size.ROUTES, size.TENANTS)
+
+
+# --- the whole
+
+
+def test_a_result_has_its_slopes_and_says_what_was_not_played(tmp_path: Path) -> None:
+    result = rig.run([PLANTED], 5, True, quiet)
+    rig.write(result, tmp_path)
+    assert rig.read(tmp_path / "scale.json") == result
+    table = json.loads((tmp_path / "scale.json").read_text())
+    assert set(table) == {
+        "version", "seed", "quick", "program", "python", "machine", "load", "seconds", "plays", "points",
+        "slopes", "not_played",
+    }  # fmt: skip
+    assert table["not_played"] == [{"what": "module at 640", "why": "it never ended"}]
+    (slope,) = result.slopes
+    assert (slope.fit, round(slope.at_target, 6), slope.beyond) == ("linear", 1925.0, 4.0)
+    page = (tmp_path / "scale.html").read_text()
+    assert "it never ended" in page and "nothing is real" in page and "data:image/png" in page
+
+
+def test_what_comes_after_the_time_is_over_is_not_played(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(rig, "MOST_QUICK_S", -1.0)
+    result = rig.run([PLANTED], 1, True, quiet)
+    assert not result.points and [n.what for n in result.not_played] == ["planted"]
+
+
+def test_the_command_writes_and_prints(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(command, "all_plays", lambda quick: [PLANTED])
+    done = CliRunner().invoke(app, ["lab", "scale", "--quick", "--json", "--out", str(tmp_path)])
+    assert done.exit_code == 0, done.output
+    assert json.loads(done.stdout)["quick"] is True
+    assert (tmp_path / "scale.json").read_text() == done.stdout
+    done = CliRunner().invoke(app, ["lab", "scale", "--quick", "--out", str(tmp_path)])
+    assert done.exit_code == 0 and "it never ended" in done.stdout
+
+
+def test_a_folder_that_cannot_be_had_is_said_in_two_lines(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(command, "all_plays", lambda quick: [PLANTED])
+    (tmp_path / "file").write_text("")
+    done = CliRunner().invoke(app, ["lab", "scale", "--quick", "--out", str(tmp_path / "file")])
+    assert done.exit_code == 2 and len(done.stderr.strip().split("\n")) == 2
