Scale rig: 16 real processes before one list, as a check on the hollow ones

Processor time of a node by its first thread's account, which counts in ns instead of ticks of 10 ms.

--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -39,7 +39,6 @@
 HOST = "127.0.0.1"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 PAGE = os.sysconf("SC_PAGE_SIZE")
-TICKS = os.sysconf("SC_CLK_TCK")
 
 LIST_LIMITS = (
     "Objects and news_of as the node's watch uses them, in pieces of 64 KiB, without the socket. Entries "
@@ -162,10 +161,10 @@
 
 
 def used(pid: int) -> tuple[float, float]:
-    """Seconds of processor time and bytes of memory that a process has used, and holds."""
-    fields = Path(f"/proc/{pid}/stat").read_text("utf-8").rpartition(")")[2].split()
+    """Seconds of processor time of a process's first thread, the event loop, and the bytes that it holds."""
+    spent = int(Path(f"/proc/{pid}/schedstat").read_text("utf-8").split()[0])
     pages = int(Path(f"/proc/{pid}/statm").read_text("utf-8").split()[1])
-    return (int(fields[11]) + int(fields[12])) / TICKS, float(pages * PAGE)
+    return spent / 1e9, float(pages * PAGE)
 
 
 async def spawn(folder: Path, backends: int, discovery: int) -> asyncio.subprocess.Process:
@@ -197,7 +196,7 @@
     raise ConnectionError("the node has ended")
 
 
-async def _drop(process: asyncio.subprocess.Process) -> None:
+async def drop(process: asyncio.subprocess.Process) -> None:
     """Read its log, so that it never waits for a reader."""
     assert process.stderr is not None
     while await process.stderr.read(65536):
@@ -217,7 +216,7 @@
         process = await spawn(Path(folder), backends, server.sockets[0].getsockname()[1])
         try:
             client = Client(await serves_on(process))
-            drop = loop.create_task(_drop(process))
+            drain = loop.create_task(drop(process))
             while (await client.ask())[0] != 200:
                 if loop.time() - begin > READY_MOST:
                     why = f"never ready: nothing served in {READY_MOST:g} s, {discovery.calls} calls"
@@ -232,7 +231,7 @@
             await process.wait()
             server.close()
             backend.close()
-    drop.cancel()
+    drain.cancel()
     client.close()
     out = {"ready": (ready_ms, "ms")} | out
     return [Point("node", name, unit, backends, value, False) for name, (value, unit) in out.items()]
--- /dev/null
+++ b/dillport/lab/scale/processes.py
@@ -0,0 +1,116 @@
+"""Real node processes before one list: a check on the hollow ones, which have no module and no pool."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import statistics
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import uvloop
+
+from dillport import interface as api
+from dillport.lab.scale import fleet, size
+from dillport.lab.scale.listing import (
+    HOST,
+    Client,
+    StandInBackend,
+    StandInDiscovery,
+    drop,
+    serves_on,
+    spawn,
+    used,
+)
+from dillport.lab.scale.points import NotPlayed, Play, Point
+
+COUNT = 16
+SIZES = (200, 1_000, 4_000, 20_000)
+READY_MOST = 40.0  # s that all have until they serve
+CHANGES, CHANGE_EVERY = 20, 0.4  # told to all; s between two
+
+LIMITS = (
+    "Processes by `python -m dillport` that share the machine's cores, without the fleet's rooms and at "
+    "rest: no requests but one each that shows it is ready. What a change costs is the processor time while "
+    "changes come, less that of as long a time without."
+)
+
+
+async def play_processes(count: int, backends: int, changes: int = CHANGES) -> list[Point | NotPlayed]:
+    """So many nodes before a list of so many: until all serve, then changes; the median node's figures."""
+    loop = asyncio.get_running_loop()
+    backend = await loop.create_server(StandInBackend, HOST, 0)
+    where = f"{HOST}:{backend.sockets[0].getsockname()[1]}"
+    told = fleet.entries(backends, time.time() * 1000 - fleet.DAY)
+    discovery = StandInDiscovery(fleet.line(told, 2, True, where))
+    server = await asyncio.start_server(discovery.serve, HOST, 0)
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(server.close)
+        stack.callback(backend.close)
+        begin = loop.time()
+        nodes = []
+        for _ in range(count):
+            folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
+            nodes.append(await spawn(Path(folder), backends, server.sockets[0].getsockname()[1]))
+            stack.push_async_callback(_end, nodes[-1])
+        drains = []
+        try:
+            async with asyncio.timeout(READY_MOST):
+                for node in nodes:
+                    client = Client(await serves_on(node))
+                    drains.append(loop.create_task(drop(node)))
+                    while (await client.ask())[0] != 200:
+                        await asyncio.sleep(0.05)
+                    client.close()
+        except TimeoutError:
+            return [NotPlayed(f"processes at {backends}", f"not all {count} served in {READY_MOST:g} s")]
+        ready_ms = (loop.time() - begin) * 1000
+        pids = [node.pid for node in nodes]
+        rest = await _spent(pids, discovery, [], changes)
+        lines = []
+        for number in range(changes):
+            at = fleet.entry(
+                number // 2, api.Phase.UP if number % 2 else api.Phase.DRAINING, told[0].started_at
+            )
+            lines.append(fleet.line([at], number + 3, False, where))
+        busy = await _spent(pids, discovery, lines, changes)
+        held = [used(pid)[1] for pid in pids]
+        for task in drains:
+            task.cancel()
+    figures = (
+        ("ready", "ms", ready_ms),
+        ("memory", "bytes", statistics.median(held)),
+        ("change", "us", max(0.0, statistics.median(busy) - statistics.median(rest)) * 1e6 / changes),
+    )
+    return [Point("processes", name, unit, backends, value, False) for name, unit, value in figures]
+
+
+async def _spent(pids: list[int], discovery: StandInDiscovery, lines: list[bytes], steps: int) -> list[float]:
+    """Seconds of processor time of each, over as long as so many changes take, with these told."""
+    before = [used(pid)[0] for pid in pids]
+    for step in range(steps):
+        if step < len(lines):
+            discovery.tell(lines[step])
+        await asyncio.sleep(CHANGE_EVERY)
+    return [used(pid)[0] - was for pid, was in zip(pids, before, strict=True)]
+
+
+async def _end(process: asyncio.subprocess.Process) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+
+
+def plays(quick: bool) -> list[Play]:
+    """The play of the processes; not in a quick run, as it takes a minute and a half."""
+
+    def processes(_: int) -> Iterator[Point | NotPlayed]:
+        if quick:
+            yield NotPlayed(f"{COUNT} real processes before one list", "not in a quick run")
+            return
+        for backends in SIZES:
+            yield from uvloop.run(play_processes(COUNT, backends))
+
+    return [Play("processes", processes, size.BACKENDS, LIMITS)]
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -13,7 +13,7 @@
 from dillport import interface as api
 from dillport.cli import scale as command
 from dillport.cli.app import app
-from dillport.lab.scale import discovery, fleet, listing, module, rig, size, tables
+from dillport.lab.scale import discovery, fleet, listing, module, processes, rig, size, tables
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.net.config import news_of
 
@@ -94,6 +94,17 @@
     assert figures(found)["node", "served", 60] == 1.0
 
 
+def test_real_processes_take_one_list() -> None:
+    found = uvloop.run(processes.play_processes(2, 60, 2))
+    assert list(figures(found)) == [("processes", figure, 60) for figure in ("ready", "memory", "change")]
+
+
+def test_a_quick_run_says_that_the_processes_are_not_played() -> None:
+    (play,) = processes.plays(True)
+    (item,) = play.run(1)
+    assert isinstance(item, NotPlayed) and "16 real processes" in item.what
+
+
 @pytest.mark.parametrize("play", tables.plays(True), ids=lambda play: play.name)
 def test_tables_grow(play: Play) -> None:
     found = list(play.run(1))
