Scale rig: slopes of membership, recovery and durable state

Whole tiers of the real cores are played in virtual time at 25 to 800 nodes; what one core holds, does and says is played at the size itself among hollow peers; the store is played over the disk of sim/disk.py. A tier can begin agreed, so that the quiet needs no cold start. Where a list does not fit into the store its start is said not to be played.

--- /dev/null
+++ b/dillport/lab/scale/stores.py
@@ -0,0 +1,200 @@
+"""The durable state of one node at growing lists: what a start reads, what a change and a snapshot write.
+
+The store is the one that `run` has, over the disk of `sim/disk.py`: bytes are counted, processor time is the
+store's own, and no time of a real disk is in it.
+"""
+
+from __future__ import annotations
+
+import bisect
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Sequence
+
+from dillport.durable import frames
+from dillport.durable.records import Kept, Listed, Record, Row, Sampled, Stamp, encode, total
+from dillport.durable.store import Loaded, Store, load
+from dillport.interface import Learned
+from dillport.lab.scale.points import NotPlayed, Point
+from dillport.lab.scale.size import ZONES
+from dillport.lab.scale.tiers import Figures
+from dillport.sim.disk import Disk, DiskFiles
+
+ROLE = "durable"
+NODE, NAME = "n0", "0123456789abcdef"
+KINDS, CELLS = 4, 16
+WALL_MS = 1_767_225_600_000.0  # a moment, Unix time
+CHANGES = 200  # of one entry, whose processor time is measured
+TAKEN = 5  # changes taken into what is kept: each costs as much as the list is long
+READS = 3  # of a directory, of which the quickest counts: other work on the machine only adds
+LEARNED = 4  # one listed backend in so many has something learned of it
+
+
+class Node:
+    """One node's store and what it adds up to, as `durable/shell.py` drives them."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.disk, self.kept = disk, Kept()
+        self.store = Store(DiskFiles(disk), NODE, NAME, self._snapshot)
+
+    def _snapshot(self, loaded: Loaded) -> bytes:
+        self.kept = total(loaded.snapshot, loaded.records)
+        return self.kept.encode()
+
+    def keep(self, record: Record) -> int:
+        """Write and sync a record; the bytes that the log grew by."""
+        data, before = encode(record), self.store.written
+        self.store.append([data], True)
+        self.kept.apply(data)
+        return self.store.written - before
+
+
+def stores(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
+    """A store whose list has so many entries: its records, its start with a full log, one change, a snapshot.
+
+    Where a record of that list is too long for the store, what needs it is not played.
+    """
+    for count in sizes:
+        of, rows = Figures(ROLE, count), listed(count, seed)
+        whole, sample = Listed(1, True, WALL_MS, rows), sampled(rows)
+        snapshot = _kept(rows)
+        yield of.counted("list_record", "bytes", len(encode(whole)))
+        yield of.counted("learned_record", "bytes", len(encode(sample)))
+        yield of.counted("snapshot", "bytes", len(snapshot.encode()))
+        yield of.machine("snapshot_processor", "ms", _ms(snapshot.encode))
+        yield from _changes(of, rows)
+        if (why := _refused(encode(whole)) or _refused(snapshot.encode())) is None:
+            yield from _start(of, whole, sample)
+        else:
+            yield NotPlayed(f"{ROLE}, a start at {count}", why)
+
+
+def limits(sizes: Sequence[int], seed: int) -> Iterator[Point]:
+    """Up to how many entries a record fits into the store (`STA03` above), where that is under the size."""
+    for count in sizes:
+        of, rows = Figures(ROLE, count), listed(count, seed)
+        makes: dict[str, Callable[[list[Row]], bytes]] = {
+            "list": lambda some: encode(Listed(1, True, WALL_MS, some)),
+            "learned_of_a_quarter": lambda some: encode(sampled(some)),
+            "learned_of_all": lambda some: encode(sampled(some, 1)),
+            "snapshot": lambda some: _kept(some).encode(),
+        }
+        for what, make in makes.items():
+            if (most := _most(rows, make)) < count:
+                yield of.counted(f"most_{what}", "entries", most)
+
+
+def listed(count: int, seed: int) -> list[Row]:
+    """A list of `count` backends in service, in names of usual length."""
+    dice = random.Random(f"list {seed}")
+    rows = []
+    for number in range(count):
+        host = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+        zone, kind = f"zone-{number % ZONES}", f"kind-{dice.randrange(KINDS)}"
+        started = WALL_MS - dice.randrange(86_400_000)
+        name, cell = f"backend-{number:05d}", dice.randrange(CELLS)
+        rows.append(Row(name, host, 8080, zone, kind, cell, 1.0, "up", started))
+    return rows
+
+
+def sampled(rows: Sequence[Row], every: int = LEARNED) -> Sampled:
+    """What a node has learned of some of a list."""
+    backends = {row.backend: (row.started_at, 1.25, 17.5, 0, 0.0) for row in rows[::every]}
+    learned = Learned(64.0, 1.0, 0.0, {"a": (5.0, 1.0, 0.0)}, backends)
+    return Sampled(Stamp(WALL_MS, NAME, 1e6), learned, 193.0)
+
+
+def _kept(rows: Sequence[Row]) -> Kept:
+    return Kept(rows={row.backend: row for row in rows}, sampled=sampled(rows))
+
+
+def _changes(of: Figures, rows: Sequence[Row]) -> Iterator[Point]:
+    """One entry changes: it is written to the log, and taken into what is kept of all."""
+    node = Node(Disk())
+    change = Listed(2, False, WALL_MS, [rows[0]])
+    grown = node.keep(change)
+    data, kept = encode(change), _kept(rows)
+    append = _ms(lambda: node.store.append([data], True), CHANGES)
+    node.store.close()
+    take = _ms(lambda: kept.apply(data), TAKEN)
+    yield of.counted("change_bytes", "bytes", grown)
+    yield of.machine("change_write", "us", append * 1000)
+    yield of.machine("change_take", "us", take * 1000)
+
+
+def _start(of: Figures, whole: Listed, sample: Sampled) -> Iterator[Point]:
+    """A process ends as its log is full, and another one starts."""
+    disk = Disk()
+    node = Node(disk)
+    node.keep(whole)
+    samples = 0
+    while not node.store.full:
+        node.keep(sample)
+        samples += 1
+    yield of.counted("log_full", "s", samples)
+    rotated = _ms(lambda: node.store.rotate(node.kept.encode()))
+    yield of.machine("rotate", "ms", rotated)
+    node.keep(whole)
+    while not node.store.full:
+        node.keep(sample)
+    node.store.close()
+    yield of.counted("files", "bytes", sum(map(len, disk.image().values())))
+    files = Counting(disk)
+    read = min(_ms(lambda: _read(files)) for _ in range(READS))
+    yield of.counted("start_read", "bytes", files.size / READS)
+    yield of.machine("start_processor", "ms", read)
+    yield of.machine("start_memory", "bytes", _peak(lambda: _read(files)))
+    again = _ms(lambda: Node(disk).store.close())
+    yield of.machine("take_over", "ms", again)
+
+
+class Counting(DiskFiles):
+    """The file layer, with the bytes that were read."""
+
+    size = 0
+
+    def read(self, name: str) -> bytes:
+        """A whole file."""
+        data = super().read(name)
+        self.size += len(data)
+        return data
+
+
+def _read(files: DiskFiles) -> Kept:
+    """As a start does, before it takes the directory over."""
+    loaded = load(files, NODE, whole=False)
+    return total(loaded.snapshot, loaded.records)
+
+
+def _refused(data: bytes) -> str | None:
+    """Why a record does not fit into the store; None where it does."""
+    try:
+        frames.frame(1, 1, 0, data)
+    except frames.LengthError as err:
+        return err.line
+    return None
+
+
+def _most(rows: list[Row], make: Callable[[list[Row]], bytes]) -> int:
+    """The longest beginning of a list whose record fits."""
+    counts = range(1, len(rows) + 1)
+    return bisect.bisect_left(counts, True, key=lambda count: _refused(make(rows[:count])) is not None)
+
+
+def _ms(call: Callable[[], object], times: int = 1) -> float:
+    """Processor time of a call, on the mean."""
+    begun = time.thread_time()
+    for _ in range(times):
+        call()
+    return (time.thread_time() - begun) * 1000 / times
+
+
+def _peak(call: Callable[[], object]) -> float:
+    """Bytes of the objects that are alive at the same time, at most."""
+    tracemalloc.start()
+    try:
+        call()
+        return float(tracemalloc.get_traced_memory()[1])
+    finally:
+        tracemalloc.stop()
--- /dev/null
+++ b/dillport/lab/scale/tiers.py
@@ -0,0 +1,388 @@
+"""Membership at growing sizes: whole tiers of the real cores in virtual time, and one core at the full size.
+
+A whole tier fits to some hundreds of nodes. What one node holds and does for each member is measured on one
+core alone among peers that are hollow, at the size itself. What comes to a node is counted with its headers.
+"""
+
+from __future__ import annotations
+
+import math
+import statistics
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+
+from dillport.lab.scale.points import NotPlayed, Point
+from dillport.lab.scale.size import DAY_S, HEADERS, RACK_MACHINES, REGIONS, RESTARTS_A_DAY
+from dillport.membership.core import Event, Membership, Received, Tell, Tick, View
+from dillport.membership.messages import (
+    DIGEST,
+    HEAD,
+    NOBODY,
+    ROOM,
+    RUMOUR,
+    Kind,
+    Message,
+    Rumour,
+    State,
+    decode,
+    encode,
+)
+from dillport.sim.members import LIFE_UNIT, Net, World
+
+ROLE = "membership"
+LOSS = 0.01
+WARM_MS = 6_000.0  # until what each first says of itself is told
+QUIET_MS = 28_000.0  # a whole round of a node's repairs: 40 periods of 700 ms
+MOST_MS = 180_000.0  # virtual time for which an agreement is waited for at most
+STEP_MS = 50.0  # between two looks whether all agree: what a time may be too long by
+AFTER_MS = 1_000.0  # from a death to its restart
+DEATHS = 3  # of one node each; the median counts
+RACK_PART = 20  # one node in so many dies with its rack
+EACH = 10  # one node in so many is restarted at once
+DATAGRAMS = 400  # to one core, whose processor time is measured
+
+
+@dataclass
+class Meter:
+    """What all nodes together received: counted at the receiver, with the headers."""
+
+    datagrams: int = 0
+    size: int = 0  # bytes
+    rumours: int = 0
+    by_second: Counter[int] = field(default_factory=Counter)  # bytes
+
+    def heard(self, now: float, data: bytes) -> None:
+        """A datagram reached a node that lives."""
+        size = len(data) + HEADERS
+        self.datagrams += 1
+        self.size += size
+        self.by_second[int(now / 1000)] += size
+
+
+class Metered(World):
+    """A tier that counts what its nodes receive and the processor time of their cores."""
+
+    def __init__(self, count: int, seed: int, net: Net) -> None:
+        super().__init__(count, seed, net=net)
+        self.meter, self.core_ns = Meter(), 0
+
+    def start_agreed(self) -> None:
+        """All are up and agree, as after a long quiet; the digests to join with are not sent."""
+        life = int(self.now / LIFE_UNIT) - 1
+        view = _agreed(self.count, life)
+        for node, host in enumerate(self.hosts):
+            host.number += 1
+            host.core = Membership(self.config, node, self.count, life, self.seeds.getrandbits(64), self.now)
+            host.core.handle(self.now, Tick())
+            host.core.view = View(list(view.known), view.present, view.hash, list(view.buckets))
+            self._plan(node, host.core.due)
+
+    @property
+    def core_us(self) -> float:
+        """Processor time of a node's core, on the mean, us."""
+        return self.core_ns / 1000 / self.count
+
+    def measure(self) -> None:
+        """Count from here on."""
+        self.meter, self.core_ns = Meter(), 0
+        self.sent.clear()
+
+    def _handle(self, node: int, event: Event) -> None:
+        if (core := self.hosts[node].core) is None:
+            return
+        begun = time.thread_time_ns()
+        actions = core.handle(self.now + self.hosts[node].shift, event)
+        self.core_ns += time.thread_time_ns() - begun
+        for action in actions:
+            self._act(node, action)
+        self._plan(node, core.due)
+
+    def _arrive(self, source: int, target: int, data: bytes) -> None:
+        if self.hosts[target].core is not None:
+            self.meter.heard(self.now, data)
+            self.meter.rumours += (len(data) - HEAD.size - data[HEAD.size - 1]) // RUMOUR.size
+        super()._arrive(source, target, data)
+
+
+def _agreed(count: int, life: int) -> View:
+    """Of a node that knows all to be present in lives of one number."""
+    view = View([Rumour(member, 0, 0, State.UNKNOWN) for member in range(count)])
+    for member in range(count):
+        view.put(Rumour(member, life, 0, State.ALIVE))
+    return view
+
+
+def tier(count: int, seed: int) -> Metered:
+    """A tier that agrees, at the usual loss, whose first rumours are told."""
+    world = Metered(count, seed, Net(loss=LOSS))
+    world.start_agreed()
+    world.run(world.now + WARM_MS)
+    world.measure()
+    return world
+
+
+class Figures:
+    """Points of one role at one size, by name."""
+
+    def __init__(self, role: str, size: int) -> None:
+        self.role, self.size = role, size
+
+    def counted(self, figure: str, unit: str, value: float) -> Point:
+        """Counted, or virtual time: the same for a seed."""
+        return Point(self.role, figure, unit, self.size, value, True)
+
+    def took(self, figure: str, ms: float) -> Iterator[Point | NotPlayed]:
+        """A time on the virtual clock; infinite where it had not come to its end."""
+        if math.isfinite(ms):
+            yield self.counted(figure, "s", ms / 1000)
+        else:
+            yield NotPlayed(f"{self.role}.{figure} at {self.size}", "it had not come to its end in the play")
+
+    def machine(self, figure: str, unit: str, value: float) -> Point:
+        """Processor time or memory of this machine."""
+        return Point(self.role, figure, unit, self.size, value, False)
+
+
+# --- whole tiers
+
+
+def quiet(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
+    """What a node receives, sends and computes a second: with nothing but loss, and at a day's restarts."""
+    for count in sizes:
+        world, of = tier(count, seed), Figures(ROLE, count)
+        yield from _seconds(world, of, "quiet")
+        world.measure()
+        gap = DAY_S * 1000 / RESTARTS_A_DAY
+        for number in range(int(QUIET_MS / gap)):
+            world.at(world.now + number * gap, partial(_restart, world, number % count))
+        yield from _seconds(world, of, "day")
+
+
+def _seconds(world: Metered, of: Figures, when: str) -> Iterator[Point | NotPlayed]:
+    begun, seconds = world.now, int(QUIET_MS / 1000)
+    world.run(begun + QUIET_MS)
+    meter, share = world.meter, 1 / world.count / seconds
+    yield of.counted(f"{when}_datagrams", "datagrams/s", meter.datagrams * share)
+    yield of.counted(f"{when}_bytes", "bytes/s", meter.size * share)
+    yield of.counted(f"{when}_worst_second", "bytes/s", _worst(world))
+    yield of.counted(f"{when}_sent", "datagrams/s", sum(world.sent.values()) * share)
+    yield of.machine(f"{when}_processor", "us", world.core_us / seconds)
+
+
+def _restart(world: Metered, node: int) -> None:
+    """In good order: it says that it leaves, ends, and is back a little later."""
+    world.leave(node)
+    world.at(world.now + AFTER_MS, partial(world.start, node))
+
+
+def cold_start(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
+    """All come up within one moment and know nobody."""
+    for count in sizes:
+        world, of = Metered(count, seed, Net(loss=LOSS)), Figures(ROLE, count)
+        begun = time.thread_time()
+        for node in range(count):
+            world.start(node)
+        took = world.settle(MOST_MS, STEP_MS)
+        whole = time.thread_time() - begun
+        meter = world.meter
+        yield from of.took("cold_start_time", took)
+        yield of.counted("cold_start_bytes", "bytes", meter.size / count)
+        yield of.counted("cold_start_worst_second", "bytes/s", _worst(world))
+        yield of.counted("cold_start_datagrams", "entries", meter.datagrams / count)
+        yield of.counted("cold_start_rumours", "entries", meter.rumours / count)
+        yield of.machine("cold_start_processor", "us", world.core_us)
+        yield of.machine("cold_start_world", "s", whole)
+
+
+def faults(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
+    """One death, a rack's, a tenth restarted, a region cut off and healed; each from a tier that agrees."""
+    for count in sizes:
+        of = Figures(ROLE, count)
+        yield from _deaths(tier(count, seed), of)
+        yield from _rack(tier(count, seed), of)
+        yield from _restarts(tier(count, seed), of)
+        yield from _region(tier(count, seed), of)
+
+
+def _worst(world: Metered) -> float:
+    """Bytes that a node received in the worst second."""
+    return max(world.meter.by_second.values(), default=0) / world.count
+
+
+def _deaths(world: Metered, of: Figures) -> Iterator[Point | NotPlayed]:
+    took = []
+    for node in range(DEATHS):
+        world.kill(node)
+        took.append(world.settle(MOST_MS, STEP_MS))
+    yield from of.took("death_time", statistics.median(took))
+    yield of.counted("death_worst_second", "bytes/s", _worst(world))
+
+
+def _rack(world: Metered, of: Figures) -> Iterator[Point | NotPlayed]:
+    for node in range(max(1, min(RACK_MACHINES, world.count // RACK_PART))):
+        world.kill(node)
+    took = world.settle(MOST_MS, STEP_MS)
+    yield from of.took("rack_time", took)
+    yield of.counted("rack_worst_second", "bytes/s", _worst(world))
+
+
+def _restarts(world: Metered, of: Figures) -> Iterator[Point | NotPlayed]:
+    gone = range(max(1, world.count // EACH))
+    for node in gone:
+        world.kill(node)
+    world.run(world.now + AFTER_MS)
+    for node in gone:
+        world.start(node)
+    took = world.settle(MOST_MS, STEP_MS)
+    yield from of.took("tenth_time", took)
+    yield of.counted("tenth_worst_second", "bytes/s", _worst(world))
+
+
+def _region(world: Metered, of: Figures) -> Iterator[Point | NotPlayed]:
+    far = world.count // REGIONS
+    sides = (range(far), range(far, world.count))
+    world.net.cut = lambda source, target: (source < far) != (target < far)
+    begun = world.now
+    while not _sides_agree(world, sides) and world.now < begun + MOST_MS:
+        world.run(world.now + STEP_MS)
+    apart = world.now - begun if _sides_agree(world, sides) else math.inf
+    yield from of.took("cut_time", apart)
+    yield of.counted("cut_worst_second", "bytes/s", _worst(world))
+    yield of.machine("cut_processor", "us", world.core_us)
+    world.net.cut = lambda source, target: False
+    world.measure()
+    took = world.settle(MOST_MS, STEP_MS)
+    yield from of.took("heal_time", took)
+    yield of.counted("heal_bytes", "bytes", world.meter.size / world.count)
+    yield of.counted("heal_worst_second", "bytes/s", _worst(world))
+    yield of.machine("heal_processor", "us", world.core_us)
+
+
+def _sides_agree(world: Metered, sides: Sequence[Sequence[int]]) -> bool:
+    """Whether on each side all hold just their own side for present."""
+    for side in sides:
+        cores = [core for node in side if (core := world.hosts[node].core) is not None]
+        if len({(core.view.hash, core.view.present) for core in cores}) > 1:
+            return False
+        if cores and cores[0].members() != list(side):
+            return False
+    return True
+
+
+# --- one core at the full size
+
+
+class Lone:
+    """One core among `count` hollow peers that answer every probe."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.count, self.now, self.sequence = count, 0.0, 0
+        self.core = Membership(World(0, 0).config, 0, count, 1, seed, self.now)
+        self.heard: list[Message] = []  # what it sent
+        self.core_ns = 0
+
+    def meet(self) -> None:
+        """It hears of all, from each of them, and agrees with them."""
+        each = ROOM // RUMOUR.size
+        for first in range(0, self.count, each):
+            named = range(max(1, first), min(first + each, self.count))
+            page = tuple(Rumour(member, 1, 0, State.ALIVE) for member in named)
+            self.hear(1, Kind.PAGE, page)
+        for peer in range(1, self.count):
+            self.hear(peer, Kind.PAGE)
+
+    def agree(self) -> None:
+        """It has known all for long, and has nothing to tell that is new."""
+        self.core.view = _agreed(self.count, 1)
+        for peer in range(1, self.count):
+            self.hear(peer, Kind.ACK)
+
+    def hear(self, peer: int, kind: Kind, rumours: tuple[Rumour, ...] = (), extra: bytes = b"") -> None:
+        """A datagram to all from a peer whose view is the same."""
+        message = Message(kind, peer, 1, 0, 0, self.core.view.hash, NOBODY, extra, rumours)
+        self.give(Received(peer, encode(message)))
+
+    def give(self, event: Event) -> None:
+        """An event for the core; a probe is answered at once."""
+        begun = time.thread_time_ns()
+        actions = self.core.handle(self.now, event)
+        self.core_ns += time.thread_time_ns() - begun
+        told = [(a.node, decode(a.data)) for a in actions if isinstance(a, Tell)]
+        self.heard += [message for _, message in told]
+        for peer, message in told:
+            if peer is not None and message.kind == Kind.PING:
+                ack = Message(Kind.ACK, peer, 1, 0, message.sequence, self.core.view.hash, peer)
+                self.give(Received(peer, encode(ack)))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self.core.due <= until:
+            self.now = max(self.now, self.core.due)
+            self.give(Tick())
+        self.now = until
+
+
+def one_node(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
+    """What one core holds and does for each member that it knows, at the size itself."""
+    for count in sizes:
+        of = Figures(ROLE, count)
+        memory = _memory(partial(_met, count, seed))
+        yield of.machine("core_memory", "bytes", memory)
+        lone = Lone(count, seed)
+        lone.agree()
+        lone.run(lone.now + QUIET_MS)
+        lone.core_ns = 0
+        lone.run(lone.now + QUIET_MS)
+        period = lone.core_ns / 1000 / (QUIET_MS / lone.core.config.period)
+        yield of.machine("core_period", "us", period)
+        yield of.machine("core_datagram", "us", _reading(lone))
+        yield from _repair(lone, of)
+
+
+def _repair(lone: Lone, of: Figures) -> Iterator[Point | NotPlayed]:
+    """A peer's digest differs in all its buckets; what it is sent is paced."""
+    first, begun = len(lone.heard), lone.now
+    wrong = (~salted & 0xFFFF for salted in lone.core.view.digest(0))
+    lone.hear(1, Kind.DIGEST, extra=DIGEST.pack(True, *wrong))
+    ends = begun
+    while lone.now < ends + 2 * lone.core.config.period:
+        before = len(lone.heard)
+        lone.run(lone.now + STEP_MS)
+        if any(m.kind == Kind.GOSSIP and m.subject == 1 for m in lone.heard[before:]):
+            ends = lone.now
+    sent = [m for m in lone.heard[first:] if m.kind == Kind.GOSSIP and m.subject == 1]
+    yield from of.took("repair_time", ends - begun)
+    yield of.counted("repair_datagrams", "entries", len(sent))
+    yield of.counted("repair_rumours", "entries", sum(len(m.rumours) for m in sent))
+
+
+def _met(count: int, seed: int) -> Lone:
+    lone = Lone(count, seed)
+    lone.meet()
+    return lone
+
+
+def _reading(lone: Lone) -> float:
+    """Processor time in us of a datagram with six rumours that are no news."""
+    known = lone.core.view.known
+    lone.core_ns = 0
+    for at in range(DATAGRAMS):
+        peer = 1 + at % (lone.count - 1)
+        lone.hear(peer, Kind.GOSSIP, tuple(known[1 + (at + i) % (lone.count - 1)] for i in range(6)))
+    return lone.core_ns / 1000 / DATAGRAMS
+
+
+def _memory(make: Callable[[], object]) -> float:
+    """Bytes of the objects that are alive once it is made."""
+    tracemalloc.start()
+    try:
+        made = make()
+        size = tracemalloc.get_traced_memory()[0]
+        del made
+        return float(size)
+    finally:
+        tracemalloc.stop()
--- /dev/null
+++ b/tests/test_scale_control.py
@@ -0,0 +1,146 @@
+"""The scale rig's plays of membership, recovery and durable state, at sizes that take a moment."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import pytest
+
+from dillport.durable import frames
+from dillport.durable.records import Kept, Listed, encode, total
+from dillport.lab.scale import returns, stores, tiers
+from dillport.lab.scale.control import Run, plays
+from dillport.lab.scale.points import NotPlayed, Point
+from dillport.lab.scale.size import BACKENDS, NODES
+from dillport.recovery.core import Config
+from dillport.sim.disk import Disk
+from dillport.sim.members import Net
+from dillport.sim.recovery_schedule import BACKENDS as LISTED
+
+UNITS = {"ms", "us", "bytes", "bytes/s", "datagrams/s", "s", "entries"}
+RUNS: list[tuple[Run, tuple[int, ...]]] = [
+    (tiers.quiet, (4, 8)), (tiers.one_node, (30, 60)), (tiers.cold_start, (4, 8)), (tiers.faults, (6, 12)),
+    (returns.tiers, (4, 8)), (returns.turns, (24, 48)), (returns.words, (8, 5_700)),
+    (returns.restarts, (8, 356)),
+    (stores.stores, (100, 400)), (stores.limits, (100,)),
+]  # fmt: skip
+
+
+def points(items: Iterable[Point | NotPlayed]) -> list[Point]:
+    """All of them: nothing may be left out."""
+    out = list(items)
+    assert not [item for item in out if isinstance(item, NotPlayed)]
+    return [item for item in out if isinstance(item, Point)]
+
+
+@pytest.mark.parametrize(("run", "sizes"), RUNS, ids=lambda value: getattr(value, "__name__", None))
+def test_a_seed_counts_the_same_twice(run: Run, sizes: tuple[int, ...]) -> None:
+    one, two = points(run(sizes, 3)), points(run(sizes, 3))
+    assert [p for p in one if p.exact] == [p for p in two if p.exact]
+    assert [(p.figure, p.unit, p.size) for p in one] == [(p.figure, p.unit, p.size) for p in two]
+    names = [(p.figure, p.size) for p in one]
+    assert len(set(names)) == len(names)
+    for point in one:
+        assert point.unit in UNITS and point.size in sizes
+        assert math.isfinite(point.value) and point.value >= 0
+
+
+@pytest.mark.parametrize("quick", [False, True])
+def test_every_play_says_what_it_leaves_out(quick: bool) -> None:
+    found = plays(quick)
+    assert len({play.name for play in found}) == len(found)
+    assert all(play.limits and play.target in (NODES, BACKENDS) for play in found)
+
+
+def test_a_time_without_an_end_is_no_figure() -> None:
+    of = tiers.Figures("membership", 10)
+    assert list(of.took("heal_time", 1_500.0)) == [Point("membership", "heal_time", "s", 10, 1.5, True)]
+    assert [type(item) for item in of.took("heal_time", math.inf)] == [NotPlayed]
+
+
+def test_a_tier_that_starts_agreed_stays_so() -> None:
+    world = tiers.Metered(12, 1, Net())
+    world.start_agreed()
+    assert world.agreed()
+    world.run(world.now + 20_000.0)
+    assert world.agreed() and not world.seen
+    assert world.meter.datagrams == world.delivered > 0
+
+
+def test_what_is_received_is_counted_with_its_headers() -> None:
+    meter = tiers.Meter()
+    meter.heard(1_500.0, b"x" * 100)
+    meter.heard(1_900.0, b"x" * 50)
+    assert (meter.datagrams, meter.size, meter.by_second) == (2, 206, {1: 206})
+
+
+def test_in_a_cold_start_a_node_hears_of_all() -> None:
+    for count in (4, 16):
+        found = {p.figure: p.value for p in points(tiers.cold_start((count,), 2))}
+        assert found["cold_start_rumours"] + found["cold_start_datagrams"] >= count - 1
+
+
+def test_a_repair_tells_of_all() -> None:
+    found = {p.figure: p.value for p in points(tiers.one_node((60,), 1))}
+    assert found["repair_rumours"] == 60
+    assert found["repair_datagrams"] == 3  # 25 rumours fit in one
+    assert found["repair_time"] == pytest.approx(1.4, abs=0.1)  # one at once, then one each period
+
+
+def test_nodes_whose_turn_is_late_are_told_late() -> None:
+    found = {(p.figure, p.size): p.value for p in points(returns.turns((24, 960), 1))}
+    assert found["turns_told", 24] < found["turns_told", 960]
+    assert found["turns_again", 24] == 1.0  # the least
+    assert found["turns_again", 960] == 24.0  # 25 ms for each
+
+
+def test_a_node_that_comes_back_alone_is_full_at_once() -> None:
+    found = {p.figure: p.value for p in points(returns.restarts((356,), 1))}
+    assert 0 < found["restart_full"] < found["restart_told"] < 0.1  # s: two that agree are enough
+
+
+def test_a_returning_tier_begins_with_what_its_disks_kept() -> None:
+    tier = returns.Returning(5, 1, Config())
+    tier.finish()
+    assert len(tier.full) == len(tier.told) == 5
+    for process in tier.processes:
+        assert process is not None and process.banned == {LISTED[0]}
+
+
+def test_a_start_reads_the_list_that_was_kept() -> None:
+    disk, rows = Disk(), stores.listed(50, 1)
+    node = stores.Node(disk)
+    size = node.keep(Listed(7, True, 0.0, rows))
+    node.store.close()
+    assert size == frames.HEAD.size + len(encode(Listed(7, True, 0.0, rows)))
+    again = stores.Node(Disk(disk.image()))
+    assert again.kept.revision == 7 and list(again.kept.rows.values()) == rows
+
+
+def test_one_entry_above_the_limit_does_not_fit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frames, "LONGEST", 4_000)
+    found = {p.figure: int(p.value) for p in stores.limits((200,), 1)}
+    assert "most_learned_of_a_quarter" not in found  # all 200 fit
+    rows = stores.listed(200, 1)
+
+    def record(count: int) -> bytes:
+        return encode(Listed(1, True, stores.WALL_MS, rows[:count]))
+
+    most = found["most_list"]
+    assert len(record(most)) <= 4_000 < len(record(most + 1))
+    assert 0 < found["most_snapshot"] < most
+
+
+def test_a_list_that_does_not_fit_leaves_out_its_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frames, "LONGEST", 4_000)
+    items = list(stores.stores((100,), 1))
+    figures = {item.figure for item in items if isinstance(item, Point)}
+    assert "list_record" in figures and "start_read" not in figures
+    assert [item.why.partition(":")[0] for item in items if isinstance(item, NotPlayed)] == ["STA03"]
+
+
+def test_a_snapshot_of_what_is_kept_reads_back() -> None:
+    rows = stores.listed(20, 1)
+    kept = Kept(rows={row.backend: row for row in rows}, sampled=stores.sampled(rows))
+    assert total(kept.encode(), []).sampled == stores.sampled(rows)
