--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -35,6 +35,7 @@
 PIECE = 64 * 1024  # bytes that a socket gives at a time
 READY_MOST = 20.0  # s that a node has until it serves
 CHANGE_EVERY = 0.5  # s
+EMPTY_LINE = 2.0  # s between two empty lines of a watch: without them it would count as dead
 ANSWER_MOST = 5.0  # s for one answer
 HOST = "127.0.0.1"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -97,7 +98,7 @@
 
 @dataclass
 class StandInDiscovery:
-    """Tells each watch the whole list, then a change now and then, as chunks."""
+    """Tells each watch the whole list, then changes and empty lines, as chunks."""
 
     whole: bytes
     watches: list[asyncio.StreamWriter] = field(default_factory=list)
@@ -111,10 +112,21 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self._chunk(writer, self.whole)
             self.watches.append(writer)
-            await reader.read()
+            while not await self._gone(reader):
+                self._chunk(writer, b"\n")
         if writer in self.watches:
             self.watches.remove(writer)
 
+    @staticmethod
+    async def _gone(reader: asyncio.StreamReader) -> bool:
+        """Whether the caller is gone; False once an empty line is due."""
+        try:
+            async with asyncio.timeout(EMPTY_LINE):
+                await reader.read()
+                return True
+        except TimeoutError:
+            return False
+
     def tell(self, line: bytes) -> None:
         """All that watch."""
         for writer in self.watches:
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Iterator, Sequence
 from pathlib import Path
@@ -94,6 +95,21 @@
     assert figures(found)["node", "served", 60] == 1.0
 
 
+async def test_the_stand_in_keeps_a_quiet_watch_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against watches that count as dead and ask for the whole list again while a change is measured."""
+    monkeypatch.setattr(listing, "EMPTY_LINE", 0.02)
+    stand_in = listing.StandInDiscovery(b"{}\n")
+    server = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
+    writer.write(b"GET /discovery/hosts?watch=1&from=0 HTTP/1.1\r\n\r\n")
+    assert await reader.readuntil(b"3\r\n{}\n\r\n")
+    for _ in range(3):
+        assert await reader.readexactly(6) == b"1\r\n\n\r\n"
+    assert stand_in.calls == 1
+    writer.close()
+    server.close()
+
+
 def test_real_processes_take_one_list() -> None:
     found = uvloop.run(processes.play_processes(2, 60, 2))
     assert list(figures(found)) == [("processes", figure, 60) for figure in ("ready", "memory", "change")]
