--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -96,7 +96,7 @@
 
 
 async def test_the_stand_in_keeps_a_quiet_watch_alive(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against watches that count as dead and ask for the whole list again while a change is measured."""
+    """Guards against watches that count as dead and take the whole list while a change is measured."""
     monkeypatch.setattr(listing, "EMPTY_LINE", 0.02)
     stand_in = listing.StandInDiscovery(b"{}\n")
     server = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
