A node hears that discovery answers also where nothing is new: its waits begin anew

A trace of discovery's bytes (trials): discovery is back, each node's watch begins with an object of revision 0 and no members, and 1 to 2 s later all watches end instead of telling of a drain. One node then waited 2.98 s for its next call (10.527 to 13.503 s) and sent to the draining backend for so long. Ruled out: bytes that came and were not taken, silence, SIGHUP (it came later), a slow answer (0.33 s).

Lines at fault: `Discovery.news` dropped an object that is not newer without a word, so the module's `asks_failed` kept on from the failures while discovery was down and doubled once more; where lists are pushed, `Discovery._again` kept the doubled wait for any watch that lasted under 2 s.

Change: an object of the held revision counts as "unchanged", and the module is told once after a failure that discovery answers. Where lists are pushed, the first call that is answered after others that were not is followed by a wait of 0.6 s at most; a list that breaks behind its first object is still asked for less and less often.

The test fails without the change for both ways of asking.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -23,6 +23,7 @@
 
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
+WAIT_TOLD = 0.6  # s, likewise, where the call told something and those before it did not
 LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
 MOST_OBJECT = 8 * 1024 * 1024  # bytes that an object may have on any node
 MOST_PART = 1 / 12  # of the node's memory that it may have: entries take some four times their bytes, twice
@@ -261,6 +262,7 @@
         self.timer: asyncio.TimerHandle | None = None  # for the next one
         self.slow: Call | None = None  # an older one that still comes
         self.wait = WAIT_FIRST
+        self.answered = True  # the last call that ended had told something
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
         self.unread: deque[tuple[Call, Brought]] = deque()
@@ -354,13 +356,18 @@
             call.flow()
 
     def news(self, update: News) -> None:
-        """Apply an object by its revision: a change that is not newer than the list held is an old one."""
+        """Apply an object by its revision: a change that is not newer than the list held is an old one.
+
+        One of the same revision is what a watch begins with where nothing has changed.
+        """
         if update.complete:
             self.revision = update.revision
             self.node.list(update, api.ListKind.FULL)
         elif update.revision > self.revision:
             self.revision = update.revision
             self.node.list(update, api.ListKind.CHANGES)
+        elif update.revision == self.revision:
+            self.node.unchanged()
 
     def told(self, call: Call) -> None:
         """A call has told something whole: the other one, or the wait for it, is of no more use."""
@@ -397,10 +404,15 @@
         if silent:
             self.warn("discovery is silent")
         # News alone does not end the doubling: a list that breaks behind its first object would come ten
-        # times a second.
+        # times a second. But the first call that is answered after others that were not begins it anew: a
+        # watch that ends as it should tell counts as told soon.
+        told, was_answered = call.told_at is not None, self.answered
         lasted = call.told_at is not None and self.loop.time() - call.told_at >= LASTED
         if lasted:
             self.wait = WAIT_FIRST
+        elif told and not was_answered:
+            self.wait = min(self.wait, WAIT_TOLD)
+        self.answered = told
         if call.watch and silent and lasted:
             self._connect(quick=True)
         elif self.node.settings.must_ask and not (call.quick and call.told_at is None):
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -154,6 +154,7 @@
         self.discovery: Watcher | None = None
         self.fleet: Rooms | None = None
         self.ready = self.listening = self.stopping = self.succeeded = False
+        self.list_failures = False  # told to the module since discovery last said that nothing is new
         self.fresh = asyncio.Event()  # discovery has told of the list
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -343,6 +344,9 @@
     def _listed(self, news: News | None, kind: api.ListKind) -> None:
         """News are in force."""
         if news is None:
+            if self.list_failures:  # the module is to know that discovery answers, though nothing is new
+                self.list_failures = False
+                self.event(api.ListUpdate(api.ListKind.CHANGES, []))
             if not self.fresh.is_set() and self.fleet is not None:
                 self.fleet.unchanged()
             self.fresh.set()
@@ -361,6 +365,7 @@
 
     def list_failed(self) -> None:
         """A call that the module asked for has failed."""
+        self.list_failures = True
         self.event(api.ListUpdate(api.ListKind.FAILED, []))
 
     async def finish(self, wait: float) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -156,6 +156,11 @@
         self.good(beats=0)
         self.world.loop.call_at(self.begun + 1.9, self.raw, b"0\r\n\r\n")
 
+    def brief(self) -> None:
+        """Nothing new, and an orderly end some time later: it ends instead of telling."""
+        self.put(b'{"revision": 0, "complete": false, "members": []}\n')
+        self.world.loop.call_at(self.begun + 1.2, self.raw, b"0\r\n\r\n")
+
     def twice(self) -> None:
         """Two lists in one piece."""
         self.put(self.world.whole() + self.world.whole(revision=NEW))
@@ -356,6 +361,20 @@
         assert sum(late) / len(late) > 5 * sum(early) / len(early)
 
 
+@pytest.mark.usefixtures("all_at_most")
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+def test_a_watch_that_ends_instead_of_telling_is_opened_anew_soon_after_an_outage(
+    tmp_path: Path, must_ask: bool
+) -> None:
+    """Guards against waits that still grow from the failures before: the answer had nothing new in it."""
+    world = World(tmp_path, must_ask, *["refuse"] * 7, "brief", "good")
+    world.play(40)
+    ended = next(line.begun for line in world.lines if line.play == "brief") + 1.2
+    asked = next(at for at, _, play in world.asked if play == "good")
+    assert asked - ended <= 1.0
+    assert not must_ask or asked - ended > 0.3
+
+
 class Crowd(World):
     """Many nodes and one discovery, which is down for a while and takes calls in turn, 4 ms each.
 
