Scale rig: control rooms in `lab scale`; a list is taken by the node's own turns

The hollow watcher gets what a watch needs of a node since long lists come in turns. The list's play decodes by the node's own steps and has Listing, Pool and Balancer take a whole list, lose a zone and get it back: all turns together and the longest one.

--- a/dillport/lab/scale/discovery.py
+++ b/dillport/lab/scale/discovery.py
@@ -22,6 +22,7 @@
 from dillport.net.config import News
 from dillport.net.discovery import Discovery
 from dillport.net.node import Node
+from dillport.net.turns import Turns
 
 WATCHERS = (40, 80, 160, 320, round(size.NODES / size.CONTROL_MACHINES), 800)
 QUICK_WATCHERS = (10, 20, 40)
@@ -120,11 +121,20 @@
         self.beats = asyncio.get_running_loop().call_later(EMPTY_LINE, self.beat)
 
 
+@dataclass(slots=True, frozen=True)
+class HollowConfig:
+    """What a watch of the list needs of a node's configuration."""
+
+    memory_mb: float = 192.0
+
+
 @dataclass
 class HollowNode:
     """What a watch of the list needs of a node."""
 
     settings: api.Settings
+    turns: Turns
+    config: HollowConfig = HollowConfig()
     fleet: None = None
     whole: int = 0  # lists
     lines: int = 0  # changes
@@ -164,7 +174,7 @@
         self.address = self.server.sockets[0].getsockname()[:2]
         self.directory.beat()
         for _ in range(self.count):
-            self.nodes.append(HollowNode(self.settings))
+            self.nodes.append(HollowNode(self.settings, Turns(loop)))
             self.discoveries.append(self._dial(self.nodes[-1]))
 
     def _dial(self, node: HollowNode) -> Discovery:
@@ -175,7 +185,7 @@
     def restart(self, number: int) -> None:
         """This one loses all it knew, and dials."""
         self.discoveries[number].watch(False)
-        self.nodes[number] = HollowNode(self.settings)
+        self.nodes[number] = HollowNode(self.settings, Turns(asyncio.get_running_loop()))
         self.discoveries[number] = self._dial(self.nodes[number])
 
     async def until(self, done: Callable[[HollowNode], bool]) -> None:
--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import itertools
 import json
 import os
@@ -22,11 +23,16 @@
 from dillport.lab.figures import percentiles
 from dillport.lab.processes import limits
 from dillport.lab.programs import ROOT
-from dillport.lab.scale import fleet, size
+from dillport.lab.scale import fleet, module, size
 from dillport.lab.scale.points import NotPlayed, Play, Point
-from dillport.net.config import news_of
-from dillport.net.discovery import MOST_OBJECT
+from dillport.net.config import News, news_in_turns, news_of
+from dillport.net.discovery import most_object
+from dillport.net.figures import Figures
+from dillport.net.listing import Listing
 from dillport.net.objects import BrokenObject, Objects
+from dillport.net.stream import Budget
+from dillport.net.turns import Turns
+from dillport.net.upstream import Pool
 
 SIZES = (200, 700, 2_200, 7_000, 22_000, 45_000, 70_000)
 QUICK_SIZES = (200, 800, 3_200)
@@ -42,9 +48,12 @@
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 LIST_LIMITS = (
-    "Objects and news_of as the node's watch uses them, in pieces of 64 KiB, without the socket. Entries "
-    "have ids of seven characters and one kind."
+    "Objects and the decoders as the node's watch uses them, in pieces of 64 KiB, without the socket; "
+    "entries have ids of seven characters and one kind. A list is taken by the node's own Listing with its "
+    "Pool and Balancer, one turn after the other, without the pauses between them and with no request "
+    "under way; the cycle collector rests meanwhile, as it does in the node."
 )
+MEMORY_MB = 192.0  # of a node, as the platform's larger ones have
 NODE_LIMITS = (
     "One process by `python -m dillport`, without the fleet's rooms. Discovery, one backend address under "
     "all ids, and one client are one process of the rig beside it: the latencies hold their time too. One "
@@ -66,16 +75,88 @@
             continue
         took = fleet.spent_us(lambda data=data: decode(data), 1.0, 50)  # type: ignore[misc]
         yield Point("list", "decode", "us", backends, took, False)
+        yield from uvloop.run(taken(backends))
 
 
-def decode(data: bytes) -> int:
-    """Cut and decode a list as it comes; how many entries it has. Raises BrokenObject."""
-    objects, count = Objects(MOST_OBJECT), 0
+def decode(data: bytes) -> tuple[News | None, float]:
+    """Cut and decode a list as it comes: its news, and the us of the longest turn. Raises BrokenObject."""
+    objects, news, longest = Objects(most_object(MEMORY_MB)), None, 0.0
     for at in range(0, len(data), PIECE):
+        begin = time.process_time_ns()
         for item in objects.feed(data[at : at + PIECE]):
-            if item:
-                count += len(news_of(item).members)
-    return count
+            if isinstance(item, bytearray):
+                steps = Steps(news_in_turns(item))
+                news, longest = steps.result, max(longest, steps.longest_us)
+            elif item:
+                news = news_of(item)
+            begin = time.process_time_ns()
+        longest = max(longest, (time.process_time_ns() - begin) / 1000)
+    return news, longest
+
+
+class Steps:
+    """Carries out a generator, one step after the other; `Turns` without its pauses."""
+
+    def __init__(self, work: Iterator[None] | None = None) -> None:
+        self.spent_us = self.longest_us = 0.0
+        self.result: News | None = None
+        if work is not None:
+            self.add(work)
+
+    def add(self, work: Iterator[None]) -> None:
+        """Carry it out."""
+        gc.disable()
+        try:
+            self._carry_out(work)
+        finally:
+            gc.enable()
+
+    def _carry_out(self, work: Iterator[None]) -> None:
+        while True:
+            begin = time.process_time_ns()
+            try:
+                next(work)
+            except StopIteration as end:
+                self.result = end.value
+                return
+            finally:
+                took = (time.process_time_ns() - begin) / 1000
+                self.spent_us, self.longest_us = self.spent_us + took, max(self.longest_us, took)
+
+
+async def taken(backends: int) -> list[Point]:
+    """A node's list is taken: all of it, a zone of it lost, the zone back: all turns, and the longest."""
+    balancer = module.node(backends, 1)
+
+    def tell(event: api.ListUpdate) -> None:
+        balancer.handle(now, event)
+
+    pool = Pool(balancer.cfg, 1, Figures(), Budget(MEMORY_MB))
+    now = time.time() * 1000
+    told = fleet.entries(backends, now - fleet.DAY)
+    out = []
+
+    def news(revision: int, entries: list[api.Entry]) -> News:
+        found, longest = decode(fleet.line(entries, revision, True))
+        assert found is not None
+        if revision == 1:
+            out.append(Point("list", "decode_turn", "us", backends, longest, False))
+        return found
+
+    steps = Steps()
+    listing = Listing(pool, tell, lambda *_: None, cast(Turns, steps))
+    rest = [entry for entry in told if entry.zone != told[0].zone]
+    for revision, (name, entries) in enumerate(
+        [("take", told), ("zone_lost", rest), ("zone_back", told)], 1
+    ):
+        what, steps.longest_us = news(revision, entries), 0.0
+        gc.collect()
+        begin = time.process_time_ns()
+        listing.put(what, api.ListKind.FULL)
+        spent = (time.process_time_ns() - begin) / 1000  # short lists take no turns
+        out.append(Point("list", name, "us", backends, spent, False))
+        out.append(Point("list", f"{name}_turn", "us", backends, steps.longest_us or spent, False))
+    return out
 
 
 class StandInBackend(asyncio.Protocol):
