Cold backends: a burst where no warm one takes the rest stays within their budget

With all backends cold, a burst and its returning clients (470 to 580 requests a second where 288 can be served) sent a start up to 1.23 of N + 2 root N + 2. Traced: first tries only, no panic, no repeats. The thinning is a chance for each request, and one that found none cost nothing.

Change: requests that find no warm backend use up a token bucket, filled at the mean rate of arrivals over a ramp's time or at what the limit lets out. What goes to warm ones uses nothing.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -27,6 +27,7 @@
 TRIP_DRIFT = 1.005  # the least answer time of a backend is let rise by this with each answer: routes change
 BYPASS = 3.0  # worth for its time, over the mean, from which a request does not wait for the limit
 COLD_PART = 0.5  # part of what a cold backend can take before it falls that all nodes together may send it
+TRIES_SAVED = 8  # the window of a fall over the time for which chances of cold backends may be saved up
 FIRST = 2.0  # nodes at least that send at once to a backend that was put back: one may be idle or gone
 EJECT_MAX = 5  # doublings of the ejection time
 RETRY_SHARE = 0.15  # further attempts earned by each arrival (retry budget)
@@ -74,6 +75,8 @@
         # too long for the limit, found none eligible, or failed and may not go out again.
         self.why: Counter[str] = Counter()
         self.lost = 0.0  # share of attempts that got no answer of late
+        # Arrivals, faded over a ramp, and the ms they came in; the last; how many may still try cold ones.
+        self.came, self.came_in, self.last_came, self.may_try = 0.0, 0.0, math.inf, 1.0
         self.admission: Admission | None = None  # while the tier returns from a loss of power
         self.cold_since = 0.0  # what the list says to have started before that counts as started then
         self.trust = 1.0  # share of sends answered within the aim; where the node looks, on an idle sign
@@ -251,7 +254,7 @@
             if not self.admission.allows(req.dense):
                 return False
             chance, among = self.admission.eased(chance, among, warmth, self.trust)
-        elif place >= count:  # with those before it, it would get the chance of several
+        elif place >= count or self.may_try < 1.0:  # beyond count it got the chance of several
             return False
         return req.cold_ok and self.rng.random() * among <= chance
 
@@ -317,6 +320,7 @@
         req = Request(ev.request, cls, ev.work_hint, ev.deadline, useful, density > BYPASS * self.density,
                       most, arriving=ev.arriving)
         self.requests[ev.request] = req
+        self._earn_tries()
         if self.admission is not None and self.admission.due(self.now):
             self._fill(self.admission)
         # What cannot meet its aim is shed at once: cheaper for all than a failure after the aim.
@@ -325,6 +329,21 @@
         else:
             self._finish(req, "late")
 
+    def _earn_tries(self) -> None:
+        """A token bucket of requests that may try cold backends: filled at the mean rate of arrivals over the
+        time of a ramp, or at what the limit lets out if that is more, as after a lull.
+
+        What warm ones take, the limit bounds. Where all are cold a request that finds none costs nothing, its
+        client returns, and a burst would send them as many times more.
+        """
+        past, self.last_came = max(0.0, self.now - self.last_came), self.now
+        keep = math.exp(-past / self.cfg.ramp_time)
+        self.came, self.came_in = self.came * keep + 1.0, self.came_in * keep + past
+        tick, usual = self.cfg.tick, sum(c.usual for c in self.classes.values()) / len(self.classes)
+        rate = max(self.limit / max(usual, tick), self.came / max(self.came_in, tick))  # a ms
+        most = max(1.0, rate * self.cfg.fall_window / TRIES_SAVED)
+        self.may_try = min(most, self.may_try + rate * past)
+
     def _came_under(self, ev: api.Arrival) -> tuple[Class, int]:
         """Its class and most attempts: a reload between its head and its last byte is for later ones."""
         under, held = ev.under or self.cfg, self.classes.get(ev.class_name)
@@ -414,8 +433,12 @@
         first = min(k, side)  # a subset that is wider than the side would mix both
         pool = (self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first : 2 * k], crowd)
                 or self._panic(req, k, names[: 2 * k], crowd))
-        if pool:  # every node takes its part of what a backend may be given after it showed idle
-            self._send(req, self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)))
+        # Every node takes its part of what a backend may be given after it showed idle.
+        b = self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)) if pool else None
+        if b is None or self._warmth(b.entry) < 1.0:
+            self.may_try = max(0.0, self.may_try - 1.0)
+        if b is not None:
+            self._send(req, b)
         else:
             self._finish(req, "none")
 
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -339,6 +339,33 @@
     assert plays(day, (14, 18, 30))[0] <= 1.0
 
 
+def cold_sends(b: Balancer, begin: float, count: int, gap: float) -> int:
+    """How many of so many requests, one each `gap` ms, go out; all are answered at once."""
+    sent = 0
+    for i in range(count):
+        now = begin + i * gap
+        acts = b.handle(now, api.Arrival(f"{begin}r{i}", "read", now + 1000.0))
+        for act in [a for a in acts if isinstance(a, api.Send)]:
+            sent += 1
+            b.handle(now, api.Outcome(act.request, 0, act.backend, api.Status.OK, 100.0, True, None))
+    return sent
+
+
+def test_a_burst_does_not_send_cold_backends_as_many_times_more() -> None:
+    """Ruled out: where all are cold, what is refused costs nothing, and the chances add up without bound."""
+    usual = burst = 0
+    for seed in range(20):
+        b = Balancer(replace(HARD, group_size=2), seed)
+        b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry(f"b{i}") for i in range(12)]))
+        assert cold_sends(b, 1000.0, 320, 25.0) > 300
+        new = [entry(f"n{i}", started_at=9000.0) for i in range(12)]
+        b.handle(9000.0, api.ListUpdate(api.ListKind.FULL, new))
+        usual += cold_sends(b, 9000.0, 60, 25.0)
+        burst += cold_sends(b, 10_500.0, 1200, 1.25)
+    # Twenty times the requests, at twenty times the rate, in a window as long; all are a little warmer.
+    assert usual > 60 and burst < 4 * usual
+
+
 @pytest.mark.parametrize("day", [DAYS["few nodes"][0], DAYS["six of thirty are busy"][0], BACK])
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
