--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -19,7 +19,7 @@
 from dillport.index import BLOCK, FORMER, Least, Places
 from dillport.policy import GOLDEN, SHOWN, Balancer
 from dillport.state import Backend
-from tests.helpers import BASE, LOOKING, entry, sends
+from tests.helpers import BASE, LOOKING, SAFE, entry, sends
 
 PRICED = replace(BASE, charges=api.Charges(cross_zone=0.1), group_size=3, me=2)
 SETTINGS = (BASE, PRICED, LOOKING, replace(PRICED, zone="b", group_size=9), replace(PRICED, zone="nowhere"))
@@ -352,3 +352,22 @@
         return calls_of(rest)
 
     assert cost(8_000) <= most * cost(250) + 40
+
+
+def test_no_request_costs_more_calls_with_many_classes() -> None:
+    def cost(classes: int) -> int:
+        cfg = replace(BASE, classes=tuple(replace(SAFE, name=f"c{i}") for i in range(classes)))
+        b, now = Balancer(cfg, 1), 2000.0
+        b.handle(1000.0, api.ListUpdate(FULL, [entry(f"s{i}") for i in range(20)]))
+
+        def served(first: int, last: int) -> None:
+            for number in range(first, last):
+                name = f"r{number}"
+                status = api.Status.OK if number % 3 else api.Status.RESET
+                for send in sends(b.handle(now, api.Arrival(name, f"c{number % classes}", now + 900.0))):
+                    b.handle(now, api.Outcome(name, 0, send.backend, status, 20.0, number % 3 > 0))
+
+        served(0, 60)
+        return calls_of(lambda: served(60, 120))
+
+    assert cost(4_000) <= 1.2 * cost(20)
