Settings past what the node's memory can hold are refused whole, with one line

A file with too many tenants, classes or known members grew the process until the system ended it. What they take once read (180, 360 and 360 bytes an entry, the module's part included; measured by the allocator, and a test compares) may be no more than one of two processes has beyond its base: memory_mb / 2 - 22 MB, and 8 MB at least. At 192 MB these are 74: 350,000 tenants and 14,000 classes fit. Over it: CFG05, exit code 2 at the start; at SIGHUP everything stays as it was.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -19,6 +19,7 @@
 from dillport import wire
 from dillport.errors import DillportError
 from dillport.net.rows import OddList, layout
+from dillport.net.stream import BASE_MB, PROCESSES
 
 PREFIX = "PROXY_"
 PHASES = {
@@ -29,6 +30,9 @@
 # Descriptors kept for what the process needs by itself: 16 for loop, log, listeners and lock, up to 3 for
 # discovery's calls, 4 for the files and the port of a fleet, the rest for the callers of the console.
 SPARE = 32
+# Bytes that an entry of a table takes once it is read, the module's part included: measured, rounded up.
+ENTRY_BYTES = {"settings: projects": 180, "settings: request-classes": 360, "known.members": 360}
+LEAST_TABLES_MB = 8.0  # that the tables may take on the smallest node
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 OVER = 16  # connections over the clients' part that still get an answer of their own, at most
 LEAVING = 2  # more that are closed, and whose descriptors are given back some turns of the loop later
@@ -48,6 +52,13 @@
     remedy = "let PROXY_CONFIG name a file that the node may read and that holds one whole JSON object"
 
 
+class ConfigSizeError(ConfigError):
+    """The platform's file says more than the node's memory can hold; the text names the longest table."""
+
+    code = "CFG05"
+    remedy = "raise limits.memory_mb, or let the file say less; after SIGHUP the node keeps what it has"
+
+
 class ListError(DillportError):
     """An entry or a line of the list makes no sense."""
 
@@ -364,11 +375,32 @@
     return _checked(read(env), env)
 
 
+def _fits(told: _File) -> None:
+    """Guards against tables that would fill the memory, with a second process beside on an upgrade.
+
+    Raises ConfigSizeError.
+    """
+    tables = told.settings.get("projects"), told.settings.get("request-classes"), told.known.members
+    counts = [len(table) if isinstance(table, list) else 0 for table in tables]
+    sizes = {
+        field: count * each / 2**20 for (field, each), count in zip(ENTRY_BYTES.items(), counts, strict=True)
+    }
+    room = max(LEAST_TABLES_MB, told.limits.memory_mb / PROCESSES - BASE_MB)
+    if (total := sum(sizes.values())) > room:
+        longest = max(sizes, key=lambda field: sizes[field])
+        count = counts[list(ENTRY_BYTES).index(longest)]
+        raise ConfigSizeError(
+            f"{longest}: {count} entries take {sizes[longest]:.0f} of {total:.0f} MB of tables, and "
+            f"limits.memory_mb {told.limits.memory_mb:g} leaves {room:.0f}"
+        )
+
+
 def _checked(raw: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     try:
         told = _fitted(raw, _File)
     except ValueError as err:
         raise ConfigError(str(err)) from None
+    _fits(told)
     try:
         settings = wire.parse_settings(told.settings)
     except api.SettingsError as err:
--- /dev/null
+++ b/tests/test_config_size.py
@@ -0,0 +1,107 @@
+"""Settings past what the node's memory can hold: refused whole, at the start and at SIGHUP."""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import subprocess
+import sys
+import tracemalloc
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dillport.net.config import ENTRY_BYTES, Config, ConfigSizeError, load, reload
+from dillport.policy import Balancer
+from tests.sockets import configuration
+
+
+def written(path: Path, memory_mb: float = 64, **counts: int) -> dict[str, str]:
+    """A file with so many tenants, classes and known members; the environment that names it."""
+    raw = configuration([], 1, rules={"drain-grace": 2000})
+    table = raw["settings"]
+    first = table["request-classes"][0]
+    table["projects"] = [
+        {"name": f"tenant-{i:07d}", "quota-per-s": 1.0 + i / 7, "share": i / 9e9}
+        for i in range(counts.get("tenants", 0))
+    ]
+    more = [first | {"name": f"class-{i:06d}"} for i in range(counts.get("classes", 0))]
+    table["request-classes"] = table["request-classes"] + more
+    members = [
+        {"id": f"s-{i:08x}", "host_port": f"10.0.{i >> 8 & 255}.{i & 255}:8080", "phase": "in_service",
+         "locality": "abc"[i % 3], "up_since_ms": 1.7e12 + i}
+        for i in range(counts.get("members", 0))
+    ]  # fmt: skip
+    raw["known"] = {"revision": 7, "complete": True, "members": members}
+    raw["limits"]["memory_mb"] = memory_mb
+    file = path / "config.json"
+    file.write_text(json.dumps(raw))
+    return {"PROXY_CONFIG": str(file)}
+
+
+@pytest.mark.parametrize(("counts", "line"), [
+    ({"tenants": 60_000}, "settings: projects: 60000 entries take 10 of 10 MB"),
+    ({"classes": 31_000}, "settings: request-classes: 31003 entries take 11 of 11 MB"),
+    ({"members": 30_000}, "known.members: 30000 entries take 10 of 10 MB"),
+    ({"tenants": 40_000, "members": 11_000}, "settings: projects: 40000 entries take 7 of 11 MB"),
+])  # fmt: skip
+def test_tables_past_the_memory_are_refused_and_the_longest_is_named(
+    tmp_path: Path, counts: dict[str, int], line: str
+) -> None:
+    """With 64 MB there are 10 for them."""
+    with pytest.raises(ConfigSizeError) as err:
+        load(written(tmp_path, **counts))
+    assert str(err.value) == f"{line} of tables, and limits.memory_mb 64 leaves 10"
+
+
+def test_tables_that_fit_are_taken(tmp_path: Path) -> None:
+    held = load(written(tmp_path, tenants=20_000, classes=100, members=5000))
+    assert len(held.settings.tenants) == 20_000 and len(held.known.members) == 5000
+
+
+def test_what_the_plan_asks_for_fits_the_memory_a_node_has_by_default(tmp_path: Path) -> None:
+    """350,000 tenants and 14,000 classes; not counted out here, as it takes some seconds."""
+    sizes = list(ENTRY_BYTES.values())
+    assert 350_000 * sizes[0] + 14_000 * sizes[1] < (192 / 2 - 22) * 2**20
+    assert load(written(tmp_path, memory_mb=16, tenants=1000)).memory_mb == 16
+
+
+def test_sighup_with_too_much_changes_nothing(tmp_path: Path) -> None:
+    held: Config = load(written(tmp_path, tenants=10))
+    with pytest.raises(ConfigSizeError):
+        reload(written(tmp_path, tenants=60_000), held)
+    assert len(reload(written(tmp_path, tenants=20), held).settings.tenants) == 20
+
+
+def test_the_program_ends_with_one_line(tmp_path: Path) -> None:
+    env = os.environ | written(tmp_path, tenants=60_000)
+    got = subprocess.run([sys.executable, "-m", "dillport"], env=env, capture_output=True, text=True)
+    assert got.returncode == 2 and got.stderr.count("\n") == 1
+    assert got.stderr.startswith("dillport: CFG05: settings: projects: 60000 entries take 10 of 10 MB")
+
+
+@pytest.mark.parametrize(("field", "counts"), [
+    ("settings: projects", {"tenants": 4000}),
+    ("settings: request-classes", {"classes": 500}),
+    ("known.members", {"members": 3000}),
+])  # fmt: skip
+def test_an_entry_takes_what_is_counted_for_it(tmp_path: Path, field: str, counts: dict[str, int]) -> None:
+    """Counted by the allocator, the module's part included."""
+
+    def taken(**some: int) -> int:
+        env = written(tmp_path, **some)
+        gc.collect()
+        tracemalloc.start()
+        held: list[Any] = [load(env)]
+        held.append(Balancer(held[0].settings, 1))
+        gc.collect()
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return size
+
+    taken()  # what is made once
+    (number,) = counts.values()
+    each = (taken(**counts) - taken()) / number
+    assert 0.8 * ENTRY_BYTES[field] < each <= 1.05 * ENTRY_BYTES[field]
