Settings: classes are read in time linear in their number

The check for a name that is there twice compared each class with all before it: 14,000 classes took over 5 s (1.8 s for 8,000), now 1.1 s (0.6 s). Ports of a list are shared objects.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Generator, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 from sys import intern
 from typing import Annotated, Any, Literal, TypeVar
@@ -166,6 +167,9 @@
     return max(1, min(OVER, clients // 8))
 
 
+_port = lru_cache(1024)(int)  # few are in use, and a list is long: one object of each will do
+
+
 def address(value: object) -> Address:
     """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
     if not isinstance(value, str):
@@ -176,9 +180,9 @@
         socket.inet_pton(socket.AF_INET, host)  # lists are long, and this is six times as quick
     except OSError:
         ipaddress.ip_address(host)
-    if not port.isdecimal() or not 0 <= int(port) < 65536:
+    if not port.isdecimal() or not 0 <= (number := _port(port)) < 65536:
         raise ValueError(f"{value!r} has no port")
-    return host, int(port)
+    return host, number
 
 
 def _fitted(raw: object, form: type[Form], under: str = "") -> Form:
--- a/dillport/wire.py
+++ b/dillport/wire.py
@@ -166,10 +166,11 @@
     classes = _rows(raw, "request-classes")
     if not classes:
         raise api.SettingsError("request-classes is missing")
-    names = [row.get("name") for row in classes]
-    for index, name in enumerate(names):
-        if name in names[:index]:
+    names = set[str]()
+    for index, name in enumerate(row.get("name") for row in classes):
+        if repr(name) in names:
             raise _fault(f"request-classes[{index}].", "name", name)
+        names.add(repr(name))
     group_size = _whole(raw, "", "group-size", 1, 1)
     me = _whole(raw, "", "me", 0, 0)
     heeded = _flag(limits, "limits.", "retry-after", False)
