--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Generator, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 from sys import intern
 from typing import Annotated, Any, Literal, TypeVar
@@ -19,6 +20,7 @@
 from dillport import wire
 from dillport.errors import DillportError
 from dillport.net.rows import OddList, layout
+from dillport.net.stream import BASE_MB, PROCESSES
 
 PREFIX = "PROXY_"
 PHASES = {
@@ -29,6 +31,9 @@
 # Descriptors kept for what the process needs by itself: 16 for loop, log, listeners and lock, up to 3 for
 # discovery's calls, 4 for the files and the port of a fleet, the rest for the callers of the console.
 SPARE = 32
+# Bytes that an entry of a table takes once it is read, the module's part included: measured, rounded up.
+ENTRY_BYTES = {"settings: projects": 180, "settings: request-classes": 360, "known.members": 360}
+LEAST_TABLES_MB = 8.0  # that the tables may take on the smallest node
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 OVER = 16  # connections over the clients' part that still get an answer of their own, at most
 LEAVING = 2  # more that are closed, and whose descriptors are given back some turns of the loop later
@@ -51,6 +56,13 @@
     remedy = "let PROXY_CONFIG name a file that the node may read and that holds one whole JSON object"
 
 
+class ConfigSizeError(ConfigError):
+    """The platform's file says more than the node's memory can hold; the text names the longest table."""
+
+    code = "CFG05"
+    remedy = "raise limits.memory_mb, or let the file say less; after SIGHUP the node keeps what it has"
+
+
 class ListError(DillportError):
     """An entry or a line of the list makes no sense."""
 
@@ -181,6 +193,9 @@
     return max(1, min(OVER, clients // 8))
 
 
+_port = lru_cache(1024)(int)  # few are in use, and a list is long: one object of each will do
+
+
 def address(value: object) -> Address:
     """`HOST:PORT` with a literal address, as there is no DNS; raises ValueError."""
     if not isinstance(value, str):
@@ -191,9 +206,9 @@
         socket.inet_pton(socket.AF_INET, host)  # lists are long, and this is six times as quick
     except OSError:
         ipaddress.ip_address(host)
-    if not port.isdecimal() or not 0 <= int(port) < 65536:
+    if not port.isdecimal() or not 0 <= (number := _port(port)) < 65536:
         raise ValueError(f"{value!r} has no port")
-    return host, int(port)
+    return host, number
 
 
 def _fitted(raw: object, form: type[Form], under: str = "") -> Form:
@@ -390,11 +405,32 @@
     return _checked(read(env), env)
 
 
+def _fits(told: _File) -> None:
+    """Guards against tables that would fill the memory, with a second process beside on an upgrade.
+
+    Raises ConfigSizeError.
+    """
+    tables = told.settings.get("projects"), told.settings.get("request-classes"), told.known.members
+    counts = [len(table) if isinstance(table, list) else 0 for table in tables]
+    sizes = {
+        field: count * each / 2**20 for (field, each), count in zip(ENTRY_BYTES.items(), counts, strict=True)
+    }
+    room = max(LEAST_TABLES_MB, told.limits.memory_mb / PROCESSES - BASE_MB)
+    if (total := sum(sizes.values())) > room:
+        longest = max(sizes, key=lambda field: sizes[field])
+        count = counts[list(ENTRY_BYTES).index(longest)]
+        raise ConfigSizeError(
+            f"{longest}: {count} entries take {sizes[longest]:.0f} of {total:.0f} MB of tables, and "
+            f"limits.memory_mb {told.limits.memory_mb:g} leaves {room:.0f}"
+        )
+
+
 def _checked(raw: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     try:
         told = _fitted(raw, _File)
     except ValueError as err:
         raise ConfigError(str(err)) from None
+    _fits(told)
     try:
         settings = wire.parse_settings(told.settings)
     except api.SettingsError as err:
