Scale rig: a rack lost and discovery cut off at once, before real processes under load

Need: the crossing that the issue asks for across processes: nothing may go to what was told gone while discovery is away, and no request may be lost for it. The test plays 2 nodes before 600.

--- a/dillport/lab/scale/fleet.py
+++ b/dillport/lab/scale/fleet.py
@@ -5,7 +5,7 @@
 import json
 import statistics
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
 
 from dillport import interface as api
@@ -35,13 +35,19 @@
 _WORDS = {api.Phase.UP: "in_service", api.Phase.DRAINING: "terminating", api.Phase.GONE: "terminated"}
 
 
-def line(some: Sequence[api.Entry], revision: int, complete: bool, address: str = "") -> bytes:
-    """A list, or a line of a watch, in the platform's form; `address`: where all of them listen.
+def line(
+    some: Sequence[api.Entry], revision: int, complete: bool, address: str | Mapping[str, str] = ""
+) -> bytes:
+    """A list, or a line of a watch, in the platform's form; `address`: where all of them listen, or each.
 
     Without it each has one of its own, of the length that addresses have.
     """
+
+    def where(name: str) -> str:
+        return address.get(name, "") if isinstance(address, Mapping) else address or _address(name)
+
     rows = [
-        {"id": e.backend, "host_port": address or _address(e.backend), "locality": e.zone, "flavor": e.kind,
+        {"id": e.backend, "host_port": where(e.backend), "locality": e.zone, "flavor": e.kind,
          "cell": e.cell, "phase": _WORDS[e.phase], "size": e.weight, "up_since_ms": e.started_at}
         for e in some
     ]  # fmt: skip
--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -213,6 +213,11 @@
         for writer in self.watches:
             self._chunk(writer, line)
 
+    def cut(self) -> None:
+        """Discovery is away: all watches end, behind what was told."""
+        for writer in self.watches:
+            writer.close()
+
     @staticmethod
     def _chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
         writer.write(b"%x\r\n%b\r\n" % (len(data), data))
--- a/dillport/lab/scale/processes.py
+++ b/dillport/lab/scale/processes.py
@@ -54,7 +54,7 @@
         for _ in range(count):
             folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
             nodes.append(await spawn(Path(folder), backends, server.sockets[0].getsockname()[1]))
-            stack.push_async_callback(_end, nodes[-1])
+            stack.push_async_callback(end_process, nodes[-1])
         drains = []
         try:
             async with asyncio.timeout(READY_MOST):
@@ -97,7 +97,8 @@
     return [used(pid)[0] - was for pid, was in zip(pids, before, strict=True)]
 
 
-async def _end(process: asyncio.subprocess.Process) -> None:
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Kill one and wait until it is gone."""
     with contextlib.suppress(ProcessLookupError):
         process.kill()
     await process.wait()
--- a/dillport/lab/scale/rig.py
+++ b/dillport/lab/scale/rig.py
@@ -17,7 +17,7 @@
 
 from dillport.lab.programs import ROOT
 from dillport.lab.report import BAD, GOOD, INK, page, png, table_html
-from dillport.lab.scale import control, discovery, listing, module, processes, tables
+from dillport.lab.scale import control, discovery, listing, module, processes, rack, tables
 from dillport.lab.scale.points import FORMS, NotPlayed, Play, Point, Slope, slopes
 
 VERSION = 1
@@ -60,7 +60,7 @@
 
 def all_plays(quick: bool) -> list[Play]:
     """All plays in the order of their weight for the page."""
-    rooms = (module, listing, tables, discovery, control, processes)
+    rooms = (module, listing, tables, discovery, control, processes, rack)
     return [play for room in rooms for play in room.plays(quick)]
 
 
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -14,7 +14,7 @@
 from dillport import interface as api
 from dillport.cli import scale as command
 from dillport.cli.app import app
-from dillport.lab.scale import discovery, fleet, listing, module, processes, rig, size, tables
+from dillport.lab.scale import discovery, fleet, listing, module, processes, rack, rig, size, tables
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.net.config import news_of
 
@@ -115,6 +115,14 @@
     assert list(figures(found)) == [("processes", figure, 60) for figure in ("ready", "memory", "change")]
 
 
+def test_nothing_goes_to_a_lost_rack_while_discovery_is_cut_off() -> None:
+    """Real processes; the counts are the rule's, whatever the machine's speed."""
+    points = uvloop.run(rack.play_rack(2, 600, before=1.5, after=2.5))
+    found = {p.figure: p.value for p in points if isinstance(p, Point)}
+    assert found["sent_before"] > 0 and found["asked_after"] > 0
+    assert found["sent_late"] == 0 and found["unanswered"] == 0
+
+
 def test_a_quick_run_says_that_the_processes_are_not_played() -> None:
     (play,) = processes.plays(True)
     (item,) = play.run(1)
