--- a/dillport/lab/scale/rack.py
+++ b/dillport/lab/scale/rack.py
@@ -38,8 +38,8 @@
     f"{COUNT} processes by `python -m dillport`, without the fleet's rooms, before {LISTED:,} listed. Each "
     "backend has an address of its own, all of them one listener of the rig. The rack is 40 backends that "
     "the nodes were using; they are told as gone, their connections are reset, and all watches end with "
-    "discovery in the same moment. One client a node, 40 requests a second and not 193: rig and nodes share 8 "
-    "cores. Sends are counted as the backends saw them."
+    "discovery in the same moment. One client a node, 40 requests a second and not 193: rig and nodes share "
+    "8 cores. Sends are counted as the backends saw them."
 )
 
 
