--- a/dillport/lab/scale/rig.py
+++ b/dillport/lab/scale/rig.py
@@ -14,6 +14,7 @@
 import numpy as np
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
+from matplotlib.ticker import EngFormatter, LogLocator, NullFormatter
 
 from dillport.lab.programs import ROOT
 from dillport.lab.report import BAD, GOOD, INK, page, png, table_html
@@ -21,7 +22,8 @@
 from dillport.lab.scale.points import FORMS, NotPlayed, Play, Point, Slope, slopes
 
 VERSION = 1
-MOST_S, MOST_QUICK_S = 900.0, 120.0  # for all plays; what does not fit any more is not played
+# s for all plays, of 15 and 2 minutes: the report takes the rest. What does not fit any more is not played.
+MOST_S, MOST_QUICK_S = 840.0, 90.0
 COLUMNS = 3
 
 
@@ -145,7 +147,7 @@
         f"<p>{kind} run, seed {result.seed}, program {html.escape(result.program)}, Python {result.python}, "
         f"{html.escape(result.machine)}, load {result.load:g} before it, {result.seconds:g} s</p>",
         table_html(rows, head),
-        png(plots(result.slopes)) if result.slopes else "",
+        *(png(plots(some)) for some in by_role(result.slopes).values()),
         "<h2>Not played</h2>",
         table_html([(n.what, n.why) for n in result.not_played], ("what", "why")),
         "<h2>What is hollow</h2>",
@@ -153,11 +155,19 @@
     )
 
 
-def plots(found: Iterable[Slope]) -> Figure:
+def by_role(found: Iterable[Slope]) -> dict[str, list[Slope]]:
+    """The slopes of each role: a picture each."""
+    out: dict[str, list[Slope]] = {}
+    for slope in found:
+        out.setdefault(slope.role, []).append(slope)
+    return out
+
+
+def plots(some: Sequence[Slope]) -> Figure:
     """Each slope: its points, its fit up to the size of two years."""
-    some = list(found)
     rows = -(-len(some) // COLUMNS)
-    figure = Figure(figsize=(10.5, 2.6 * rows), layout="constrained")
+    figure = Figure(figsize=(10.5, 2.6 * rows))
+    figure.subplots_adjust(hspace=0.45, wspace=0.25)
     axes: list[Axes] = figure.subplots(rows, COLUMNS, squeeze=False).ravel().tolist()
     for ax, slope in zip(axes, some, strict=False):
         last = max(slope.target, slope.sizes[-1])
@@ -170,6 +180,11 @@
             ax.set_yscale("log")
         ax.set_title(f"{slope.role} {slope.figure}, {slope.unit}: {slope.fit}", fontsize=8)
         ax.tick_params(labelsize=7)
+        for axis in (ax.xaxis, ax.yaxis):
+            axis.set_major_formatter(EngFormatter(sep=""))  # powers of ten as formulas take longest of all
+            axis.set_minor_formatter(NullFormatter())
+        if ax.get_yscale() == "log":
+            ax.yaxis.set_major_locator(LogLocator(subs=(1.0, 2.0, 5.0), numticks=5))
     for ax in axes[len(some) :]:
         ax.set_axis_off()
     return figure
