Scale rig: the list of its own times does not count as the module's memory

Seen: 50,000 replacements seemed to add 1.9 MB, 40 bytes each: an int and its place in the rig's list. Change: no times are kept in the pass that counts bytes.

--- a/dillport/lab/scale/module.py
+++ b/dillport/lab/scale/module.py
@@ -171,7 +171,8 @@
             old.phase = api.Phase.GONE
             begin = time.process_time_ns()
             balancer.handle(now, api.ListUpdate(api.ListKind.CHANGES, [old, new], number + 2))
-            took.append(time.process_time_ns() - begin)
+            if unit == "us":  # else the rig's own list would be counted with the module's memory
+                took.append(time.process_time_ns() - begin)
             if number + 1 in marks:
                 if unit == "bytes":
                     held = tracemalloc.get_traced_memory()[0]
