A deployment without a ramp serves: no time of 0 is divided by

Seen by reading the change once more: with `ramp-time` 0, which the settings allow, the new bound on tries divided by it at each arrival, so that each request was failed by a defect of the decision; the age of what was learned did so at an upgrade before. Change: such times count as 1e-9 ms at least; nothing else moves. The test fails without it (ZeroDivisionError).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -44,6 +44,7 @@
 SHOWN = 500.0  # a backend that has been avoided for this long is shown as unavailable
 ASK_PERIOD = 3_950.0  # from one call of discovery to the next at most, see net/watchdog.py
 ASK_REST = 900.0  # of it, what is left for the wait after a call that took as long as one may
+TINY = 1e-9  # ms: a time to divide by is never 0
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 
 
@@ -101,6 +102,7 @@
             cls.usual = self._in_time(cls.cfg, cls.usual)
             self.strains.push(cls.cfg.name)
         self.usual_sum = sum(c.usual for c in self.classes.values())  # ms; kept up as they change
+        self.ramp = max(settings.ramp_time, TINY)  # ms; a deployment may have none
         self.longest_aim = max(c.aim for c in settings.classes)
         self.looks = (settings.probing and settings.reports is not api.Reports.NONE
                       and settings.charges.probe * SAMPLE <= TRIFLE)
@@ -160,7 +162,7 @@
 
         A backend started or put back since is a new one; its estimate stays at what this process sent.
         """
-        keep, was = 0.5 ** (ev.age / self.cfg.ramp_time), ev.learned
+        keep, was = 0.5 ** (ev.age / self.ramp), ev.learned
         self.limit = max(self.limit, self.least + keep * (was.limit - self.least))
         self.trust, self.lost = 1.0 - keep * (1.0 - was.trust), keep * was.lost
         for name, (usual, dev, strain) in was.classes.items():
@@ -370,9 +372,9 @@
         client returns, and a burst would send them as many times more.
         """
         past, self.last_came = max(0.0, self.now - self.last_came), self.now
-        keep = math.exp(-past / self.cfg.ramp_time)
+        keep = math.exp(-past / self.ramp)
         self.came, self.came_in = self.came * keep + 1.0, self.came_in * keep + past
-        tick, usual = self.cfg.tick, self.usual_sum / len(self.classes)
+        tick, usual = max(self.cfg.tick, TINY), self.usual_sum / len(self.classes)
         rate = max(self.limit / max(usual, tick), self.came / max(self.came_in, tick))  # a ms
         most = max(1.0, rate * self.cfg.fall_window / TRIES_SAVED)
         self.may_try = min(most, self.may_try + rate * past)
--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -370,3 +370,12 @@
 def test_the_check_catches_a_lost_slow_start(day: Day, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Balancer, "_warmth", lambda self, entry: 1.0)
     assert plays(replace(day, cfg=HARD, load=1.0, length=8000.0), [0])[0] > 1.0
+
+
+def test_a_deployment_without_a_ramp_serves() -> None:
+    """Guards against a rate or an age over a time of 0: each request was answered by a failed decision."""
+    b = Balancer(replace(HARD, ramp_time=0.0, tick=0.0), 1)
+    b.handle(1000.0, api.ListUpdate(api.ListKind.SAVED, [entry("a"), entry("b", started_at=1000.0)]))
+    b.handle(1000.0, api.Recovered(b.learned(1000.0), 5.0))
+    assert cold_sends(b, 1000.0, 20, 25.0) == 20
+    assert cold_sends(b, 2000.0, 1, 0.0) == 1
