Scale rig: one piece starts nodes and waits until all of them serve

The plays of the processes and of the rack had the same start, wait and end written twice. `serving` does it for both; the nodes and the readers of their logs end with the stack, also where a node never serves.

--- a/dillport/lab/scale/processes.py
+++ b/dillport/lab/scale/processes.py
@@ -50,24 +50,12 @@
         stack.callback(server.close)
         stack.callback(backend.close)
         begin = loop.time()
-        nodes = []
-        for _ in range(count):
-            folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
-            nodes.append(await spawn(Path(folder), backends, server.sockets[0].getsockname()[1]))
-            stack.push_async_callback(end_process, nodes[-1])
-        drains = []
         try:
-            async with asyncio.timeout(READY_MOST):
-                for node in nodes:
-                    client = Client(await serves_on(node))
-                    drains.append(loop.create_task(drop(node)))
-                    while (await client.ask())[0] != 200:
-                        await asyncio.sleep(0.05)
-                    client.close()
+            ports = await serving(stack, count, backends, server.sockets[0].getsockname()[1])
         except TimeoutError:
             return [NotPlayed(f"processes at {backends}", f"not all {count} served in {READY_MOST:g} s")]
         ready_ms = (loop.time() - begin) * 1000
-        pids = [node.pid for node in nodes]
+        pids = list(ports)
         rest = await _spent(pids, discovery, [], changes)
         lines = []
         for number in range(changes):
@@ -77,8 +65,6 @@
             lines.append(fleet.line([at], number + 3, False, where))
         busy = await _spent(pids, discovery, lines, changes)
         held = [used(pid)[1] for pid in pids]
-        for task in drains:
-            task.cancel()
     figures = (
         ("ready", "ms", ready_ms),
         ("memory", "bytes", statistics.median(held)),
@@ -87,6 +73,29 @@
     return [Point("processes", name, unit, backends, value, False) for name, unit, value in figures]
 
 
+async def serving(
+    stack: contextlib.AsyncExitStack, count: int, backends: int, discovery_port: int
+) -> dict[int, int]:
+    """So many nodes once all of them serve: the port of each, by its process id. They end with the stack.
+
+    Raises TimeoutError after READY_MOST.
+    """
+    nodes, ports = [], dict[int, int]()
+    for _ in range(count):
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
+        nodes.append(await spawn(Path(folder), backends, discovery_port))
+        stack.push_async_callback(end_process, nodes[-1])
+    async with asyncio.timeout(READY_MOST):
+        for node in nodes:
+            ports[node.pid] = await serves_on(node)
+            stack.callback(asyncio.create_task(drop(node)).cancel)
+            client = Client(ports[node.pid])
+            while (await client.ask())[0] != 200:
+                await asyncio.sleep(0.05)
+            client.close()
+    return ports
+
+
 async def _spent(pids: list[int], discovery: StandInDiscovery, lines: list[bytes], steps: int) -> list[float]:
     """Seconds of processor time of each, over as long as so many changes take, with these told."""
     before = [used(pid)[0] for pid in pids]
--- a/dillport/lab/scale/rack.py
+++ b/dillport/lab/scale/rack.py
@@ -5,12 +5,10 @@
 import asyncio
 import contextlib
 import socket
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import replace
-from pathlib import Path
 from typing import cast
 
 import uvloop
@@ -22,12 +20,9 @@
     Client,
     StandInBackend,
     StandInDiscovery,
-    drop,
-    serves_on,
-    spawn,
 )
 from dillport.lab.scale.points import NotPlayed, Play, Point
-from dillport.lab.scale.processes import COUNT, READY_MOST, end_process
+from dillport.lab.scale.processes import COUNT, READY_MOST, serving
 
 LISTED = 20_000
 RATE_PER_S = 40.0  # of each node's one client: one request after the other
@@ -127,25 +122,13 @@
         stack.callback(server.close)
         calls = await asyncio.start_server(discovery.serve, HOST, 0)
         stack.callback(calls.close)
-        nodes, ports, drains = [], [], []
-        for _ in range(count):
-            folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
-            nodes.append(await spawn(Path(folder), backends, calls.sockets[0].getsockname()[1]))
-            stack.push_async_callback(end_process, nodes[-1])
         try:
-            async with asyncio.timeout(READY_MOST):
-                for node in nodes:
-                    ports.append(await serves_on(node))
-                    drains.append(loop.create_task(drop(node)))
-                    while (await (client := Client(ports[-1])).ask())[0] != 200:
-                        client.close()
-                        await asyncio.sleep(0.05)
-                    client.close()
+            ports = await serving(stack, count, backends, calls.sockets[0].getsockname()[1])
         except TimeoutError:
             return [NotPlayed(f"rack at {backends}", f"not all {count} served in {READY_MOST:g} s")]
         answers, earlier = Counter[int](), Counter[int]()
         until = loop.time() + before + after
-        work = [loop.create_task(load(Client(port), until, answers)) for port in ports]
+        work = [loop.create_task(load(Client(port), until, answers)) for port in ports.values()]
         await asyncio.sleep(before)
         earlier.update(answers)
         used = [host for host, _ in bank.got.most_common(size.RACK_MACHINES)]
@@ -158,8 +141,6 @@
         calls.close()
         bank.lose(frozenset(used))
         await asyncio.gather(*work)
-        for task in drains:
-            task.cancel()
     later = answers - earlier
     figures = (
         ("sent_before", "requests", float(served_there)), ("sent_late", "requests", float(bank.late)),
