Judge's tests: plays go by a virtual clock, so no slow machine turns them red

Seen: one of 1,659 tests red, `test_the_broken_rule_is_caught_and_no_other[twice]`, with {'answer': 1, 'twice': 27}; before that six of the same file on a busy machine. The plays had a real stand-in process and real time, and asserted of every play, also of those that the lab calls void.

Cause: a stand-in that the system does not run for 0.53 s or more. It answers 30 ms before a try's deadline, and the clients look for an answer until 500 ms past it. Held off for 0.50 to 0.53 s in a virtual play of `twice`, the stand-in breaks `twice` alone; held off for 0.54 to 0.56 s it also breaks `answer` once, at 1.2 s into the play, and 2 to 15 times at other moments and up to 0.59 s. A real play with other work on the machine showed the extreme: the stand-in ran no instruction from 1.6 s on, 536 answers missing. No wrong step was found in the stand-in, the clients or the judge; the play itself is open to it, as with seed 1 the last warm backend is sent more than it bears and half the requests wait to their end.

Change: tests/virtual.py plays the lab's own clients, backends, discovery, faults and judge with the stand-in on one event loop whose clock moves only when all wait, with connections in memory. The stand-in is a class for that, the same code as before; the lab's clock takes its source, and a backend drops its connections in the order they came (a set's order is the memory's). An error that escapes a callback fails the play. The same assertions hold, for two seeds instead of one, and a second play of a seed has to give the same tries and attempts. One play by the real clock and with a process stays: each made-up answer that clients saw has to be caught, however late it is.

--- a/dillport/lab/backends.py
+++ b/dillport/lab/backends.py
@@ -36,7 +36,7 @@
 
     def __init__(self, farm: Farm, number: int, core: Backend) -> None:
         self.farm, self.number, self.core, self.name = farm, number, core, f"s{number}"
-        self.connections: set[BackendWire] = set()
+        self.connections: dict[BackendWire, None] = {}  # in the order they came: a run's draws follow it
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
         self.cap = farm.spec.backends.connections_per_core * farm.spec.backends.cores
@@ -143,7 +143,7 @@
 
     def up(self) -> None:
         self.surplus = len(self.host.connections) >= self.host.cap
-        self.host.connections.add(self)
+        self.host.connections[self] = None
 
     def raw_end(self) -> None:
         if self.record is not None and not self.record.ended and not self.record.closed:
@@ -158,7 +158,7 @@
             self.reset()
 
     def ended(self) -> None:
-        self.host.connections.discard(self)
+        self.host.connections.pop(self, None)
         self.alive = False
 
     def drop(self) -> None:
--- a/dillport/lab/wires.py
+++ b/dillport/lab/wires.py
@@ -26,12 +26,13 @@
 class Clock:
     """Milliseconds since the run's first possible arrival; all processes of a run share its zero."""
 
-    def __init__(self) -> None:
-        self.zero = time.monotonic()
+    def __init__(self, read: Callable[[], float] = time.monotonic) -> None:
+        self.read = read  # s
+        self.zero = read()
 
     def now(self) -> float:
         """The time now."""
-        return (time.monotonic() - self.zero) * 1000
+        return (self.read() - self.zero) * 1000
 
 
 class Piece(NamedTuple):
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -12,6 +12,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Literal
 
@@ -65,11 +66,11 @@
 
 
 class Worker:
-    """The parties of this process, and the faults on them."""
+    """The parties of this process, and the faults on them; `read` gives the event loop's time, in s."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, read: Callable[[], float] = time.monotonic) -> None:
         self.plan, self.spec, self.seen = plan, plan.experiment, records.Seen()
-        self.clock = Clock()
+        self.clock = Clock(read)
         places = Places(plan.block, self.spec.backends.count)
         self.weather = Weather(self.spec, stream(plan.seed, "weather", plan.role, plan.part))
         world = (places, self.weather, self.clock, self.seen)
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -1,4 +1,8 @@
-"""Each rule is broken by a stand-in node that breaks that rule alone, in a run of its own, and is caught."""
+"""Each rule is broken by a stand-in node that breaks that rule alone, in a play of its own, and is caught.
+
+The plays go by a virtual clock (`virtual.py`): the verdict hangs on no machine's speed. One goes by the real
+one, with the stand-in as a process.
+"""
 
 from __future__ import annotations
 
@@ -8,12 +12,14 @@
 from pathlib import Path
 
 import pytest
+from msgspec import structs
 
 from dillport.lab.figures import figures
 from dillport.lab.judge import RULES, Judge
 from dillport.lab.programs import ROOT, Program
 from dillport.lab.run import play
-from dillport.lab.spec import load
+from dillport.lab.spec import Experiment, load
+from tests import virtual
 
 # A drain, a ban and a cold backend: room to break every rule.
 SPEC = """
@@ -53,46 +59,54 @@
 what = "backends:2"
 """
 
-AT_ONCE = 2  # runs
+SEEDS = (1, 2)  # with the first the last warm backend is sent more than it bears, and most wait in vain
+VOID = 3  # plays by the real clock, at most, that answered nobody
+MADE_UP = "all is well"
 
 
-@pytest.fixture(scope="module")
-def broken(tmp_path_factory: pytest.TempPathFactory) -> dict[str, dict[str, int]]:
-    """The rules that each defect broke, by the judge; few runs at once, each in its block of addresses.
+@pytest.fixture
+def spec(tmp_path: Path) -> Experiment:
+    """The play."""
+    (tmp_path / "spec.toml").write_text(SPEC)
+    return load(tmp_path / "spec.toml")
 
-    They go by the real clock: all at once they are late on a slow machine, and the judge blames that.
-    """
-    folder = tmp_path_factory.mktemp("judge")
-    (folder / "spec.toml").write_text(SPEC)
-    spec = load(folder / "spec.toml")
 
-    async def one(defect: str) -> dict[str, int]:
-        command = shlex.join([sys.executable, "-B", str(Path(__file__).with_name("broken_node.py")), defect])
-        seen = await play(spec, 1, Program(defect, ROOT, f"exec {command}"), folder / defect)
-        judged = Judge(spec, seen).judge()
-        assert figures(spec, 1, seen, judged)["served"] > 0.1, defect
-        return dict(judged.broken)
+def broken(spec: Experiment, seed: int, defect: str) -> dict[str, int]:
+    """The rules that a defect broke, by the judge."""
+    seen = virtual.play(spec, seed, defect)
+    judged = Judge(spec, seen).judge()
+    assert figures(spec, seed, seen, judged)["served"] > 0.1
+    assert max(seen.lateness) < 0.001  # ms
+    return dict(judged.broken)
 
-    async def every() -> dict[str, dict[str, int]]:
-        defects, places = ["none", "refuse", *RULES], asyncio.Semaphore(AT_ONCE)
 
-        async def in_turn(defect: str) -> dict[str, int]:
-            async with places:
-                return await one(defect)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_node_that_keeps_the_rules_is_not_blamed(spec: Experiment, seed: int) -> None:
+    assert broken(spec, seed, "none") == {}
 
-        return dict(zip(defects, await asyncio.gather(*map(in_turn, defects)), strict=True))
 
-    return asyncio.run(every())
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_refusal_of_what_has_run_is_caught(spec: Experiment, seed: int) -> None:
+    assert broken(spec, seed, "refuse").keys() == {"twice"}
 
 
-def test_a_node_that_keeps_the_rules_is_not_blamed(broken: dict[str, dict[str, int]]) -> None:
-    assert broken["none"] == {}
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("rule", RULES)
+def test_the_broken_rule_is_caught_and_no_other(spec: Experiment, rule: str, seed: int) -> None:
+    assert broken(spec, seed, rule).keys() == {rule}
 
 
-def test_a_refusal_of_what_has_run_is_caught(broken: dict[str, dict[str, int]]) -> None:
-    assert broken["refuse"].keys() == {"twice"}
+def test_a_play_by_the_virtual_clock_is_the_same_each_time(spec: Experiment) -> None:
+    one, other = (virtual.play(spec, 1, "twice") for _ in range(2))
+    assert (one.tries, one.attempts, one.lateness) == (other.tries, other.attempts, other.lateness)
 
 
-@pytest.mark.parametrize("rule", RULES)
-def test_the_broken_rule_is_caught_and_no_other(broken: dict[str, dict[str, int]], rule: str) -> None:
-    assert broken[rule].keys() == {rule}
+def test_answers_that_a_process_made_up_are_all_caught(spec: Experiment, tmp_path: Path) -> None:
+    stand_in = [sys.executable, "-B", str(Path(__file__).with_name("broken_node.py")), "made-up"]
+    program = Program("made-up", ROOT, f"exec {shlex.join(stand_in)}")
+    spec = structs.replace(spec, seconds=1.0, faults=())
+    for number in range(VOID):
+        seen = asyncio.run(play(spec, 1, program, tmp_path / str(number)))
+        if made_up := sum(one.status == 200 and one.body == MADE_UP for one in seen.tries):
+            break
+    assert 0 < made_up == Judge(spec, seen).judge().broken["made-up"]
