Scale rig: the lost rack under 193 requests a second a node, and how late the rig was

The play of a rack lost with discovery, before 16 real nodes, asked 40 requests a second of each node and not the 193 of the size: one client a node, one request after the other, in the process that also plays backends and discovery. A node that answers late was asked less, and nothing said how late the rig was itself.

Now two processes of clients ask each node at the rate however long answers take, over 64 connections at most. The result says what was offered, how late 99 in 100 of the rig's own requests and of looks of the backends' process were, and the 99th percentile of answers before and after the loss. Under 98% of the rate, or over 25 ms late, a line says that the rate was not played.

--- /dev/null
+++ b/dillport/lab/scale/crowd.py
@@ -0,0 +1,228 @@
+"""Clients of some nodes in a process of their own: requests at a steady rate, however long answers take.
+
+It reads a plan as a line of JSON, says that it is ready, reads when to begin, and writes what it saw.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import re
+import sys
+import time
+from contextlib import AsyncExitStack
+from typing import cast
+
+import msgspec
+import uvloop
+
+from dillport.lab.processes import limits
+from dillport.lab.programs import ROOT
+
+HOST = "127.0.0.1"
+ANSWER_MOST = 5.0  # s from the last request until all have their answers
+LOOK = 0.02  # s between two looks whether they have
+WIRES_MOST = 64  # connections to one node; what comes beyond that waits for one of them
+LONGEST = 2**26  # bytes of a line of JSON
+LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+CLOSE = re.compile(rb"connection: close", re.IGNORECASE)
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What one process asks, from its begin on; times in s."""
+
+    ports: list[int]  # of its nodes
+    per_s: float  # requests to each
+    first: float  # how long the first part lasts
+    second: float
+
+
+class Part(msgspec.Struct):
+    """What was seen of the requests that were due in one part of the time."""
+
+    until: float  # of the monotonic clock
+    due: int = 0
+    sent: int = 0  # of them, before the part was over
+    statuses: dict[int, int] = msgspec.field(default_factory=dict)  # of the answers; 0: none came
+    took_ms: list[float] = msgspec.field(default_factory=list)  # of each answer, since its request was due
+    late_ms: list[float] = msgspec.field(default_factory=list)  # the rig's own lateness with each request
+
+    def answered(self, status: int, count: int = 1) -> None:
+        """So many requests are over."""
+        self.statuses[status] = self.statuses.get(status, 0) + count
+
+    @property
+    def open(self) -> int:
+        """Requests that are not over."""
+        return self.due - sum(self.statuses.values())
+
+
+class Wire(asyncio.Protocol):
+    """One connection to a node, with one request at a time."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, target: Target) -> None:
+        self.target, self.held = target, b""
+        self.request: tuple[Part, float] | None = None  # that has no answer yet, and when it was due
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It can be used."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def ask(self, part: Part, due: float) -> None:
+        """Send one."""
+        self.request = part, due
+        part.sent += time.monotonic() < part.until
+        self.transport.write(
+            b"GET /c0 HTTP/1.1\r\nHost: node\r\nRequest-Id: %016x\r\n\r\n" % self.target.number
+        )
+        self.target.number += 1
+
+    def data_received(self, data: bytes) -> None:
+        """An answer, or a piece of it."""
+        self.held += data
+        head, found, body = self.held.partition(b"\r\n\r\n")
+        length = LENGTH.search(head)
+        if not found or len(body) < (int(length[1]) if length else 0):
+            return
+        self.held = b""
+        self._over(int(head[9:12]))
+        if CLOSE.search(head):
+            self.transport.close()
+        else:
+            self.target.free(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """What is out has no answer."""
+        self._over(0)
+        self.target.lost(self)
+
+    def _over(self, status: int) -> None:
+        if self.request is not None:
+            part, due = self.request
+            part.answered(status)
+            if status:
+                part.took_ms.append((time.monotonic() - due) * 1000)
+            self.request = None
+
+
+class Target:
+    """One node, and what waits for a connection to it."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.number = port, 0
+        self.idle: list[Wire] = []
+        self.wires = 0  # with those that are being opened
+        self.waiting: list[tuple[Part, float]] = []
+        self.opening: set[asyncio.Task[None]] = set()
+
+    def ask(self, part: Part, due: float) -> None:
+        """By an idle connection, a new one, or the next that is idle."""
+        if self.idle:
+            self.idle.pop().ask(part, due)
+            return
+        self.waiting.append((part, due))
+        if self.wires < WIRES_MOST:
+            self.wires += 1
+            task = asyncio.get_running_loop().create_task(self._open())
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    async def _open(self) -> None:
+        try:
+            _, wire = await asyncio.get_running_loop().create_connection(lambda: Wire(self), HOST, self.port)
+        except OSError:
+            self.wires -= 1
+            if self.waiting:
+                self.waiting.pop(0)[0].answered(0)
+        else:
+            self.free(wire)
+
+    def free(self, wire: Wire) -> None:
+        """This connection is idle."""
+        if self.waiting:
+            wire.ask(*self.waiting.pop(0))
+        else:
+            self.idle.append(wire)
+
+    def lost(self, wire: Wire) -> None:
+        """This connection has ended."""
+        self.wires -= 1
+        if wire in self.idle:
+            self.idle.remove(wire)
+
+
+async def ask(plan: Plan, begin: float) -> list[Part]:
+    """Ask as planned from a time of the monotonic clock on; both parts as they went."""
+    parts = Part(begin + plan.first), Part(begin + plan.first + plan.second)
+    targets = [Target(port) for port in plan.ports]
+    per_s = plan.per_s * len(targets)
+    first, every = round(plan.first * per_s), round((plan.first + plan.second) * per_s)
+    for number in range(every):
+        due = begin + number / per_s
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        part = parts[number >= first]
+        part.due += 1
+        part.late_ms.append(max(0.0, time.monotonic() - due) * 1000)
+        targets[number % len(targets)].ask(part, due)
+    last = time.monotonic() + ANSWER_MOST
+    while any(part.open for part in parts) and time.monotonic() < last:
+        await asyncio.sleep(LOOK)
+    for part in parts:
+        part.answered(0, part.open)
+    return list(parts)
+
+
+class Crowd:
+    """One such process, seen from the rig."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+
+    async def begin(self, when: float) -> None:
+        """It asks from then on, a time of the monotonic clock."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(msgspec.json.encode(when) + b"\n")
+        await self.process.stdin.drain()
+
+    async def parts(self) -> list[Part]:
+        """What it saw, once it is through. Raises msgspec.DecodeError where it has ended without."""
+        assert self.process.stdout is not None
+        return msgspec.json.decode(await self.process.stdout.readline(), type=list[Part])
+
+
+async def spawn(stack: AsyncExitStack, plan: Plan) -> Crowd:
+    """One that is ready; it ends with the stack."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "dillport.lab.scale.crowd", cwd=ROOT, limit=LONGEST,
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+        preexec_fn=limits(sorted(os.sched_getaffinity(0)), None),
+    )  # fmt: skip
+
+    async def end() -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    stack.push_async_callback(end)
+    assert process.stdin is not None and process.stdout is not None
+    process.stdin.write(msgspec.json.encode(plan) + b"\n")
+    await process.stdout.readline()
+    return Crowd(process)
+
+
+def main() -> None:
+    """Entry point."""
+    plan = msgspec.json.decode(sys.stdin.readline(), type=Plan)
+    gc.freeze()
+    sys.stdout.write("null\n")
+    sys.stdout.flush()
+    begin = msgspec.json.decode(sys.stdin.readline(), type=float)
+    parts = uvloop.run(ask(plan, begin))
+    sys.stdout.write(msgspec.json.encode(parts).decode() + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/dillport/lab/scale/rack.py
+++ b/dillport/lab/scale/rack.py
@@ -7,25 +7,26 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
 from typing import cast
 
 import uvloop
 
 from dillport import interface as api
-from dillport.lab.scale import fleet, size
-from dillport.lab.scale.listing import (
-    HOST,
-    Client,
-    StandInBackend,
-    StandInDiscovery,
-)
+from dillport.lab.figures import percentiles
+from dillport.lab.scale import crowd, fleet, size
+from dillport.lab.scale.listing import HOST, StandInBackend, StandInDiscovery
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.lab.scale.processes import COUNT, READY_MOST, serving
 
 LISTED = 20_000
-RATE_PER_S = 40.0  # of each node's one client: one request after the other
+RATE_PER_S = size.PEAK_PER_S / size.NODES  # requests to each node
+REACHED = 0.98  # of the rate, else it counts as not played
+LATE_MS = 25.0  # that 99 in 100 of the rig's own requests and looks may be late, else likewise
+CROWDS = 2  # processes of clients, beside the one of the backends and of discovery
+BEGIN = 0.2  # s until they begin
+PULSE = 0.02  # s between two looks how late the backends' process is
 BEFORE, AFTER = 4.0, 5.0  # s of load before the loss and behind it
 GRACE = 1.05  # s after which nothing may go to what was told gone: the rule's, and its slack on sockets
 
@@ -33,8 +34,10 @@
     f"{COUNT} processes by `python -m dillport`, without the fleet's rooms, before {LISTED:,} listed. Each "
     "backend has an address of its own, all of them one listener of the rig. The rack is 40 backends that "
     "the nodes were using; they are told as gone, their connections are reset, and all watches end with "
-    "discovery in the same moment. One client a node, 40 requests a second and not 193: rig and nodes share "
-    "8 cores. Sends are counted as the backends saw them."
+    "discovery in the same moment. Clients ask each node 193 times a second, however long answers take, from "
+    f"{CROWDS} processes; backends and discovery are one more, and all share the cores with the nodes. Sends "
+    "are counted as the backends saw them; `rig_late` is what 99 in 100 of the rig's own requests and looks "
+    "were late by at most."
 )
 
 
@@ -96,15 +99,12 @@
         self.bank.open.discard(self)
 
 
-async def load(client: Client, until: float, answers: Counter[int]) -> None:
-    """One request after the other at the rate; counts the statuses, 0 for no answer."""
-    loop = asyncio.get_running_loop()
-    due = loop.time()
-    while due < until:
-        await asyncio.sleep(max(0.0, due - loop.time()))
-        due += 1 / RATE_PER_S
-        answers[(await client.ask())[0]] += 1
-    client.close()
+async def lag(seen_ms: list[float]) -> None:
+    """Until it is ended: how late this process comes to what is due, ms."""
+    while True:
+        due = time.monotonic() + PULSE
+        await asyncio.sleep(PULSE)
+        seen_ms.append(max(0.0, time.monotonic() - due) * 1000)
 
 
 async def play_rack(
@@ -126,11 +126,13 @@
             ports = await serving(stack, count, backends, calls.sockets[0].getsockname()[1])
         except TimeoutError:
             return [NotPlayed(f"rack at {backends}", f"not all {count} served in {READY_MOST:g} s")]
-        answers, earlier = Counter[int](), Counter[int]()
-        until = loop.time() + before + after
-        work = [loop.create_task(load(Client(port), until, answers)) for port in ports.values()]
-        await asyncio.sleep(before)
-        earlier.update(answers)
+        each = [list(ports.values())[number::CROWDS] for number in range(CROWDS)]
+        crowds = [await crowd.spawn(stack, crowd.Plan(some, RATE_PER_S, before, after)) for some in each]
+        begin, lags = time.monotonic() + BEGIN, list[float]()
+        for one in crowds:
+            await one.begin(begin)
+        stack.callback(loop.create_task(lag(lags)).cancel)
+        await asyncio.sleep(begin + before - time.monotonic())
         used = [host for host, _ in bank.got.most_common(size.RACK_MACHINES)]
         rack = [told[by_host[host]] for host in used]
         gone = [replace(entry, phase=api.Phase.GONE) for entry in rack]
@@ -140,14 +142,44 @@
         discovery.cut()
         calls.close()
         bank.lose(frozenset(used))
-        await asyncio.gather(*work)
-    later = answers - earlier
+        seen = [await one.parts() for one in crowds]
+    earlier, later = (merged(parts) for parts in zip(*seen, strict=True))
+    counts = (("sent_before", "requests", float(served_there)), ("sent_late", "requests", float(bank.late)))
+    points = [Point("rack", name, unit, backends, value, False) for name, unit, value in counts]
+    return [*points, *seen_by_clients(backends, count * (before + after), earlier, later, lags)]
+
+
+def seen_by_clients(
+    backends: int, node_s: float, earlier: crowd.Part, later: crowd.Part, lags_ms: list[float]
+) -> Iterator[Point | NotPlayed]:
+    """Figures of both parts, which lasted so many seconds of a node; what was not reached of the rate."""
+    sent_per_s = (earlier.sent + later.sent) / node_s
+    late_ms = max(percentiles(some, (99.0,))[0] for some in (earlier.late_ms + later.late_ms, lags_ms))
     figures = (
-        ("sent_before", "requests", float(served_there)), ("sent_late", "requests", float(bank.late)),
-        ("unanswered", "requests", float(answers[0])), ("asked_after", "requests", float(later.total())),
-        ("served_after", "share", later[200] / max(1, later.total())),
+        ("unanswered", "requests", float(earlier.statuses.get(0, 0) + later.statuses.get(0, 0))),
+        ("asked_after", "requests", float(later.due)),
+        ("served_after", "share", later.statuses.get(200, 0) / max(1, later.due)),
+        ("offered", "requests/s", sent_per_s), ("rig_late", "ms", late_ms),
+        ("p99_before", "ms", percentiles(earlier.took_ms, (99.0,))[0]),
+        ("p99_after", "ms", percentiles(later.took_ms, (99.0,))[0]),
     )  # fmt: skip
-    return [Point("rack", name, unit, backends, value, False) for name, unit, value in figures]
+    for name, unit, value in figures:
+        yield Point("rack", name, unit, backends, value, False)
+    if sent_per_s < REACHED * RATE_PER_S or late_ms > LATE_MS:
+        why = f"{sent_per_s:.0f} were reached, and the rig itself was up to {late_ms:.0f} ms late"
+        yield NotPlayed(f"rack at {RATE_PER_S:.0f} requests a second a node", why)
+
+
+def merged(parts: Sequence[crowd.Part]) -> crowd.Part:
+    """What all crowds saw of one part of the time."""
+    out = crowd.Part(parts[0].until)
+    for part in parts:
+        out.due, out.sent = out.due + part.due, out.sent + part.sent
+        out.took_ms += part.took_ms
+        out.late_ms += part.late_ms
+        for status, number in part.statuses.items():
+            out.answered(status, number)
+    return out
 
 
 def plays(quick: bool) -> list[Play]:
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
@@ -14,7 +15,7 @@
 from dillport import interface as api
 from dillport.cli import scale as command
 from dillport.cli.app import app
-from dillport.lab.scale import discovery, fleet, listing, module, processes, rack, rig, size, tables
+from dillport.lab.scale import crowd, discovery, fleet, listing, module, processes, rack, rig, size, tables
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.net.config import news_of
 
@@ -119,8 +120,47 @@
     """Real processes; the counts are the rule's, whatever the machine's speed."""
     points = uvloop.run(rack.play_rack(2, 600, before=1.5, after=2.5))
     found = {p.figure: p.value for p in points if isinstance(p, Point)}
-    assert found["sent_before"] > 0 and found["asked_after"] > 0
-    assert found["sent_late"] == 0 and found["unanswered"] == 0
+    assert found["sent_before"] > 0 and found["sent_late"] == 0 and found["unanswered"] == 0
+    assert found["asked_after"] == pytest.approx(2 * 2.5 * size.PEAK_PER_S / size.NODES, abs=4)
+
+
+def test_what_the_racks_clients_could_not_offer_is_said() -> None:
+    whole = crowd.Part(0.0, due=1930, sent=1930, statuses={200: 1900, 503: 28, 0: 2}, late_ms=[0.5] * 1930)
+    found = list(rack.seen_by_clients(600, 20.0, whole, whole, [1.0]))
+    values = {item.figure: item.value for item in found if isinstance(item, Point)}
+    assert len(values) == len(found) and (values["offered"], values["unanswered"]) == (193.0, 4)
+    assert values["served_after"] == 1900 / 1930 and values["rig_late"] == pytest.approx(1.0, rel=0.01)
+    for seconds, lags in ((20.0, [rack.LATE_MS * 2]), (21.0, [1.0])):
+        *_, last = rack.seen_by_clients(600, seconds, whole, whole, lags)
+        assert isinstance(last, NotPlayed) and "at 193 requests" in last.what
+
+
+async def test_a_crowd_asks_at_its_rate_and_counts_each_request_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Also before a node that breaks connections, one that is gone and one that never answers."""
+    monkeypatch.setattr(crowd, "ANSWER_MOST", 0.2)
+
+    class Breaks(listing.StandInBackend):
+        def data_received(self, data: bytes) -> None:
+            self.transport.close()
+
+    class Silent(listing.StandInBackend):
+        def data_received(self, data: bytes) -> None:
+            pass
+
+    loop = asyncio.get_running_loop()
+    servers = [
+        await loop.create_server(one, "127.0.0.1", 0) for one in (listing.StandInBackend, Breaks, Silent)
+    ]
+    gone = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+    ports = [server.sockets[0].getsockname()[1] for server in (*servers, gone)]
+    gone.close()
+    for port, status in zip(ports, (200, 0, 0, 0), strict=True):
+        first, second = await crowd.ask(crowd.Plan([port], 500.0, 0.1, 0.2), time.monotonic())
+        assert (first.due, second.due) == (50, 100)
+        assert first.statuses.get(status) == 50 and second.statuses.get(status) == 100
+        assert len(first.late_ms) == 50 and len(first.took_ms) == (50 if status else 0)
+    for server in servers:
+        server.close()
 
 
 def test_a_quick_run_says_that_the_processes_are_not_played() -> None:
