Tests: the clients of the rack are judged by counts alone, however slow the machine

Need: a crowd's requests to a sound node had 0.2 s after the last one to be answered, so a machine that stands still that long would turn the test red. Change: only the node that never answers is waited for so shortly, the others up to a minute; the counts asserted are as they were.

--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -137,7 +137,6 @@
 
 async def test_a_crowd_asks_at_its_rate_and_counts_each_request_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Also before a node that breaks connections, one that is gone and one that never answers."""
-    monkeypatch.setattr(crowd, "ANSWER_MOST", 0.2)
 
     class Breaks(listing.StandInBackend):
         def data_received(self, data: bytes) -> None:
@@ -154,7 +153,8 @@
     gone = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
     ports = [server.sockets[0].getsockname()[1] for server in (*servers, gone)]
     gone.close()
-    for port, status in zip(ports, (200, 0, 0, 0), strict=True):
+    for port, status, wait in zip(ports, (200, 0, 0, 0), (60.0, 60.0, 0.2, 60.0), strict=True):
+        monkeypatch.setattr(crowd, "ANSWER_MOST", wait)  # s; only the silent one needs all of it
         first, second = await crowd.ask(crowd.Plan([port], 500.0, 0.1, 0.2), time.monotonic())
         assert (first.due, second.due) == (50, 100)
         assert first.statuses.get(status) == 50 and second.statuses.get(status) == 100
