--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -327,6 +327,22 @@
     assert back == []
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_planned_restart_beside_a_death_is_told_as_one_and_nobody_suspects(seed: int) -> None:
+    tier = world(5, seed)
+    tier.run(tier.now + SOON)
+    begun = tier.now
+    tier.kill(1)
+    tier.run(tier.now + 1000)
+    tier.leave(3)
+    tier.run(tier.now + 800 + 500)
+    tier.start(3)
+    tier.run(tier.now + SOON)
+    for node in (0, 2, 4):
+        told = [s.change.after for s in tier.seen if (s.node, s.change.member) == (node, 3) and s.at >= begun]
+        assert told == [State.LEFT, State.ALIVE]
+
+
 def test_a_partition_splits_the_views_and_heals() -> None:
     tier = world(15)
     tier.net.cut = lambda a, b: (a % 3 == 0) != (b % 3 == 0)
