--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from dillport.lab import records
 from dillport.lab.logs import LabLog
@@ -129,6 +129,33 @@
             writer.transport.abort()
 
 
+class Usage(NamedTuple):
+    """What a process has used and holds."""
+
+    cpu_s: float
+    rss_mb: float
+    descriptors: int
+    waited_s: float  # for a core, in waits that are over
+    runnable: bool
+    turns: tuple[int, int]  # ns that it ran, and how often it was put on a core
+
+
+@dataclass
+class Waiting:
+    """A wait for a core that goes on: the system counts it once it is over, and that may be never."""
+
+    turns: tuple[int, int] | None = None  # as at the look that saw the wait first
+    since: float = 0.0  # s
+
+    def so_far(self, at: float, found: Usage) -> float:
+        """Seconds, by looks at `at` (s): it could run at each of them, and did not run in between."""
+        if not found.runnable:
+            self.turns = None
+        elif found.turns != self.turns:
+            self.turns, self.since = found.turns, at
+        return at - self.since if self.turns is not None else 0.0
+
+
 @dataclass
 class Running:
     """One process of a node."""
@@ -136,6 +163,7 @@
     process: asyncio.subprocess.Process
     life: records.LifeRecord
     stalled: bool = False
+    waiting: Waiting = field(default_factory=Waiting)
 
     @property
     def alive(self) -> bool:
@@ -396,11 +424,13 @@
                 found = usage(running.process.pid)
                 if found is None:
                     continue
-                cpu, rss, count, waited = found
-                self.samples.append(records.Sample(self.now(), node.number, cpu, rss, count,
-                                                   running.life.process, waited))  # fmt: skip
-                if rss > self.spec.fleet.memory_mb:
-                    running.life.why = f"over its memory: {rss:.0f} MB"
+                at = self.now()
+                waited = found.waited_s + running.waiting.so_far(at / 1000, found)
+                self.samples.append(records.Sample(at, node.number, found.cpu_s, found.rss_mb,
+                                                   found.descriptors, running.life.process,
+                                                   waited))  # fmt: skip
+                if found.rss_mb > self.spec.fleet.memory_mb:
+                    running.life.why = f"over its memory: {found.rss_mb:.0f} MB"
                     running.signal(signal.SIGKILL)
 
     async def end_all(self) -> None:
@@ -422,17 +452,16 @@
             node.kill()
 
 
-def usage(pid: int) -> tuple[float, float, int, float] | None:
-    """Processor seconds, resident MB, open descriptors, and seconds in which a process waited for a core.
-
-    None once it has ended.
-    """
+def usage(pid: int) -> Usage | None:
+    """What a process has used and holds; None once it has ended."""
     try:
         parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         spent = (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-        waited = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
-        return spent, pages * os.sysconf("SC_PAGE_SIZE") / 2**20, len(os.listdir(f"/proc/{pid}/fd")), waited
+        ran, waited, turns = map(int, Path(f"/proc/{pid}/schedstat").read_text().split())
+        rss = pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+        held = len(os.listdir(f"/proc/{pid}/fd"))
+        return Usage(spent, rss, held, waited / 1e9, parts[0] == "R", (ran, turns))
     except (OSError, IndexError, ValueError):
         return None
 
--- a/tests/test_lab_models.py
+++ b/tests/test_lab_models.py
@@ -11,13 +11,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dillport.lab.figures import held
+from dillport.lab import records
+from dillport.lab.figures import STARVED, held, waited
 from dillport.lab.model.backend import Backend, Job, Verdict
 from dillport.lab.model.client import End, Wish
 from dillport.lab.model.directory import Directory, Listed, Phase, Watch
 from dillport.lab.model.late import REST, SPELL, spells
 from dillport.lab.model.load import draw
 from dillport.lab.model.weather import Weather
+from dillport.lab.processes import Usage, Waiting
 from dillport.lab.spec import (
     CLASSES,
     Backends,
@@ -277,3 +279,23 @@
     assert not held(Expect(figure="recovery_s", max=3.0), {})
     assert held(Expect(figure="x", min=1.0, max=2.0), {"x": 1.5})
     assert not held(Expect(figure="x", min=1.0), {"x": 0.5})
+
+
+def test_a_wait_for_a_core_that_never_ends_is_seen_and_one_that_ends_counts_once() -> None:
+    """The system counts a wait when it is over: a process that gets no core at all has waited for nothing."""
+
+    def looks(*found: Usage) -> records.Seen:
+        waiting, out = Waiting(), records.Seen(lives=[records.LifeRecord(0, 0, -5000.0)])
+        for at, each in enumerate(found):
+            so_far = each.waited_s + waiting.so_far(float(at), each)
+            out.samples.append(records.Sample(1000.0 * at, 0, each.cpu_s, 20.0, 9, waited_s=so_far))
+        return out
+
+    runs, starved = Usage(0.3, 20.0, 9, 0.2, True, (300, 7)), Usage(0.3, 20.0, 9, 0.2, True, (310, 8))
+    after, rests = Usage(0.3, 20.0, 9, 3.1, True, (320, 9)), Usage(0.3, 20.0, 9, 0.2, False, (310, 8))
+    assert [s.waited_s for s in looks(runs, starved, starved, starved, after).samples] == pytest.approx(
+        [0.2, 0.2, 1.2, 2.2, 3.1]
+    )
+    assert waited(looks(runs, starved, starved, starved)) == pytest.approx(2.0) and STARVED < 2.0
+    for found in ((runs, rests, rests, rests), (runs, rests, starved, rests, starved)):
+        assert waited(looks(*found)) == 0.0
