Tests: peers that all wait for the same time-out wait together, beside one node

Four silent peers of a node and eight bad callers of its console had a node each, and six of them waited 2.5 s each for the same limit.

Change: they come to one node at once. Each text, code and message is asserted as before, and after each that the node still serves.

--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -63,29 +63,30 @@
         assert got.code == 503 and got.body == b"stopping\n"
 
 
-@pytest.mark.parametrize(
-    ("text", "code"),
-    [
-        ("POST /stats " + HEAD + "Content-Length: 0\r\n\r\n", 405),
-        ("GET /nothing " + HEAD + "\r\n", 404),
-        ("GET /healthcheck/fail " + HEAD + "\r\n", 404),
-        ("nonsense\r\n\r\n", 400),
-        ("GET /stats " + HEAD + "X: " + "x" * 9000, 431),
-        ("POST /stats " + HEAD + "Content-Length: 70000\r\n\r\n" + "x" * 70000, 413),
-        ("GET /stats HT", 408),
-        ("", 408),
-    ],
+NO_CALLS = (
+    ("POST /stats " + HEAD + "Content-Length: 0\r\n\r\n", 405),
+    ("GET /nothing " + HEAD + "\r\n", 404),
+    ("GET /healthcheck/fail " + HEAD + "\r\n", 404),
+    ("nonsense\r\n\r\n", 400),
+    ("GET /stats " + HEAD + "X: " + "x" * 9000, 431),
+    ("POST /stats " + HEAD + "Content-Length: 70000\r\n\r\n" + "x" * 70000, 413),
+    ("GET /stats HT", 408),
+    ("", 408),
 )
-async def test_a_call_that_makes_no_sense_gets_a_no(tmp_path: Path, text: str, code: int) -> None:
+
+
+async def test_calls_that_make_no_sense_get_a_no(tmp_path: Path) -> None:
     async with running(tmp_path, Backend("b0"), console=CONSOLE) as rig:
-        reader, writer = await asyncio.open_connection("127.0.0.1", rig.console_port)
-        writer.write(text.encode())
-        got = await asyncio.wait_for(read_message(reader), WAIT)
-        assert got.code == code
-        happened, remedy = got.body.decode().splitlines()
-        assert happened.startswith("CON01: ") and remedy.startswith("what to do: ")
-        assert (await rig.call("/stats")).code == 200
-        writer.close()
+        callers = [await asyncio.open_connection("127.0.0.1", rig.console_port) for _ in NO_CALLS]
+        for (_, writer), (text, _) in zip(callers, NO_CALLS, strict=True):
+            writer.write(text.encode())
+        for (reader, writer), (text, code) in zip(callers, NO_CALLS, strict=True):
+            got = await asyncio.wait_for(read_message(reader), WAIT)
+            assert got.code == code, text
+            happened, remedy = got.body.decode().splitlines()
+            assert happened.startswith("CON01: ") and remedy.startswith("what to do: "), text
+            assert (await rig.call("/stats")).code == 200, text
+            writer.close()
 
 
 async def test_callers_that_finish_no_call_are_in_nobodys_way(tmp_path: Path) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -666,15 +666,18 @@
 SLOW_BODY = b"POST /once HTTP/1.1\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\n1"
 
 
-@pytest.mark.parametrize("sent", [b"", b"\r\n", b"GET /up HT", SLOW_BODY])
-async def test_a_peer_without_a_proper_request_is_let_go_in_time(tmp_path: Path, sent: bytes) -> None:
+async def test_peers_without_a_proper_request_are_let_go_in_time(tmp_path: Path) -> None:
     """Guards against silent peers that hold a connection: each is owed an error or a close within 3 s."""
 
     async with running(tmp_path, Backend("b0")) as rig:
-        kept, peer = await rig.client(), await rig.client()
+        kept = await rig.client()
+        peers = [(sent, await rig.client()) for sent in (b"", b"\r\n", b"GET /up HT", SLOW_BODY)]
         begun = asyncio.get_running_loop().time()
         assert (await kept.ask("/read")).code == 200
-        peer.writer.write(sent)
-        got = await peer.ended()
-        assert (b" 408 " in got) == (len(sent) > 2) and asyncio.get_running_loop().time() - begun < 8.0
+        for sent, peer in peers:
+            peer.writer.write(sent)
+        for sent, peer in peers:
+            got = await peer.ended()
+            assert (b" 408 " in got) == (len(sent) > 2), sent
+            assert asyncio.get_running_loop().time() - begun < 8.0, sent
         assert (await kept.ask("/read")).code == 200  # a peer that has sent a request may stay
