A choice costs no more with a wide subset: members kept, chosen by rejection sampling

The records of the subset are now kept (`Members`) until the list, a ban, settings or the return change something, with two bounds: no estimate is lower than `floor`, no weight larger than `heaviest`. Where all members are warm `_choose` takes one at random if it is eligible and at the floor, or, once all have reached m, by its weight; after eight glances `_pick` decides over all and both bounds are tight again. With cold members coins fall as before, without the shuffle. The reserve is looked at only if needed.

`Index.list` is `take` now, as the class names the type `list` too. A backend that has yet to start in a deployment without a ramp divided by 0 in `_warmth`; it no more does.

--- a/dillport/index.py
+++ b/dillport/index.py
@@ -186,7 +186,7 @@
         self.learned: dict[str, None] = {}  # those of which something is known, perhaps no more
         self.former: dict[str, None] = {}  # the latest that were forgotten
 
-    def list(self, entry: api.Entry) -> None:
+    def take(self, entry: api.Entry) -> None:
         """Take an entry of the list. One that was gone is another one, as is one that has started since."""
         b = self.records.get(entry.backend)
         if b is None:
@@ -228,6 +228,10 @@
             del self.former[next(iter(self.former))]
         return True
 
+    def window(self, first: int, last: int, far: bool = False) -> list[Backend]:
+        """Those at these positions; see `Order.window`."""
+        return [self.records[name] for name in self.order.window(first, last, far)]
+
     def least_trip(self, zone: str) -> float:
         """The least way there and back of those in a zone that may have new work."""
         return self.zones[zone].trips.least() if zone in self.zones else math.inf
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -13,10 +13,11 @@
 from dillport import interface as api
 from dillport.admission import Admission
 from dillport.index import Index, Least
-from dillport.state import Attempt, Backend, Class, Request
+from dillport.state import Attempt, Backend, Class, Members, Request
 
 TRIFLE = 0.012  # a price of no more than this part of the result does not restrict the choice of backends
 SAMPLE = 3  # backends looked at in one round: the paper's lowest-estimate search, sampled
+GLANCES = 8  # members of a subset looked at, one at random each time, before all of them are
 ROUNDS = 3  # rounds before the lowest of all that was seen is taken
 PATIENCE = 3.0  # a probe is overdue after this many usual round trips: the backend stands still
 SPREAD = 1.5  # second moment of job sizes over the squared mean (the paper's E[G^2]), allowed for in m
@@ -59,6 +60,7 @@
         self.classes: dict[str, Class] = {}
         self._configure(settings)
         self.home = self.width = 0  # so many of the first in it are in reach without a price; in the subset
+        self.members: dict[bool, Members] = {}  # of the subset, and of its like on the far side
         self.bad, self.spill = [0.0, 0.0], 0.0  # share gone bad near and far; share of requests sent far
         self.opening = False  # the first list is coming in pieces
         self.even = 0.0  # backends in each zone, were they spread evenly
@@ -124,6 +126,7 @@
         self.asks_failed = 0  # discovery may be at another address
         if nearness != (self.cfg.zone, self.cfg.charges.cross_zone <= TRIFLE):
             self.order.sort(self._near)
+        self.members.clear()
         self._measure()
         self._release()
 
@@ -162,6 +165,7 @@
 
         A backend started or put back since is a new one; its estimate stays at what this process sent.
         """
+        self.members.clear()
         keep, was = 0.5 ** (ev.age / self.ramp), ev.learned
         self.limit = max(self.limit, self.least + keep * (was.limit - self.least))
         self.trust, self.lost = 1.0 - keep * (1.0 - was.trust), keep * was.lost
@@ -182,6 +186,7 @@
 
     def _recovering(self, ev: api.Recovering) -> None:
         self.cold_since = ev.cold_since
+        self.members.clear()
         if ev.phase is api.RecoveryPhase.FULL:
             self.admission = None
         elif self.admission is None:
@@ -224,37 +229,74 @@
         low = min(b.estimate for b in pool)
         if low < m:
             return self.rng.choice([b for b in pool if b.estimate == low])
-        return self.rng.choices(pool, [b.entry.weight / b.slow**2 for b in pool])[0]
+        return self.rng.choices(pool, [b.weight for b in pool])[0]
+
+    def _choose(self, req: Request, members: Members, m: int, crowd: float) -> Backend | None:
+        """`_pick` of all eligible members where all are warm, by rejection sampling: no cost of their number.
+
+        One at random is taken if it is eligible and none can be lower, or, once all have reached m, with a
+        chance in proportion to its weight: each has the chance that `_pick` gives it, at whichever glance,
+        and when all glances were rejected `_pick` itself decides.
+        """
+        req.cold_ok, of = False, members.backends
+        for _ in range(GLANCES if of else 0):
+            b = of[int(self.rng.random() * len(of))]
+            fits = b.estimate == members.floor if members.floor < m else (
+                self.rng.random() * members.heaviest < b.weight)
+            if fits and self._eligible(req, b, crowd, b.until):
+                return b
+        members.floor = min([b.estimate for b in of], default=0)
+        members.heaviest = max([b.weight for b in of], default=0.0)
+        pool = [b for b in of if self._eligible(req, b, crowd, b.until)]
+        return self._pick(pool, m) if pool else None
+
+    def _members(self, size: int, far: bool) -> Members:
+        """The first so many of the order, as `Order.window` counts."""
+        held = self.members.get(far)
+        if held is None or len(held.backends) != size:
+            some = self.index.window(0, size, far)
+            warm_at = max([self._warm_at(b.entry) for b in some], default=0.0)
+            held = self.members[far] = Members(some, warm_at)
+        return held
+
+    def _eligible(self, req: Request, b: Backend, crowd: float, until: float) -> bool:
+        """Whether one may be given this request if it is warm; it counts as ejected until then."""
+        return (b.out <= crowd and b.busy <= self.now and until <= self.now and b not in req.found
+                and self._legal(req, b))
 
     def _report(self, b: Backend, report: api.Report | None, fresh: bool) -> None:
         """An idle sign zeroes the estimate, but for own attempts still out: a late sign knows none."""
         load = None if report is None else report.queue if report.in_flight is None else report.in_flight
-        if load is not None and load < 0.5:
+        if load is None:
+            return
+        if load < 0.5:
             b.estimate = b.out
-        elif load is not None and fresh:  # the bound is known anew: a probe is one round trip old
+        elif fresh:  # the bound is known anew: a probe is one round trip old
             b.estimate = max(b.out, round(load))
+        for members in self.members.values():
+            members.floor = min(members.floor, b.estimate)
 
     def _cap(self, req: Request) -> int:
         """m: how many requests can stand in line and the last still meet its aim."""
         return max(1, int(req.cls.cfg.aim / (SPREAD * max(req.cls.usual, 1e-9))))
 
-    def _draw(self, req: Request, count: int, names: list[str], crowd: float = math.inf,
+    def _draw(self, req: Request, count: int, of: list[Backend], crowd: float = math.inf,
               panic: bool = False) -> list[Backend]:
-        """Up to `count` eligible backends at random. Slow start: cold ones are thinned out, in fractions.
+        """Up to `count` eligible ones at random. Slow start: cold ones are thinned out, in fractions.
 
         Each request goes to a cold backend with a chance of COLD_PART of the fall multiple times its warmth,
         out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
         """
         out: list[Backend] = []
-        for place, name in enumerate(self.rng.sample(names, min(len(names), 3 * count))):
-            b = self.backends[name]
-            if b in req.found or max(b.busy, 0.0 if panic else b.until) > self.now or b.out > crowd:
+        # Where all are drawn their order does not matter, but for probes: the first idle answer decides.
+        some = of if len(of) <= count and not self.looks else self.rng.sample(of, min(len(of), 3 * count))
+        for place, b in enumerate(some):
+            if not self._eligible(req, b, crowd, 0.0 if panic else b.until):
                 continue
             warmth = self._warmth(b.entry)
-            if warmth < 1.0 and not self._bears(req, b, warmth, place, count, len(names)):
+            if warmth < 1.0 and not self._bears(req, b, warmth, place, count, len(of)):
                 continue
-            if self._legal(req, b):
-                out.append(b)
+            out.append(b)
             if len(out) >= count:
                 break
         req.cold_ok = False
@@ -280,14 +322,15 @@
 
     def _warmth(self, entry: api.Entry) -> float:
         """The part of its capacity that a backend surely has by now."""
-        # Nearly always so, and this is asked for each backend drawn.
-        if entry.started_at <= 0 and not self.returned and not self.cold_since:
+        left, cold = self._warm_at(entry) - self.now, self.cfg.cold_share
+        if left <= 0:
             return 1.0
+        return cold + (1.0 - cold) * max(0.0, 1.0 - left / self.ramp)
+
+    def _warm_at(self, entry: api.Entry) -> float:
+        """From when on it is warm; 0: it was so when the clock began."""
         started = max(entry.started_at, self.returned.get(entry.backend, 0.0), self.cold_since)
-        age, cold = self.now - started, self.cfg.cold_share
-        if started <= 0 or age >= self.cfg.ramp_time:
-            return 1.0
-        return cold + (1.0 - cold) * max(0.0, age) / self.cfg.ramp_time
+        return started + self.ramp if started > 0 else 0.0
 
     def _legal(self, req: Request, b: Backend) -> bool:
         """May this request go to this backend without taking effect twice? One attempt is out at a time."""
@@ -329,10 +372,10 @@
         return min((self._forgotten(req, a) for a in req.attempts if a.status not in api.NEVER_RAN),
                    default=0.0)
 
-    def _panic(self, req: Request, count: int, names: list[str], crowd: float = math.inf) -> list[Backend]:
+    def _panic(self, req: Request, count: int, of: list[Backend], crowd: float = math.inf) -> list[Backend]:
         """Nothing this node feeds is eligible: its own view may be the culprit, so ejections are ignored."""
-        self._log(f"panic: {len(names)} backends in view, none eligible, ignoring ejections")
-        return self._draw(req, count, names, crowd, panic=True)
+        self._log(f"panic: {len(of)} backends in view, none eligible, ignoring ejections")
+        return self._draw(req, count, of, crowd, panic=True)
 
     def _eject(self, b: Backend) -> None:
         """Outlier ejection with exponential backoff and jitter."""
@@ -465,12 +508,17 @@
         crowd, side = math.inf if req.dense else self.limit / k, self.home
         if far := far and self.home < len(self.order):
             side = len(self.order) - self.home
-        names = self.order.window(0, 2 * k, far)
-        first = min(k, side)  # a subset that is wider than the side would mix both
-        pool = (self._draw(req, k, names[:first], crowd) or self._draw(req, k, names[first:], crowd)
-                or self._panic(req, k, names, crowd))
+        members = self._members(min(k, side), far)  # a subset that is wider than the side would mix both
         # Every node takes its part of what a backend may be given after it showed idle.
-        b = self._pick(pool, max(1, self._cap(req) // self.cfg.group_size)) if pool else None
+        m = max(1, self._cap(req) // self.cfg.group_size)
+        b, pool = None, list[Backend]()
+        if self.now >= members.warm_at:
+            b = self._choose(req, members, m, crowd)
+        else:
+            pool = self._draw(req, k, members.backends, crowd)
+        if b is None:
+            pool = pool or self._beyond(req, k, len(members.backends), far, crowd)
+            b = self._pick(pool, m) if pool else None
         if b is None or self._warmth(b.entry) < 1.0:
             self.may_try = max(0.0, self.may_try - 1.0)
         if b is not None:
@@ -478,6 +526,11 @@
         else:
             self._finish(req, "none")
 
+    def _beyond(self, req: Request, k: int, size: int, far: bool, crowd: float) -> list[Backend]:
+        """None of the subset, of this size, is eligible: its reserve, or any of both in panic."""
+        view = self.index.window(0, 2 * k, far)
+        return self._draw(req, k, view[size:], crowd) or self._panic(req, k, view, crowd)
+
     def _is_first(self, name: str) -> bool:
         """Whether this node is one of those that send a backend that was put back a request at once.
 
@@ -501,9 +554,9 @@
     def _look(self, req: Request) -> None:
         """Ask a few backends how they are; the request waits one round trip."""
         req.rounds, req.looks, k = req.rounds + 1, req.looks + 1, self.width
-        names = self.order.window(0, 2 * k)
-        pool = self._draw(req, SAMPLE, names[:k]) or self._draw(req, SAMPLE, names[k:])
-        for b in pool or self._panic(req, SAMPLE, names):
+        view = self.index.window(0, 2 * k)
+        pool = self._draw(req, SAMPLE, view[:k]) or self._draw(req, SAMPLE, view[k:])
+        for b in pool or self._panic(req, SAMPLE, view):
             req.pending.add(b.entry.backend)
             if b.waiting is None:
                 b.waiting = []
@@ -628,6 +681,8 @@
             if good or self.looks or not (attempt.cut or ev.status is api.Status.FULL):
                 self.trust += EWMA * (1 + self.looks) * (good - self.trust)
             b.slow += EWMA * ((ev.duration if good else cls.cfg.aim) / cls.usual - b.slow)
+            for members in self.members.values():
+                members.heaviest = max(members.heaviest, b.weight)
             far = not self._near(b)
             self.bad[far] += EWMA * (1 - good - self.bad[far])
             gain = SPILL * (self.bad[0] - self.bad[1] - self.cfg.charges.cross_zone)
@@ -770,7 +825,7 @@
             left_out = sorted(self.backends.keys() - {e.backend for e in entries})
             entries = [replace(self.backends[x].entry, phase=api.Phase.GONE) for x in left_out] + entries
         for entry in entries:
-            self.index.list(entry)
+            self.index.take(entry)
         self._refresh({entry.backend: None for entry in entries}, ev.more)
 
     def _refresh(self, names: Iterable[str], more: bool = False) -> None:
@@ -779,6 +834,7 @@
         The first `width` are the subset it feeds, the next its reserve. Small subsets keep connections few
         and own counts telling. They start evenly laid; changes move few.
         """
+        self.members.clear()
         empty = not self.order
         self.opening = self.opening or empty
         listed = [b for name in names if (b := self.backends.get(name)) is not None]
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -25,12 +25,30 @@
     block: list[str] | None = None  # of the node's order, in which it stands; None: it may have no new work
     near: bool = False  # whether it stands there among the near ones
 
+    @property
+    def weight(self) -> float:
+        """Its weight in a random pick: one that is slow gets less."""
+        return self.entry.weight / self.slow**2
+
     def restarted(self) -> None:
         """It is a new process: what was known of the old one is void, but for what is still out there."""
         self.estimate, self.fails, self.until, self.busy = self.out, 0, 0.0, 0.0
         self.slow, self.trip = 1.0, math.inf
 
 
+@dataclass(slots=True, eq=False)
+class Members:
+    """The backends that a first draw is made from, kept while the list stays as it is.
+
+    The bounds may be loose, and are tight once all members have been looked at.
+    """
+
+    backends: list[Backend]
+    warm_at: float  # from then on all of them are warm
+    floor: int = 0  # no estimate is lower
+    heaviest: float = math.inf  # no weight is larger
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a request."""
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -117,6 +117,12 @@
     assert b.even == len(up) / max(1, len(zones)) and b.width <= len(up)
     kept = [x for name, x in b.backends.items() if name not in listed]
     assert all(x.out or x.waiting is not None for x in kept)  # nothing gone is kept for nothing
+    for far, members in b.members.items():
+        size = len(members.backends)
+        assert members.backends == [b.backends[x] for x in b.order.window(0, size, far)]
+        assert all(b._takes(x) and x.estimate >= members.floor for x in members.backends)
+        assert all(x.weight <= members.heaviest for x in members.backends)
+        assert all(b._warmth(x.entry) == 1.0 for x in members.backends) or now < members.warm_at
     assert cfg is plain.cfg
 
 
@@ -375,8 +381,8 @@
 
 
 @pytest.mark.parametrize(("what", "most"), [
-    ("answer", 1.5), ("failed", 1.5), ("unsafe", 1.5), ("change", 1.5), ("ban", 1.5), ("scrape", 1.5),
-    ("learned", 1.5), ("far", 1.5),
+    ("answer", 1.5), ("choice", 1.1), ("failed", 1.5), ("unsafe", 1.5), ("change", 1.5), ("ban", 1.5),
+    ("scrape", 1.5), ("learned", 1.5), ("far", 1.5),
 ])  # fmt: skip
 def test_no_event_costs_more_calls_before_a_long_list(what: str, most: float) -> None:
     """Counted calls; what a list or a dictionary does within one is in the benchmark (`lab scale`)."""
@@ -396,6 +402,12 @@
             match what:
                 case "answer":
                     served(number, "read", api.Status.OK)
+                case "choice":  # near, and one whose first attempt fails; ejections are over by the next
+                    b.spill, b.bank, later = 0.0, 3.0, b.now + 10_000.0
+                    (sent,) = sends(b.handle(later, api.Arrival(f"r{number}", "pay", later + 900.0)))
+                    lost = api.Outcome(sent.request, 0, sent.backend, api.Status.RESET, 4.0, False)
+                    (sent,) = sends(b.handle(later, lost))
+                    b.handle(later, api.Outcome(sent.request, 1, sent.backend, api.Status.OK, 4.0, True))
                 case "failed":
                     served(number, "pay", api.Status.RESET)
                 case "unsafe":
