A list in the taking outlasts a change that names what it leaves out

Seen: while a whole list was taken in turns, a change said that a backend was gone which that list does not name. What is told to stop goes at once, so the pool had dropped it; _left_out (net/listing.py) walks over the names that it saw before, and looked it up there: KeyError. That counts as a defect of the list, all news that waited were dropped, and the last list stayed in force until discovery told a whole one.

Change: a name that has gone meanwhile is passed over.

--- a/dillport/net/listing.py
+++ b/dillport/net/listing.py
@@ -147,10 +147,10 @@
         """What a whole list names no more, as gone; empty where a turn found nothing."""
         hosts = self.pool.hosts
         for some in _cut(tuple(hosts), LOOKS):
-            left = [hosts[name] for name in some if name not in named]
+            left = [hosts.get(name) for name in some if name not in named]
             gone = [
                 Member(replace(host.entry, phase=api.Phase.GONE), host.address)
-                for host in left if host.entry is not None
+                for host in left if host is not None and host.entry is not None  # a change may be ahead
             ]  # fmt: skip
             yield from _cut(gone, PIECE) if gone else ((),)
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -235,6 +235,26 @@
     assert len(names) < 30 and names.count("b0") == 1  # the rest of the older one never came
 
 
+@pytest.mark.parametrize("turns", range(20))
+def test_what_goes_by_a_change_while_a_list_without_it_is_taken_goes_once(tmp_path: Path, turns: int) -> None:
+    """Guards against a list given up as it looks for one that has gone meanwhile."""
+    world = Long(tmp_path)
+
+    def say(node: Node, _: Discovery) -> None:
+        node.list(whole(9, 4), ListKind.FULL)
+        later = change(10, b29=GONE, b28=GONE)
+        work = node.loop.call_soon
+
+        def wait(left: int) -> None:
+            work(wait, left - 1) if left else node.list(later, ListKind.CHANGES)
+
+        wait(turns)
+
+    node = world.live(world.says(whole(8, 30)), say)
+    assert world.module.held.keys() == node.pool.hosts.keys() == {"b0", "b1", "b2", "b3"}
+    assert world.taken == [8, 9, 10]
+
+
 def test_empty_lines_in_mid_list_do_not_make_the_node_fresh(tmp_path: Path) -> None:
     world, seen = Long(tmp_path), list[bool]()
 
