--- /dev/null
+++ b/dillport/lab/scale/beside.py
@@ -0,0 +1,81 @@
+"""Parts of plays in worker processes, beside one another: simulations, whose counted figures depend on a seed
+alone. Each has its own process's time; what measures times of a machine that is at rest has no place here.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import multiprocessing
+import os
+import signal
+import time
+from collections.abc import Callable, Generator, Iterable, Sequence
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from concurrent.futures.process import BrokenProcessPool
+from dataclasses import dataclass
+from functools import partial
+
+from dillport.lab.processes import PR_SET_PDEATHSIG
+from dillport.lab.scale.points import NotPlayed, Part, Point
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """One part, and what came of it."""
+
+    part: Part
+    items: Sequence[Point | NotPlayed]
+    seconds: float  # that it took in its process
+
+
+def workers_most() -> int:
+    """Half of the cores: other work has the rest, and the processor times still mean something."""
+    return max(1, len(os.sched_getaffinity(0)) // 2)
+
+
+def played(
+    parts: Sequence[Part], seed: int, workers: int, until: float, left: Callable[[str], NotPlayed]
+) -> Generator[Done, None, None]:
+    """Each part as it ends, the costliest begun first, by so many processes.
+
+    At `until`, a time of the monotonic clock, processes that have not ended are killed, and `left` tells of
+    their parts. Raises what a part raises.
+    """
+    others = set(multiprocessing.active_children())
+    spawn = multiprocessing.get_context("spawn")
+    pool = ProcessPoolExecutor(workers, spawn, partial(_die_with, os.getpid()))
+    ordered = sorted(parts, key=lambda part: -part.cost)
+    running = {pool.submit(_play, part.run, seed): part for part in ordered}
+    try:
+        while running and (ended := wait(running, until - time.monotonic(), FIRST_COMPLETED).done):
+            for future in ended:
+                yield _done(running.pop(future), future)
+        for part in running.values():
+            yield Done(part, [left(part.name)], 0.0)
+    finally:
+        if running:
+            for process in set(multiprocessing.active_children()) - others:
+                process.kill()
+        pool.shutdown(cancel_futures=True)
+
+
+def _done(part: Part, future: Future[tuple[list[Point | NotPlayed], float]]) -> Done:
+    try:
+        return Done(part, *future.result())
+    except BrokenProcessPool:  # for want of memory, perhaps
+        return Done(part, [NotPlayed(part.name, "its process, or one beside it, was ended")], 0.0)
+
+
+def _play(
+    run: Callable[[int], Iterable[Point | NotPlayed]], seed: int
+) -> tuple[list[Point | NotPlayed], float]:
+    begin = time.monotonic()
+    return list(run(seed)), time.monotonic() - begin
+
+
+def _die_with(parent: int) -> None:
+    """However the rig ends, so does its worker; an interrupt is the rig's."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+    if os.getppid() != parent:  # it died in between
+        os._exit(1)
--- a/dillport/lab/scale/points.py
+++ b/dillport/lab/scale/points.py
@@ -61,6 +61,15 @@
     why: str
 
 
+@dataclass(slots=True, frozen=True)
+class Part:
+    """Some figures of a play at one size, which can be had in a process beside others."""
+
+    name: str  # as it is called where it was not played
+    run: Callable[[int], Iterable[Point | NotPlayed]]  # from a seed; can be pickled
+    cost: float  # about the seconds that it takes: what takes long is begun first
+
+
 @dataclass(slots=True, frozen=True)
 class Play:
     """One play: measures some figures at all its sizes, is bounded, ends by itself."""
@@ -69,6 +78,7 @@
     run: Callable[[int], Iterable[Point | NotPlayed]]  # from a seed; points come as they are measured
     target: int  # the size of two years of what it grows by
     limits: str  # what of it is hollow, what the stand-in or the world leaves out
+    parts: tuple[Part, ...] = ()  # the same in the same order, where parts can be had beside one another
 
 
 def fit(points: Sequence[Point], target: int) -> Slope:
--- a/dillport/lab/scale/rig.py
+++ b/dillport/lab/scale/rig.py
@@ -1,4 +1,6 @@
-"""Plays all roles one after the other: points, slopes, what was not played; `scale.json` and `scale.html`."""
+"""Plays all roles, one after the other or in parts: points, slopes, what was not played; `scale.json` and
+`scale.html`.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +10,7 @@
 import subprocess
 import time
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -19,6 +22,7 @@
 from dillport.lab.programs import ROOT
 from dillport.lab.report import BAD, GOOD, INK, page, png, table_html
 from dillport.lab.scale import control, discovery, listing, module, processes, rack, tables
+from dillport.lab.scale.beside import Done, played, workers_most
 from dillport.lab.scale.points import FORMS, NotPlayed, Play, Point, Slope, slopes
 
 VERSION = 1
@@ -33,7 +37,7 @@
     name: str
     target: int
     limits: str
-    seconds: float
+    seconds: float  # of its parts together, where they were played beside one another
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -66,38 +70,63 @@
     return [play for room in rooms for play in room.plays(quick)]
 
 
-def run(plays: Sequence[Play], seed: int, quick: bool, tell: Callable[[str, Point | None], None]) -> Result:
-    """Play them, one at a time. `tell` hears of each play as it begins, and of each point."""
-    played, load, begin = program(), os.getloadavg()[0], time.monotonic()
+@dataclass(slots=True, frozen=True)
+class Course:
+    """What holds for all plays of one run."""
+
+    seed: int
+    most: float  # s for all of them
+    until: float  # when that is over, by the monotonic clock
+    tell: Callable[[str, Point | None], None]  # hears of each play as it begins, and of each point
+
+    @property
+    def over(self) -> bool:
+        """Nothing is begun any more."""
+        return time.monotonic() > self.until
+
+    def left(self, what: str) -> NotPlayed:
+        """What there was no time for."""
+        return NotPlayed(what, f"the {self.most:g} s of the whole command were over")
+
+
+@dataclass(slots=True, frozen=True)
+class Went:
+    """What came of one play."""
+
+    items: list[Point | NotPlayed]
+    seconds: float | None  # that it took, all its parts together; None: it was not begun
+
+
+def run(
+    plays: Sequence[Play], seed: int, quick: bool, tell: Callable[[str, Point | None], None],
+    workers: int | None = None,
+) -> Result:  # fmt: skip
+    """Play them, one at a time; then those that have parts, so many parts at a time, see `workers_most`.
+
+    `tell` hears of each play as it begins, and of each point.
+    """
+    version, load, begin = program(), os.getloadavg()[0], time.monotonic()
     most = MOST_QUICK_S if quick else MOST_S
+    course = Course(seed, most, begin + most, tell)
+    went = {play.name: _alone(play, course) for play in plays if not play.parts}
+    went |= _beside([play for play in plays if play.parts], course, workers or workers_most())
     points: list[Point] = []
     found: list[Slope] = []
     left: list[NotPlayed] = []
     done: list[Played] = []
     for play in plays:
-        started = time.monotonic()
-        if started - begin > most:
-            left.append(NotPlayed(play.name, f"the {most:g} s of the whole command were over"))
-            continue
-        tell(play.name, None)
-        mine: list[Point] = []
-        for item in play.run(seed):
-            if isinstance(item, NotPlayed):
-                left.append(item)
-            else:
-                mine.append(item)
-                tell(play.name, item)
-            if time.monotonic() - begin > most:
-                left.append(NotPlayed(f"{play.name}, the rest", f"the {most:g} s of the command were over"))
-                break
+        items, seconds = went[play.name].items, went[play.name].seconds
+        mine = [item for item in items if isinstance(item, Point)]
         points += mine
         found += slopes(mine, play.target)
-        done.append(Played(play.name, play.target, play.limits, round(time.monotonic() - started, 1)))
+        left += [item for item in items if isinstance(item, NotPlayed)]
+        if seconds is not None:
+            done.append(Played(play.name, play.target, play.limits, round(seconds, 1)))
     return Result(
         version=VERSION,
         seed=seed,
         quick=quick,
-        program=played,
+        program=version,
         python=platform.python_version(),
         machine=f"{os.cpu_count()} cores, {platform.machine()}",
         load=round(load, 2),
@@ -109,6 +138,44 @@
     )
 
 
+def _alone(play: Play, course: Course) -> Went:
+    """Play one in this process; the time is looked at after each item."""
+    if course.over:
+        return Went([course.left(play.name)], None)
+    begin, items = time.monotonic(), list[Point | NotPlayed]()
+    course.tell(play.name, None)
+    for item in play.run(course.seed):
+        items.append(item)
+        if isinstance(item, Point):
+            course.tell(play.name, item)
+        if course.over:
+            items.append(course.left(f"{play.name}, the rest"))
+            break
+    return Went(items, time.monotonic() - begin)
+
+
+def _beside(plays: Sequence[Play], course: Course, workers: int) -> dict[str, Went]:
+    """Play the parts of these in processes beside one another; their points keep the order of the parts."""
+    if course.over:
+        return {play.name: Went([course.left(play.name)], None) for play in plays}
+    for play in plays:
+        course.tell(play.name, None)
+    of = {part.name: play.name for play in plays for part in play.parts}
+    parts, done = [part for play in plays for part in play.parts], dict[str, Done]()
+    for ended in played(parts, course.seed, workers, course.until, course.left):
+        done[ended.part.name] = ended
+        for item in ended.items:
+            if isinstance(item, Point):
+                course.tell(of[ended.part.name], item)
+    return {
+        play.name: Went(
+            [item for part in play.parts for item in done[part.name].items],
+            sum(done[part.name].seconds for part in play.parts),
+        )
+        for play in plays
+    }
+
+
 def _rounded(point: Point) -> Point:
     """Counted figures as they are, others to six digits."""
     value = point.value if point.exact else float(f"{point.value:.6g}")
--- a/dillport/lab/scale/tiers.py
+++ b/dillport/lab/scale/tiers.py
@@ -11,7 +11,7 @@
 import time
 import tracemalloc
 from collections import Counter
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -198,16 +198,6 @@
         yield of.machine("cold_start_world", "s", whole)
 
 
-def faults(sizes: Sequence[int], seed: int) -> Iterator[Point | NotPlayed]:
-    """One death, a rack's, a tenth restarted, a region cut off and healed; each from a tier that agrees."""
-    for count in sizes:
-        of = Figures(ROLE, count)
-        yield from _deaths(tier(count, seed), of)
-        yield from _rack(tier(count, seed), of)
-        yield from _restarts(tier(count, seed), of)
-        yield from _region(tier(count, seed), of)
-
-
 def _worst(world: Metered) -> float:
     """Bytes that a node received in the worst second."""
     return max(world.meter.by_second.values(), default=0) / world.count
@@ -273,6 +263,20 @@
     return True
 
 
+FAULTS: dict[str, Callable[[Metered, Figures], Iterator[Point | NotPlayed]]] = {
+    "a death": _deaths, "a rack": _rack, "restarts": _restarts, "a region": _region,
+}  # fmt: skip
+
+
+def faults(
+    sizes: Sequence[int], seed: int, some: Iterable[str] = tuple(FAULTS)
+) -> Iterator[Point | NotPlayed]:
+    """One death, a rack's, a tenth restarted, a region cut off and healed; each from a tier that agrees."""
+    for count in sizes:
+        for fault in some:
+            yield from FAULTS[fault](tier(count, seed), Figures(ROLE, count))
+
+
 # --- one core at the full size
 
 
