Cold members cost a choice their coins, not a look at all of the subset

`Members` keeps warm and cold ones apart until the first of the cold ones is warm. The coins of the cold ones fall first, as each falls for itself; where none is eligible, which is nearly always, the choice is made among the warm ones by glances, else by a look at all with those whose coin fell.

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -233,14 +233,18 @@
         return self.rng.choices(pool, [b.weight for b in pool])[0]
 
     def _choose(self, req: Request, members: Members, m: int, crowd: float) -> Backend | None:
-        """`_pick` of all eligible members where all are warm, by rejection sampling: no cost of their number.
+        """`_pick` of all eligible members; by rejection sampling, whose cost is not of their number, while no
+        cold one is among them.
 
         One at random is taken if it is eligible and none can be lower, or, once all have reached m, with a
         chance in proportion to its weight: each has the chance that `_pick` gives it, at whichever glance,
         and when all glances were rejected `_pick` itself decides.
         """
-        req.cold_ok, of = False, members.backends
-        for _ in range(GLANCES if of else 0):
+        size, of = len(members.backends), members.warm
+        pool = [b for b in members.cold if self._eligible(req, b, crowd, b.until)
+                and self._bears(req, b, self._warmth(b.entry), 0, size, size)]
+        req.cold_ok = False
+        for _ in range(GLANCES if of and not pool else 0):
             b = of[int(self.rng.random() * len(of))]
             fits = b.estimate == members.floor if members.floor < m else (
                 self.rng.random() * members.heaviest < b.weight)
@@ -248,16 +252,19 @@
                 return b
         members.floor = min([b.estimate for b in of], default=0)
         members.heaviest = max([b.weight for b in of], default=0.0)
-        pool = [b for b in of if self._eligible(req, b, crowd, b.until)]
+        pool += [b for b in of if self._eligible(req, b, crowd, b.until)]
         return self._pick(pool, m) if pool else None
 
     def _members(self, size: int, far: bool) -> Members:
         """The first so many of the order, as `Order.window` counts."""
         held = self.members.get(far)
-        if held is None or len(held.backends) != size:
+        if held is None or len(held.backends) != size or held.until <= self.now:
             some = self.index.window(0, size, far)
-            warm_at = max([self._warm_at(b.entry) for b in some], default=0.0)
-            held = self.members[far] = Members(some, warm_at)
+            warm, cold = list[Backend](), list[Backend]()
+            for b in some:
+                (cold if self._warmth(b.entry) < 1.0 else warm).append(b)
+            until = min([self._warm_at(b.entry) for b in cold], default=math.inf)
+            held = self.members[far] = Members(some, warm, cold, until)
         return held
 
     def _eligible(self, req: Request, b: Backend, crowd: float, until: float) -> bool:
@@ -289,9 +296,7 @@
         out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
         """
         out: list[Backend] = []
-        # Where all are drawn their order does not matter, but for probes: the first idle answer decides.
-        some = of if len(of) <= count and not self.looks else self.rng.sample(of, min(len(of), 3 * count))
-        for place, b in enumerate(some):
+        for place, b in enumerate(self.rng.sample(of, min(len(of), 3 * count))):
             if not self._eligible(req, b, crowd, 0.0 if panic else b.until):
                 continue
             warmth = self._warmth(b.entry)
@@ -512,14 +517,9 @@
         members = self._members(min(k, side), far)  # a subset that is wider than the side would mix both
         # Every node takes its part of what a backend may be given after it showed idle.
         m = max(1, self._cap(req) // self.cfg.group_size)
-        b, pool = None, list[Backend]()
-        if self.now >= members.warm_at:
-            b = self._choose(req, members, m, crowd)
-        else:
-            pool = self._draw(req, k, members.backends, crowd)
-        if b is None:
-            pool = pool or self._beyond(req, k, len(members.backends), far, crowd)
-            b = self._pick(pool, m) if pool else None
+        b = self._choose(req, members, m, crowd)
+        if b is None and (pool := self._beyond(req, k, len(members.backends), far, crowd)):
+            b = self._pick(pool, m)
         if b is None or self._warmth(b.entry) < 1.0:
             self.may_try = max(0.0, self.may_try - 1.0)
         if b is not None:
--- a/dillport/state.py
+++ b/dillport/state.py
@@ -44,9 +44,11 @@
     """
 
     backends: list[Backend]
-    warm_at: float  # from then on all of them are warm
-    floor: int = 0  # no estimate is lower
-    heaviest: float = math.inf  # no weight is larger
+    warm: list[Backend]
+    cold: list[Backend]
+    until: float  # then the first of the cold ones is warm
+    floor: int = 0  # no estimate of a warm one is lower
+    heaviest: float = math.inf  # no weight of a warm one is larger
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -166,6 +166,20 @@
     assert part > 0.3 and got == pytest.approx(part, abs=0.03)
 
 
+def test_one_that_has_become_warm_is_chosen_like_the_others() -> None:
+    b = _node()
+    name = b.order.window(4, 5)[0]
+    b.backends[name].entry.started_at = NOW - CFG.ramp_time + 5.0
+    b.handle(b.now, api.ListUpdate(api.ListKind.CHANGES, [replace(b.backends[name].entry)]))
+    assert 0 < _drawn(b, "read", None)[name] < DRAWS / SIZE  # its coin falls for it 1.5 times in 14
+    b.now = NOW + 10.0
+    for x in b.backends.values():
+        x.estimate = 6 if x.entry.backend == name else 7
+    weights = {x.entry.backend: x.weight for x in b.backends.values()}
+    part = weights[name] / sum(weights.values())
+    assert _drawn(b, "read", None)[name] == pytest.approx(DRAWS * part, rel=0.2)
+
+
 def test_where_none_of_the_subset_is_eligible_its_reserve_is_and_then_any_that_is_ejected() -> None:
     b = _node(group_size=25)
     assert b.width == 3
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -130,9 +130,11 @@
     for far, members in b.members.items():
         size = len(members.backends)
         assert members.backends == [b.backends[x] for x in b.order.window(0, size, far)]
-        assert all(b._takes(x) and x.estimate >= members.floor for x in members.backends)
-        assert all(x.weight <= members.heaviest for x in members.backends)
-        assert all(b._warmth(x.entry) == 1.0 for x in members.backends) or now < members.warm_at
+        assert sorted(map(id, members.warm + members.cold)) == sorted(map(id, members.backends))
+        assert all(b._takes(x) for x in members.backends)
+        assert all(x.estimate >= members.floor and x.weight <= members.heaviest for x in members.warm)
+        assert all(b._warmth(x.entry) == 1.0 for x in members.warm)
+        assert all(b._warmth(x.entry) < 1.0 for x in members.cold) == (now < members.until)
     assert cfg is plain.cfg
 
 
@@ -416,7 +418,7 @@
             match what:
                 case "answer":
                     served(number, "read", api.Status.OK)
-                case "choice":  # near, and one whose first attempt fails; ejections are over by the next
+                case "choice":  # near, and its first attempt fails; ejections are over by the next
                     b.spill, b.bank, later = 0.0, 3.0, b.now + 10_000.0
                     (sent,) = sends(b.handle(later, api.Arrival(f"r{number}", "pay", later + 900.0)))
                     lost = api.Outcome(sent.request, 0, sent.backend, api.Status.RESET, 4.0, False)
@@ -451,6 +453,28 @@
     assert cost(8_000) <= most * cost(250) + 40
 
 
+def test_a_choice_costs_no_more_calls_in_a_wide_subset_that_holds_cold_ones() -> None:
+    """Guards against a look at all of a subset for each request while one of it is cold."""
+
+    def cost(size: int) -> int:
+        b = fleet_of(size)
+        cold = [replace(x.entry, started_at=1000.0) for x in b.index.window(0, 2)]
+        b.handle(1000.0, api.ListUpdate(CHANGES, cold))
+        b.spill = 0.0
+
+        def play(first: int, last: int) -> None:
+            for number in range(first, last):
+                now = 1000.0 + 10.0 * number
+                for sent in sends(b.handle(now, api.Arrival(f"r{number}", "read", now + 900.0))):
+                    b.handle(now, api.Outcome(sent.request, 0, sent.backend, api.Status.OK, 20.0, True))
+
+        play(0, 100)
+        assert len(b.members[False].cold) == 2
+        return calls_of(lambda: play(100, 300))
+
+    assert cost(8_000) <= 1.1 * cost(250)
+
+
 def test_a_piece_of_the_list_costs_few_calls_also_once_much_of_it_is_in() -> None:
     """Counted calls; guards against a walk through the blocks of the order for each entry of a piece, and
     against a generator of random numbers that is seeded for each.
