Whether zones are priced is worked out in one place

`_near` and `_reconfigured` each compared the price with TRIFLE; `_configure` does so now, once for each settings. No decision changes (test_index.py's reloads, test_reload.py).

--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -107,6 +107,7 @@
         self.usual_sum = sum(c.usual for c in self.classes.values())  # ms; kept up as they change
         self.ramp = max(settings.ramp_time, TINY)  # ms; a deployment may have none
         self.longest_aim = max(c.aim for c in settings.classes)
+        self.priced = settings.charges.cross_zone > TRIFLE  # the way to other zones
         self.looks = (settings.probing and settings.reports is not api.Reports.NONE
                       and settings.charges.probe * SAMPLE <= TRIFLE)
 
@@ -122,10 +123,10 @@
         return -cls.strain if (cls := self.classes.get(class_name)) is not None else math.inf
 
     def _reconfigured(self, ev: api.Reconfigured) -> None:
-        nearness = self.cfg.zone, self.cfg.charges.cross_zone <= TRIFLE
+        nearness = self.cfg.zone, self.priced
         self._configure(ev.settings)
         self.asks_failed = 0  # discovery may be at another address
-        if nearness != (self.cfg.zone, self.cfg.charges.cross_zone <= TRIFLE):
+        if nearness != (self.cfg.zone, self.priced):
             self.order.sort(self._near)
         self.members.clear()
         self._measure()
@@ -926,7 +927,7 @@
         return (self.cfg.me * GOLDEN + turn) % 1.0
 
     def _near(self, b: Backend) -> bool:
-        return self.cfg.charges.cross_zone <= TRIFLE or b.entry.zone == self.cfg.zone
+        return not self.priced or b.entry.zone == self.cfg.zone
 
 
 def _place(req: Request, b: Backend) -> str | int:
