--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -3,6 +3,7 @@
 `_pick` is Join-Up-To(m); `_draw` says which backends are eligible; `_send` and `_finish` check the rules.
 """
 
+import hashlib
 import math
 import random
 from collections import Counter
@@ -106,6 +107,7 @@
         self.usual_sum = sum(c.usual for c in self.classes.values())  # ms; kept up as they change
         self.ramp = max(settings.ramp_time, TINY)  # ms; a deployment may have none
         self.longest_aim = max(c.aim for c in settings.classes)
+        self.priced = settings.charges.cross_zone > TRIFLE  # the way to other zones
         self.looks = (settings.probing and settings.reports is not api.Reports.NONE
                       and settings.charges.probe * SAMPLE <= TRIFLE)
 
@@ -121,10 +123,10 @@
         return -cls.strain if (cls := self.classes.get(class_name)) is not None else math.inf
 
     def _reconfigured(self, ev: api.Reconfigured) -> None:
-        nearness = self.cfg.zone, self.cfg.charges.cross_zone <= TRIFLE
+        nearness = self.cfg.zone, self.priced
         self._configure(ev.settings)
         self.asks_failed = 0  # discovery may be at another address
-        if nearness != (self.cfg.zone, self.cfg.charges.cross_zone <= TRIFLE):
+        if nearness != (self.cfg.zone, self.priced):
             self.order.sort(self._near)
         self.members.clear()
         self._measure()
@@ -232,14 +234,18 @@
         return self.rng.choices(pool, [b.weight for b in pool])[0]
 
     def _choose(self, req: Request, members: Members, m: int, crowd: float) -> Backend | None:
-        """`_pick` of all eligible members where all are warm, by rejection sampling: no cost of their number.
+        """`_pick` of all eligible members; by rejection sampling, whose cost is not of their number, while no
+        cold one is among them.
 
         One at random is taken if it is eligible and none can be lower, or, once all have reached m, with a
         chance in proportion to its weight: each has the chance that `_pick` gives it, at whichever glance,
         and when all glances were rejected `_pick` itself decides.
         """
-        req.cold_ok, of = False, members.backends
-        for _ in range(GLANCES if of else 0):
+        size, of = len(members.backends), members.warm
+        pool = [b for b in members.cold if self._eligible(req, b, crowd, b.until)
+                and self._bears(req, b, self._warmth(b.entry), 0, size, size)]
+        req.cold_ok = False
+        for _ in range(GLANCES if of and not pool else 0):
             b = of[int(self.rng.random() * len(of))]
             fits = b.estimate == members.floor if members.floor < m else (
                 self.rng.random() * members.heaviest < b.weight)
@@ -247,16 +253,19 @@
                 return b
         members.floor = min([b.estimate for b in of], default=0)
         members.heaviest = max([b.weight for b in of], default=0.0)
-        pool = [b for b in of if self._eligible(req, b, crowd, b.until)]
+        pool += [b for b in of if self._eligible(req, b, crowd, b.until)]
         return self._pick(pool, m) if pool else None
 
     def _members(self, size: int, far: bool) -> Members:
         """The first so many of the order, as `Order.window` counts."""
         held = self.members.get(far)
-        if held is None or len(held.backends) != size:
+        if held is None or len(held.backends) != size or held.until <= self.now:
             some = self.index.window(0, size, far)
-            warm_at = max([self._warm_at(b.entry) for b in some], default=0.0)
-            held = self.members[far] = Members(some, warm_at)
+            warm, cold = list[Backend](), list[Backend]()
+            for b in some:
+                (cold if self._warmth(b.entry) < 1.0 else warm).append(b)
+            until = min([self._warm_at(b.entry) for b in cold], default=math.inf)
+            held = self.members[far] = Members(some, warm, cold, until)
         return held
 
     def _eligible(self, req: Request, b: Backend, crowd: float, until: float) -> bool:
@@ -288,9 +297,7 @@
         out of the fleet as large as it was before restarts: all nodes together keep its budget, however many.
         """
         out: list[Backend] = []
-        # Where all are drawn their order does not matter, but for probes: the first idle answer decides.
-        some = of if len(of) <= count and not self.looks else self.rng.sample(of, min(len(of), 3 * count))
-        for place, b in enumerate(some):
+        for place, b in enumerate(self.rng.sample(of, min(len(of), 3 * count))):
             if not self._eligible(req, b, crowd, 0.0 if panic else b.until):
                 continue
             warmth = self._warmth(b.entry)
@@ -511,14 +518,9 @@
         members = self._members(min(k, side), far)  # a subset that is wider than the side would mix both
         # Every node takes its part of what a backend may be given after it showed idle.
         m = max(1, self._cap(req) // self.cfg.group_size)
-        b, pool = None, list[Backend]()
-        if self.now >= members.warm_at:
-            b = self._choose(req, members, m, crowd)
-        else:
-            pool = self._draw(req, k, members.backends, crowd)
-        if b is None:
-            pool = pool or self._beyond(req, k, len(members.backends), far, crowd)
-            b = self._pick(pool, m) if pool else None
+        b = self._choose(req, members, m, crowd)
+        if b is None and (pool := self._beyond(req, k, len(members.backends), far, crowd)):
+            b = self._pick(pool, m)
         if b is None or self._warmth(b.entry) < 1.0:
             self.may_try = max(0.0, self.may_try - 1.0)
         if b is not None:
@@ -834,37 +836,52 @@
         The first `width` are the subset it feeds, the next its reserve. Small subsets keep connections few
         and own counts telling. They start evenly laid; changes move few.
         """
-        self.members.clear()
         empty = not self.order
         self.opening = self.opening or empty
         listed = [b for name in names if (b := self.backends.get(name)) is not None]
-        came = sorted(b.entry.backend for b in listed if b.block is None and self._takes(b))
+        came = list[Backend]()
         for b in listed:
-            if b.block is not None and not self._takes(b):
+            if b.block is None:
+                if self._takes(b):
+                    came.append(b)
+            elif not self._takes(b):
                 self.index.leave(b.entry.backend)
-            elif b.block is not None and b.near != self._near(b):
+            elif b.near != self._near(b):
                 self.order.turn(b.entry.backend, not b.near)
-            self._forget(b)
+            if b.entry.phase is api.Phase.GONE:
+                self._forget(b)
         if empty:
-            self._lay_out(came)
+            self._lay_out(sorted(b.entry.backend for b in came))
         else:
-            for b in (self.backends[name] for name in came):
-                near = self._near(b)
-                self.index.join(b, near, self._spot(b.entry.backend, len(self.order.side(near))))
+            for near in (True, False):
+                names = [b.entry.backend for b in came if self._near(b) is near]
+                self.index.join(self._spots(names, len(self.order.side(near))), near)
+        for far, members in list(self.members.items()):
+            now = self.index.window(0, len(members.backends), far)
+            if now != members.backends or not set(now).isdisjoint(listed):
+                del self.members[far]
         self.fleet = max(self.fleet, len(self.order))
         self._measure()
         if self.opening:  # nobody knows yet which zone serves well: all that is listed gets the same
             self.spill = 1.0 - self.home / max(1, len(self.order))
         self.opening = self.opening and more
 
-    def _spot(self, name: str, wide: int) -> int:
-        """Where a new one goes among so many, the near ones or the far ones.
+    def _spots(self, names: list[str], wide: int) -> list[tuple[int, str]]:
+        """Before which of so many, the near ones or the far ones, each of these goes.
 
         One that was banned returns to its place: a node that fed it before feeds it again. A new one falls
         into as many subsets as any other: twice the nodes would feed it twice as much.
         """
-        place = self.places.pop(name, None)
-        return int(self._ring(name) * (wide + 1)) if place is None else place
+        taken, free, of = dict[int, str](), 0, wide + len(names)
+        turns = {name: self._ring(name) for name in names}
+        wanted = [(self.places.pop(name, int(turn * of)), turn, name) for name, turn in turns.items()]
+        for place, _, name in sorted(wanted):  # where one has gone before, the next one takes the next place
+            free = max(free, min(place, of - 1))
+            taken[free], free = name, free + 1
+        holes = (place for place in range(of) if place not in taken)
+        for place in range(of, free):  # on a ring, the first ones follow the last
+            taken[next(holes)] = taken.pop(place)
+        return [(place - number, name) for number, (place, name) in enumerate(sorted(taken.items()))]
 
     def _lay_out(self, names: list[str]) -> None:
         nears = {name for name in names if self._near(self.backends[name])}
@@ -873,8 +890,9 @@
         first = int(self.cfg.me * GOLDEN % 1.0 * wide)
         even = [near[(first + j * wide // own) % wide] for j in range(own)]  # whole steps: none twice
         rest = sorted(set(names) - set(even))
-        for name in even + self.rng.sample(rest, len(rest)):
-            self.index.join(self.backends[name], name in nears)
+        order = even + self.rng.sample(rest, len(rest))
+        for side in (True, False):
+            self.index.join([(0, name) for name in order if (name in nears) is side], side)
 
     def _width(self, wide: int) -> int:
         """How many of so many backends this node feeds."""
@@ -905,10 +923,11 @@
 
     def _ring(self, name: str) -> float:
         """This node's place on a ring, 0 to 1, that the nodes share out evenly; each backend turns it."""
-        return (self.cfg.me * GOLDEN + random.Random(name).random()) % 1.0
+        turn = int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest()) / 2**48
+        return (self.cfg.me * GOLDEN + turn) % 1.0
 
     def _near(self, b: Backend) -> bool:
-        return self.cfg.charges.cross_zone <= TRIFLE or b.entry.zone == self.cfg.zone
+        return not self.priced or b.entry.zone == self.cfg.zone
 
 
 def _place(req: Request, b: Backend) -> str | int:
