Tests: a process takes over while a long list comes in

Need: the way of an upgrade was tested with short lists alone, and long ones with one process alone.

Change: two real processes of a node, of which the old one has half of a list of 3,001 entries. The new one gets its own in odd pieces, the old one SIGTERM and still no end of its list: all requests are answered, none that the new process takes goes to what only the old list names, the old one ends with 0 and complains of nothing. And under the virtual clock: a process that takes over listens once its list is whole and in force, or after 3 s with the one that was saved, however far the list is.

--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from dillport import interface as api
+from dillport.__main__ import take_place
 from dillport.interface import ListKind, Phase
 from dillport.net import config, discovery, listing, objects, rows
 from dillport.net.config import Member, News
@@ -112,6 +113,7 @@
         super().__init__(path, False, *(plays or ("opens",)))
         self.module = Module()
         self.taken = list[int]()  # revisions, as they came into force
+        self.task: asyncio.Task[None] | None = None
 
     def node(self, held: config.Config) -> Node:
         node = super().node(held)
@@ -255,6 +257,28 @@
     assert world.taken == [8, 9, 10]
 
 
+@pytest.mark.parametrize(("rest_at", "listens_at"), [(2.1, 2.1), (None, 3.1)])
+def test_a_process_that_takes_over_in_mid_list_listens_once_that_is_whole_and_in_force(
+    tmp_path: Path, rest_at: float | None, listens_at: float
+) -> None:
+    """Or, where it stays half a list, in time to be ready with the one that was saved."""
+    world, data = Long(tmp_path), text(whole(8, 30))
+    seen = list[tuple[float, int]]()
+
+    async def take_over(node: Node) -> None:
+        await take_place(node, cast(Any, SimpleNamespace(enough=True)), False)
+        seen.append((round(world.now, 2), len(world.module.held)))
+
+    def begin(node: Node, _: Discovery) -> None:
+        world.task = node.loop.create_task(take_over(node))
+        world.lines[0].put(data[:700], first=False)
+        if rest_at is not None:
+            node.loop.call_at(rest_at, lambda: world.lines[0].put(data[700:], first=False))
+
+    world.live(begin, seconds=4.0)
+    assert seen == [(listens_at, 30 if rest_at else 0)]
+
+
 def test_empty_lines_in_mid_list_do_not_make_the_node_fresh(tmp_path: Path) -> None:
     world, seen = Long(tmp_path), list[bool]()
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import math
+import re
 import socket
 from collections.abc import Iterator
 from dataclasses import replace
@@ -19,6 +20,8 @@
 from dillport.net import pair as pair_file
 from dillport.net.config import load
 from dillport.net.handover import give, take
+from dillport.net.listing import SHORT
+from dillport.net.objects import LONG
 from dillport.net.pair import Pair, SlotError, steer, unsteer
 from dillport.policy import Balancer
 from tests.helpers import BASE, SAFE, entry
@@ -28,8 +31,10 @@
     Backend,
     FakeDiscovery,
     Message,
+    Rig,
     configuration,
     echo,
+    happens,
     running,
     spawn,
     started,
@@ -169,6 +174,77 @@
                 assert (await new.call("/backends/b1/ready", "POST")).code == 200
 
 
+async def test_a_new_version_takes_over_while_a_long_list_comes_in(tmp_path: Path) -> None:
+    """The new process takes its own in odd pieces; the old one is told to end in the middle of its own."""
+    keeps, gone, comes = Backend("b0"), Backend("b1"), Backend("b2")
+    await comes.start()
+    with reserved_port() as port:
+        listen = f"127.0.0.1:{port}"
+        async with running(tmp_path, keeps, gone, console=CONSOLE, listen=listen, **PATIENT) as old:
+            discovery = old.discovery
+            rows = [keeps.member(), *(comes.member(id=f"c{i}") for i in range(3000))]
+            line = json.dumps({"revision": 42, "complete": True, "members": rows}).encode() + b"\n"
+            assert len(line) > 4 * LONG and len(rows) > 4 * SHORT
+            await discovery.asked.get()
+            kept, to_old = await old.client(), discovery.writer
+            assert to_old is not None
+            discovery.send(line[: len(line) // 2])
+            assert (await kept.ask("/read")).code == 200
+
+            process = await spawn(old.config)
+            new = Rig(process, port, discovery, [], old.config)
+            try:
+                await new.logged("taking over")
+                assert await discovery.asked.get() == "/discovery/hosts?watch=1&from=41"
+                at, size, pieces = 0, 1, list[bytes]()
+                while at < len(line):
+                    pieces.append(line[at : at + size])
+                    at, size = at + size, size * 7 % 99_991 + 1
+                for piece in pieces[:-1]:
+                    discovery.send(piece)
+                assert (await kept.ask("/read")).code == 200
+                assert (await (await old.client()).ask("/read")).code == 200
+                discovery.send(pieces[-1])
+                await new.logged("serves on")
+                ports = re.findall(r"console on \S+:(\d+)", "".join(new.log))
+                new.console_port = int(ports[0])
+
+                async def all_listed() -> bool:
+                    return bool((await new.stats())["members"] == len(rows))
+
+                assert await happens(all_listed)
+                assert (await old.stats())["members"] == 2  # half of a list is none
+                assert (await kept.ask("/read")).code == 200
+
+                old.terminate()
+                while (await old.call("/healthcheck")).code == 200:
+                    pass
+                discovery.writer = to_old
+                discovery.send(line[len(line) // 2 : -1000])
+                asked = set[str]()
+                for _ in range(40):  # a process that is about to end would say `Connection: close`
+                    client = await new.client()
+                    asked.add(client.send("/read"))
+                    got = await client.answer()
+                    assert got.code == 200 and "connection" not in got.headers
+                last = await kept.ask("/read")
+                assert last.code == 200 and last.headers["connection"] == "close"
+                assert await old.end() == 0
+                assert not any("bad list" in line or "Traceback" in line for line in (*old.log, *new.log))
+                assert (await (await new.client()).ask("/read")).code == 200
+                sent = {gone.got.get_nowait().headers["request-id"] for _ in range(gone.got.qsize())}
+                assert not sent & asked  # the new one never knew that backend but as gone
+                new.terminate()
+                assert await new.end() == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+                for client in new.clients:
+                    client.writer.transport.abort()
+    comes.stop()
+
+
 async def test_a_long_answer_under_way_at_the_end_is_broken_in_time_not_closed_early(tmp_path: Path) -> None:
     """Guards against closing a connection whose last head let the client send another request."""
 
