Config: an entry of the saved list is counted as what it takes now

Seen: tests/test_config_size.py red since an entry of the list is one object without a parsed address: 251 bytes, and 360 were counted (the test wants the count between that less 5 % and a quarter over it).

Measured: the file's tests pass.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -34,7 +34,7 @@
 # discovery's calls, 4 for the files and the port of a fleet, the rest for the callers of the console.
 SPARE = 32
 # Bytes that an entry of a table takes once it is read, the module's part included: measured, rounded up.
-ENTRY_BYTES = {"settings: projects": 180, "settings: request-classes": 440, "known.members": 360}
+ENTRY_BYTES = {"settings: projects": 180, "settings: request-classes": 440, "known.members": 260}
 LEAST_TABLES_MB = 8.0  # that the tables may take on the smallest node
 CLIENT_PART = 0.6  # part of the other descriptors that clients may hold; backends get the rest
 OVER = 16  # connections over the clients' part that still get an answer of their own, at most
