--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 
 from dillport import interface as api
+from dillport.__main__ import take_place
 from dillport.interface import ListKind, Phase
 from dillport.net import config, discovery, listing, objects, rows
 from dillport.net.config import Member, News
@@ -82,7 +83,7 @@
 def member(name: str, phase: Phase = UP, **over: Any) -> Member:
     port = over.pop("port", 9)
     entry = replace(api.Entry(name, "a", 0, 1.0, phase, 0.0), **over)
-    return Member(entry, f"127.0.0.1:{port}")
+    return Member.of(entry, f"127.0.0.1:{port}")
 
 
 def whole(revision: int, number: int, **phases: Phase) -> News:
@@ -98,8 +99,8 @@
 def text(news: News) -> bytes:
     """As discovery says it."""
     members = [
-        {"id": m.entry.backend, "host_port": f"{m.address[0]}:{m.address[1]}", "phase": PHASES[m.entry.phase],
-         "locality": m.entry.zone} for m in news.members
+        {"id": m.backend, "host_port": f"{m.address[0]}:{m.address[1]}", "phase": PHASES[m.phase],
+         "locality": m.zone} for m in news.members
     ]  # fmt: skip
     table = {"revision": news.revision, "complete": news.complete, "members": members}
     return json.dumps(table).encode() + b"\n"
@@ -112,6 +113,7 @@
         super().__init__(path, False, *(plays or ("opens",)))
         self.module = Module()
         self.taken = list[int]()  # revisions, as they came into force
+        self.task: asyncio.Task[None] | None = None
 
     def node(self, held: config.Config) -> Node:
         node = super().node(held)
@@ -255,6 +257,28 @@
     assert world.taken == [8, 9, 10]
 
 
+@pytest.mark.parametrize(("rest_at", "listens_at"), [(2.1, 2.1), (None, 3.1)])
+def test_a_process_that_takes_over_in_mid_list_listens_once_that_is_whole_and_in_force(
+    tmp_path: Path, rest_at: float | None, listens_at: float
+) -> None:
+    """Or, where it stays half a list, in time to be ready with the one that was saved."""
+    world, data = Long(tmp_path), text(whole(8, 30))
+    seen = list[tuple[float, int]]()
+
+    async def take_over(node: Node) -> None:
+        await take_place(node, cast(Any, SimpleNamespace(enough=True)), False)
+        seen.append((round(world.now, 2), len(world.module.held)))
+
+    def begin(node: Node, _: Discovery) -> None:
+        world.task = node.loop.create_task(take_over(node))
+        world.lines[0].put(data[:700], first=False)
+        if rest_at is not None:
+            node.loop.call_at(rest_at, lambda: world.lines[0].put(data[700:], first=False))
+
+    world.live(begin, seconds=4.0)
+    assert seen == [(listens_at, 30 if rest_at else 0)]
+
+
 def test_empty_lines_in_mid_list_do_not_make_the_node_fresh(tmp_path: Path) -> None:
     world, seen = Long(tmp_path), list[bool]()
 
@@ -487,7 +511,7 @@
             await asyncio.sleep(0)
         held = {name: phase for name, phase in expected.items() if phase is not GONE}
         assert world.module.held == held
-        assert {name: m.entry.phase is UP for name, m in node.pool.members.items()} == {
+        assert {name: m.phase is UP for name, m in node.pool.members.items()} == {
             name: phase is UP for name, phase in held.items()
         }
         assert node.pool.listed == sum(phase is UP for phase in held.values())
