Scale rig: a node is measured once its list is in force, at the size's rate, and under whole lists

Need: core_per_request rose with the list, 0.53 ms of a core at 200 listed and 1.05 at 70,000: second by second the first two held 2.3 and 2.3 ms, in which the rest of the list was still being taken, those behind 0.45 to 0.58, as with 200. The client asked some 900 times a second, not 193, so p99 was the 6 ms rest of a backend's connection, at 200 listed as well. All 16 processes had one number, and so one subset; what a change costs them was measured while lists came in. Change: the play waits until the console says that all are listed (in_force); clients of a process of their own ask at the size's rate; three whole lists come under load (p99_lists, worst_lists, in_force_lists, memory_lists); how late the rig was is said. The program is compiled first, as build does. Real processes have numbers of their own and are measured once the list is in force.

--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import compileall
 import contextlib
 import gc
 import itertools
@@ -13,18 +14,18 @@
 import tempfile
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from mmap import mmap
 from pathlib import Path
-from typing import cast
+from typing import NamedTuple, cast
 
 import uvloop
 
 from dillport import interface as api
 from dillport.lab.figures import percentiles
-from dillport.lab.processes import limits
+from dillport.lab.processes import call, limits
 from dillport.lab.programs import ROOT
-from dillport.lab.scale import fleet, module, size
+from dillport.lab.scale import crowd, fleet, module, size
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.net.config import News, news_in_turns, news_of
 from dillport.net.discovery import most_object
@@ -41,6 +42,11 @@
 QUICK_NODE_SIZES = (200, 1_000, 3_200)
 PIECE = 64 * 1024  # bytes that a socket gives at a time
 READY_MOST = 20.0  # s that a node has until it serves
+IN_FORCE_MOST = 20.0  # s from then on until its list is in force
+LOOK = 0.05  # s between two looks at a node's console
+PULSE = 0.02  # s between two looks how late the process is that plays backends and discovery
+RATE_PER_S = size.PEAK_PER_S / size.NODES  # requests to a node
+BEGIN = 0.2  # s until the clients begin
 CHANGE_EVERY = 0.5  # s
 EMPTY_LINE = 2.0  # s between two empty lines of a watch: without them it would count as dead
 ANSWER_MOST = 5.0  # s for one answer
@@ -56,9 +62,13 @@
 )
 MEMORY_MB = 192.0  # of a node, as the platform's larger ones have
 NODE_LIMITS = (
-    "One process by `python -m dillport`, without the fleet's rooms. Discovery, one backend address under "
-    "all ids, and one client are one process of the rig beside it: the latencies hold their time too. One "
-    "request after the other, so fewer than 193 a second before a slow node; one entry changes each 0.5 s."
+    "One process by `python -m dillport`, as built, without the fleet's rooms. Discovery and one backend "
+    "address under all ids are one process of the rig beside it, clients another: they ask 193 times a "
+    "second, however long answers take, timed from when a request was due: the latencies hold the rig's own "
+    "time, too (`rig_late` is what 99 in 100 of its requests and looks were late by at most, `rig_worst` the "
+    "latest of them). Once the list is in force, one entry changes each 0.5 s; `_lists` are figures of the "
+    "time behind that, in which a whole list without the node's own zone, one with it and the same but for "
+    "one are told, each once the one before is in force."
 )
 
 
@@ -214,6 +224,13 @@
         for writer in self.watches:
             self._chunk(writer, line)
 
+    async def tell_long(self, line: bytes) -> None:
+        """As `tell`, as fast as it is read and in pieces: the process has other things to do."""
+        for writer in self.watches:
+            for at in range(0, len(line), PIECE):
+                self._chunk(writer, line[at : at + PIECE])
+                await writer.drain()
+
     def cut(self) -> None:
         """Discovery is away: all watches end, behind what was told."""
         for writer in self.watches:
@@ -266,13 +283,14 @@
     return spent / 1e9, float(pages * PAGE)
 
 
-async def spawn(folder: Path, backends: int, discovery: int) -> asyncio.subprocess.Process:
-    """A node that knows no backend yet."""
+async def spawn(folder: Path, backends: int, discovery: int, me: int = 7) -> asyncio.subprocess.Process:
+    """A node that knows no backend yet; `me` is its number, by which it finds its subset."""
     config = {
-        "name": "n7", "listen": f"{HOST}:0", "discovery": f"{HOST}:{discovery}", "seed": "8c1f30d27a5be964",
+        "name": f"n{me}", "listen": f"{HOST}:0", "console": f"{HOST}:0", "discovery": f"{HOST}:{discovery}",
+        "seed": f"8c1f30d27a5b{me:04x}",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"revision": 0, "complete": True, "members": []},
-        "settings": fleet.raw_settings(backends),
+        "settings": fleet.raw_settings(backends) | {"me": me},
     }  # fmt: skip
     path = folder / "config.json"
     path.write_text(json.dumps(config), "utf-8")
@@ -285,16 +303,50 @@
     )  # fmt: skip
 
 
-async def serves_on(process: asyncio.subprocess.Process) -> int:
-    """The port that it serves on, by its log."""
+class Ports(NamedTuple):
+    """Where a node listens."""
+
+    clients: int
+    console: int
+
+
+async def serves_on(process: asyncio.subprocess.Process) -> Ports:
+    """The ports that it serves on, by its log."""
     assert process.stderr is not None
+    console = 0
     async with asyncio.timeout(READY_MOST):
         while text := (await process.stderr.readline()).decode("utf-8", "replace"):
-            if found := re.search(r"serves on \S+:(\d+)", text):
-                return int(found[1])
+            if found := re.search(r"(console|serves) on \S+:(\d+)", text):
+                if found[1] == "serves":
+                    return Ports(int(found[2]), console)
+                console = int(found[2])
     raise ConnectionError("the node has ended")
 
 
+async def lag(seen_ms: list[float]) -> None:
+    """Until it is ended: how late this process comes to what is due, ms."""
+    while True:
+        due = time.monotonic() + PULSE
+        await asyncio.sleep(PULSE)
+        seen_ms.append(max(0.0, time.monotonic() - due) * 1000)
+
+
+async def listed(ports: Ports, backends: int) -> None:
+    """Returns once its console says that so many are listed: the last piece of a list is in force."""
+    while True:
+        status, body = await call((HOST, ports.console), "GET", "/stats")
+        if status == 200 and json.loads(body)["members"] == backends:
+            return
+        await asyncio.sleep(LOOK)
+
+
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Kill one and wait until it is gone."""
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+
+
 async def drop(process: asyncio.subprocess.Process) -> None:
     """Read its log, so that it never waits for a reader."""
     assert process.stderr is not None
@@ -302,74 +354,122 @@
         pass
 
 
-async def play_node(backends: int, seconds: float) -> list[Point | NotPlayed]:
-    """One node process before a list of so many: until it serves, then a client and changes for a while."""
+async def play_node(backends: int, seconds: float, lists_s: float) -> list[Point | NotPlayed]:
+    """One node process before a list of so many: until it serves, until that is in force, then requests.
+
+    For `seconds` one entry changes now and then, for `lists_s` whole lists come.
+    """
     loop = asyncio.get_running_loop()
-    backend = await loop.create_server(StandInBackend, HOST, 0)
-    where = f"{HOST}:{backend.sockets[0].getsockname()[1]}"
-    told = fleet.entries(backends, time.time() * 1000 - fleet.DAY)
-    discovery = StandInDiscovery(fleet.line(told, 2, True, where))
-    server = await asyncio.start_server(discovery.serve, HOST, 0)
-    with tempfile.TemporaryDirectory(prefix="dillport-scale-") as folder:
+    async with contextlib.AsyncExitStack() as stack:
+        backend = await loop.create_server(StandInBackend, HOST, 0)
+        stack.callback(backend.close)
+        told = Told(backends, f"{HOST}:{backend.sockets[0].getsockname()[1]}")
+        discovery = StandInDiscovery(told.whole)
+        server = await asyncio.start_server(discovery.serve, HOST, 0)
+        stack.callback(server.close)
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
         begin = loop.time()
         process = await spawn(Path(folder), backends, server.sockets[0].getsockname()[1])
+        stack.push_async_callback(end_process, process)
+        ports = await serves_on(process)
+        stack.callback(loop.create_task(drop(process)).cancel)
+        client = Client(ports.clients)
+        while (await client.ask())[0] != 200:
+            if loop.time() - begin > READY_MOST:
+                why = f"never ready: nothing served in {READY_MOST:g} s, {discovery.calls} calls"
+                held = Point("node", "memory_unready", "bytes", backends, used(process.pid)[1], False)
+                return [held, NotPlayed(f"node at {backends}", why)]
+            await asyncio.sleep(LOOK)
+        ready_ms = (loop.time() - begin) * 1000
+        client.close()
         try:
-            client = Client(await serves_on(process))
-            drain = loop.create_task(drop(process))
-            while (await client.ask())[0] != 200:
-                if loop.time() - begin > READY_MOST:
-                    why = f"never ready: nothing served in {READY_MOST:g} s, {discovery.calls} calls"
-                    held = Point("node", "memory_unready", "bytes", backends, used(process.pid)[1], False)
-                    return [held, NotPlayed(f"node at {backends}", why)]
-                await asyncio.sleep(0.05)
-            ready_ms = (loop.time() - begin) * 1000
-            out = await _requests(process.pid, client, discovery, told, where, seconds)
-        finally:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-            server.close()
-            backend.close()
-    drain.cancel()
-    client.close()
-    out = {"ready": (ready_ms, "ms")} | out
+            async with asyncio.timeout(IN_FORCE_MOST):
+                await listed(ports, backends)
+            in_force_ms = (loop.time() - begin) * 1000
+            plan = crowd.Plan([ports.clients], RATE_PER_S, seconds, lists_s)
+            clients, lags_ms = await crowd.spawn(stack, plan), list[float]()
+            stack.callback(loop.create_task(lag(lags_ms)).cancel)
+            out = await _requests(process.pid, clients, plan, ports, discovery, told, lags_ms)
+        except TimeoutError:
+            return [NotPlayed(f"node at {backends}", "a whole list was not in force in time")]
+    out = {"ready": (ready_ms, "ms"), "in_force": (in_force_ms, "ms")} | out
     return [Point("node", name, unit, backends, value, False) for name, (value, unit) in out.items()]
 
 
+class Told:
+    """What discovery tells of so many backends, made before anybody waits for it."""
+
+    def __init__(self, backends: int, where: str) -> None:
+        self.entries, self.where = fleet.entries(backends, time.time() * 1000 - fleet.DAY), where
+        self.rest = [entry for entry in self.entries if entry.zone != fleet.ZONE]
+        self.whole = fleet.line(self.entries, 2, True, where)
+        self.revision = 2
+
+    def change(self) -> bytes:
+        """One drains, or is back."""
+        number, self.revision = self.revision - 2, self.revision + 1
+        was = self.entries[number // 2 * 7 % len(self.entries)]
+        phase = api.Phase.UP if number % 2 else api.Phase.DRAINING
+        return fleet.line([replace(was, phase=phase)], self.revision, False, self.where)
+
+    def lists(self) -> list[tuple[int, bytes]]:
+        """Whole lists that come one after the other, each with the number of its entries."""
+        each = self.rest, self.entries, self.entries[:-1]  # one less: its end is seen by their number
+        first, self.revision = self.revision + 1, self.revision + len(each)
+        return [
+            (len(some), fleet.line(some, number, True, self.where))
+            for number, some in enumerate(each, first)
+        ]
+
+
 async def _requests(
-    pid: int, client: Client, discovery: StandInDiscovery, told: list[api.Entry], where: str, seconds: float
+    pid: int, clients: crowd.Crowd, plan: crowd.Plan, ports: Ports, discovery: StandInDiscovery, told: Told,
+    lags_ms: list[float],
 ) -> dict[str, tuple[float, str]]:
-    loop = asyncio.get_running_loop()
-    took: list[float] = []
-    served, changes = 0, 0
-    begin, (cpu, _) = loop.time(), used(pid)
-    due = begin
-    while loop.time() < begin + seconds:
-        if loop.time() >= due:  # one drains, then it is back
-            item = told[changes // 2 * 7 % len(told)]
-            phase = api.Phase.UP if changes % 2 else api.Phase.DRAINING
-            changed = api.Entry(item.backend, item.zone, item.cell, 1.0, phase, item.started_at, item.kind)
-            changes, due = changes + 1, due + CHANGE_EVERY
-            discovery.tell(fleet.line([changed], changes + 2, False, where))
-        status, ms = await client.ask()
-        took.append(ms)
-        served += status == 200
+    """Raises TimeoutError where a whole list is not in force while requests come."""
+    changes = [told.change() for _ in range(int(plan.first / CHANGE_EVERY))]
+    lists, slowest = told.lists(), 0.0
+    begin, (cpu, _) = time.monotonic() + BEGIN, used(pid)
+    await clients.begin(begin)
+    for number, line in enumerate(changes):
+        await asyncio.sleep(begin + number * CHANGE_EVERY - time.monotonic())
+        discovery.tell(line)
+    await asyncio.sleep(begin + plan.first - time.monotonic())
     spent, held = used(pid)
-    p50, p99 = percentiles(took, (50.0, 99.0))
+    async with asyncio.timeout(plan.second):
+        for count, line in lists:
+            told_at = time.monotonic()
+            await discovery.tell_long(line)
+            await listed(ports, count)
+            slowest = max(slowest, time.monotonic() - told_at)
+    at_rest, busy = await clients.parts()
+    p50, p99 = percentiles(at_rest.took_ms, (50.0, 99.0))
+    late_ms = at_rest.late_ms + busy.late_ms
     return {
         "p50": (p50, "ms"), "p99": (p99, "ms"), "memory": (held, "bytes"),
-        "core_per_request": ((spent - cpu) * 1e6 / len(took), "us"), "served": (served / len(took), "share"),
+        "core_per_request": ((spent - cpu) * 1e6 / at_rest.due, "us"), "served": (_served(at_rest), "share"),
+        "p99_lists": (percentiles(busy.took_ms, (99.0,))[0], "ms"), "worst_lists": (max(busy.took_ms), "ms"),
+        "in_force_lists": (slowest * 1000, "ms"), "memory_lists": (used(pid)[1], "bytes"),
+        "served_lists": (_served(busy), "share"),
+        "rig_late": (max(percentiles(some, (99.0,))[0] for some in (late_ms, lags_ms)), "ms"),
+        "rig_worst": (max(late_ms + lags_ms), "ms"),
     }  # fmt: skip
 
 
+def _served(part: crowd.Part) -> float:
+    return part.statuses.get(200, 0) / part.due
+
+
 def plays(quick: bool) -> list[Play]:
     """The plays of the list."""
     sizes, node_sizes = (QUICK_SIZES, QUICK_NODE_SIZES) if quick else (SIZES, NODE_SIZES)
-    seconds = 2.0 if quick else 8.0
+    seconds, lists_s = (2.0, 4.0) if quick else (6.0, 10.0)
 
     def nodes(_: int) -> Iterator[Point | NotPlayed]:
+        # As `build` does: a node that compiles its modules as it starts holds 2 MB more for good.
+        compileall.compile_dir(ROOT / "dillport", quiet=2)
         for backends in node_sizes:
-            yield from uvloop.run(play_node(backends, seconds))
+            yield from uvloop.run(play_node(backends, seconds, lists_s))
 
     return [
         Play("list", lambda _: lists(sizes), size.BACKENDS, LIST_LIMITS),
--- a/dillport/lab/scale/processes.py
+++ b/dillport/lab/scale/processes.py
@@ -17,9 +17,12 @@
 from dillport.lab.scale.listing import (
     HOST,
     Client,
+    Ports,
     StandInBackend,
     StandInDiscovery,
     drop,
+    end_process,
+    listed,
     serves_on,
     spawn,
     used,
@@ -76,24 +79,26 @@
 async def serving(
     stack: contextlib.AsyncExitStack, count: int, backends: int, discovery_port: int
 ) -> dict[int, int]:
-    """So many nodes once all of them serve: the port of each, by its process id. They end with the stack.
+    """So many nodes once all serve and the list is in force: the clients' port of each, by its process id.
 
-    Raises TimeoutError after READY_MOST.
+    Each has a subset of its own; they end with the stack. Raises TimeoutError after READY_MOST.
     """
-    nodes, ports = [], dict[int, int]()
-    for _ in range(count):
+    nodes, ports = [], dict[int, Ports]()
+    for me in range(count):
         folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="dillport-scale-"))
-        nodes.append(await spawn(Path(folder), backends, discovery_port))
+        nodes.append(await spawn(Path(folder), backends, discovery_port, me))
         stack.push_async_callback(end_process, nodes[-1])
     async with asyncio.timeout(READY_MOST):
         for node in nodes:
             ports[node.pid] = await serves_on(node)
             stack.callback(asyncio.create_task(drop(node)).cancel)
-            client = Client(ports[node.pid])
+            client = Client(ports[node.pid].clients)
             while (await client.ask())[0] != 200:
                 await asyncio.sleep(0.05)
             client.close()
-    return ports
+        for node in nodes:
+            await listed(ports[node.pid], backends)
+    return {pid: each.clients for pid, each in ports.items()}
 
 
 async def _spent(pids: list[int], discovery: StandInDiscovery, lines: list[bytes], steps: int) -> list[float]:
@@ -106,13 +111,6 @@
     return [used(pid)[0] - was for pid, was in zip(pids, before, strict=True)]
 
 
-async def end_process(process: asyncio.subprocess.Process) -> None:
-    """Kill one and wait until it is gone."""
-    with contextlib.suppress(ProcessLookupError):
-        process.kill()
-    await process.wait()
-
-
 def plays(quick: bool) -> list[Play]:
     """The play of the processes; not in a quick run, as it takes a minute and a half."""
 
--- a/dillport/lab/scale/rack.py
+++ b/dillport/lab/scale/rack.py
@@ -16,17 +16,14 @@
 from dillport import interface as api
 from dillport.lab.figures import percentiles
 from dillport.lab.scale import crowd, fleet, size
-from dillport.lab.scale.listing import HOST, StandInBackend, StandInDiscovery
+from dillport.lab.scale.listing import BEGIN, HOST, RATE_PER_S, StandInBackend, StandInDiscovery, lag
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.lab.scale.processes import COUNT, READY_MOST, serving
 
 LISTED = 20_000
-RATE_PER_S = size.PEAK_PER_S / size.NODES  # requests to each node
 REACHED = 0.98  # of the rate, else it counts as not played
 LATE_MS = 25.0  # that 99 in 100 of the rig's own requests and looks may be late, else likewise
 CROWDS = 2  # processes of clients, beside the one of the backends and of discovery
-BEGIN = 0.2  # s until they begin
-PULSE = 0.02  # s between two looks how late the backends' process is
 BEFORE, AFTER = 4.0, 5.0  # s of load before the loss and behind it
 GRACE = 1.05  # s after which nothing may go to what was told gone: the rule's, and its slack on sockets
 
@@ -99,14 +96,6 @@
         self.bank.open.discard(self)
 
 
-async def lag(seen_ms: list[float]) -> None:
-    """Until it is ended: how late this process comes to what is due, ms."""
-    while True:
-        due = time.monotonic() + PULSE
-        await asyncio.sleep(PULSE)
-        seen_ms.append(max(0.0, time.monotonic() - due) * 1000)
-
-
 async def play_rack(
     count: int, backends: int, before: float = BEFORE, after: float = AFTER
 ) -> list[Point | NotPlayed]:
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -88,11 +88,12 @@
 
 
 def test_a_real_node_serves_before_a_stand_in() -> None:
-    found = uvloop.run(listing.play_node(60, 0.6))
-    assert list(figures(found)) == [
-        ("node", figure, 60) for figure in ("ready", "p50", "p99", "memory", "core_per_request", "served")
-    ]
-    assert figures(found)["node", "served", 60] == 1.0
+    found = figures(uvloop.run(listing.play_node(60, 0.6, 3.0)))
+    assert [name for _, name, _ in found] == [
+        "ready", "in_force", "p50", "p99", "memory", "core_per_request", "served", "p99_lists", "worst_lists",
+        "in_force_lists", "memory_lists", "served_lists", "rig_late", "rig_worst",
+    ]  # fmt: skip
+    assert found["node", "served", 60] == found["node", "served_lists", 60] == 1.0
 
 
 async def test_the_stand_in_keeps_a_quiet_watch_alive(monkeypatch: pytest.MonkeyPatch) -> None:
