--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -82,7 +82,6 @@
     """For lists that come before anything is in force."""
 
 
-
 @dataclass(slots=True)
 class Member(api.Entry):
     """One backend as discovery lists it: the module's entry, and where it listens, by `HOST:PORT`.
