--- a/dillport/lab/scale/size.py
+++ b/dillport/lab/scale/size.py
@@ -68,5 +68,7 @@
     "a_tenth": NODES / 10,
     "per_day": 1 / DAY_S,
     "rack": RACK_MACHINES,
+    "zones_apart": 1 - 1 / ZONES,
+    "regions_apart": 1 - 1 / REGIONS,
 }
 """What follows for one node or machine, by name; rates are means over a day."""
--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -92,12 +92,6 @@
 
     host_port: str = ""
 
-    @classmethod
-    def of(cls, entry: api.Entry, host_port: str) -> Member:
-        """An entry that listens there."""
-        e = entry
-        return cls(e.backend, e.zone, e.cell, e.weight, e.phase, e.started_at, e.kind, host_port)
-
     @property
     def address(self) -> Address:
         """Where it listens."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from dillport import interface as api
+from dillport.net.config import Member
 from dillport.policy import Balancer
 
 SAFE = api.RequestClass("read", api.Effect.SAFE, aim=400.0, deadline=1000.0, value=1.0)
@@ -34,6 +35,12 @@
     return api.Entry(**(table | over))
 
 
+def member(entry: api.Entry, host_port: str) -> Member:
+    """An entry as a node's list has it."""
+    e = entry
+    return Member(e.backend, e.zone, e.cell, e.weight, e.phase, e.started_at, e.kind, host_port)
+
+
 def node(settings: api.Settings, names: str | list[str], seed: int = 1, **over: Any) -> Balancer:
     """A node with a full list of warm backends at the clock time 1,000."""
     out = Balancer(settings, seed)
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -26,6 +26,7 @@
 from dillport.net.watchdog import Watchdog
 from dillport.policy import Balancer
 from tests import test_discovery
+from tests.helpers import member as listed_at
 from tests.test_discovery import World
 
 # What holds for short lists holds for long ones, with the bounds below.
@@ -83,7 +84,7 @@
 def member(name: str, phase: Phase = UP, **over: Any) -> Member:
     port = over.pop("port", 9)
     entry = replace(api.Entry(name, "a", 0, 1.0, phase, 0.0), **over)
-    return Member.of(entry, f"127.0.0.1:{port}")
+    return listed_at(entry, f"127.0.0.1:{port}")
 
 
 def whole(revision: int, number: int, **phases: Phase) -> News:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -8,7 +8,8 @@
 import pytest
 
 from dillport import interface as api
-from dillport.net.config import ListError, Member, News, address, news, news_of
+from dillport.net.config import ListError, News, address, news, news_of
+from tests.helpers import member
 
 ROW = {"id": "a", "host_port": "10.0.0.1:80", "phase": "in_service"}
 
@@ -29,7 +30,7 @@
     entry = api.Entry("a", "z", 3, 2.0, api.Phase.UP, 9.0, "")
     got = news_of(text)
     assert (got.revision, got.complete) == (7, False)
-    assert got.members == (Member.of(entry, "10.0.0.1:80"),)
+    assert got.members == (member(entry, "10.0.0.1:80"),)
     assert got.members[0].address == ("10.0.0.1", 80)
     assert news(json.loads(text)) == got
 
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -11,12 +11,12 @@
 
 from dillport import interface as api
 from dillport.membership.port import Port
-from dillport.net.config import Member, News
+from dillport.net.config import News
 from dillport.net.node import Node
 from dillport.net.returning import Returning
 from dillport.recovery.phases import Phase
 from dillport.recovery.shell import CallError
-from tests.helpers import BASE, entry
+from tests.helpers import BASE, entry, member
 
 HERE = ("127.0.0.1", 1)
 
@@ -41,7 +41,7 @@
 
 def news(revision: int, *names: str) -> News:
     """A list of backends that are in service."""
-    return News(revision, True, tuple(Member.of(entry(name), "127.0.0.1:1") for name in names))
+    return News(revision, True, tuple(member(entry(name), "127.0.0.1:1") for name in names))
 
 
 @contextlib.asynccontextmanager
@@ -84,7 +84,7 @@
         up, leaving = api.Phase.UP, api.Phase.DRAINING
         one.restrict(frozenset({"a", "b", "x"}))
         assert told == [(api.ListKind.SAVED, {"a": leaving, "b": leaving, "c": up})]
-        gone = Member.of(entry("a", phase=api.Phase.GONE), "127.0.0.1:1")
+        gone = member(entry("a", phase=api.Phase.GONE), "127.0.0.1:1")
         one.listed(News(42, False, (gone,)), api.ListKind.CHANGES)
         one.restrict(frozenset())
         assert told[1:] == [(api.ListKind.CHANGES, {"b": up})]
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -17,7 +17,8 @@
 from dillport.cli.app import app
 from dillport.lab.scale import crowd, discovery, fleet, listing, module, processes, rack, rig, size, tables
 from dillport.lab.scale.points import NotPlayed, Play, Point
-from dillport.net.config import Member, news_of
+from dillport.net.config import news_of
+from tests.helpers import member
 
 
 def figures(items: Sequence[Point | NotPlayed], exact: bool = False) -> dict[tuple[str, str, int], float]:
@@ -44,7 +45,7 @@
 def test_a_list_in_the_platforms_form_comes_back_as_it_was() -> None:
     told = [fleet.entry(0), fleet.entry(1, api.Phase.DRAINING), fleet.entry(2, api.Phase.GONE, 5.0)]
     news = news_of(fleet.line(told, 3, True))
-    assert list(news.members) == [Member.of(one, f"10.0.0.{i}:8080") for i, one in enumerate(told)]
+    assert list(news.members) == [member(one, f"10.0.0.{i}:8080") for i, one in enumerate(told)]
     assert (news.revision, news.complete) == (3, True)
     assert {m.address for m in news_of(fleet.line(told, 3, True, "127.0.0.1:9")).members} == {
         ("127.0.0.1", 9)
--- a/tests/test_scale_zone.py
+++ b/tests/test_scale_zone.py
@@ -24,6 +24,7 @@
 from dillport.policy import Balancer
 from dillport.sim.agenda import Agenda
 from tests.helpers import BASE, ColdBudget, RuleChecker
+from tests.helpers import member as listed_at
 
 GAP_MS = 1000.0 * size.NODES / size.PEAK_PER_S  # between two requests: 193 a second
 ANSWER_MS = 4.0
@@ -45,7 +46,7 @@
 
 
 def member(entry: api.Entry) -> Member:
-    return Member.of(entry, "127.0.0.1:9")
+    return listed_at(entry, "127.0.0.1:9")
 
 
 class World(Agenda):
