--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -129,9 +129,10 @@
         assert agrees(row.beyond, beyond), f"{row.beyond!r} on the page, beyond by {beyond:.3g}"
 
 
-@pytest.mark.parametrize("row", [r for r in ROWS if r.mark == "-"], ids=named)
-def test_a_row_without_a_run_claims_nothing(row: Row) -> None:
-    assert row.value in (UNKNOWN, "not measured yet") and (row.beyond, row.ratio) == ("-", "-")
+def test_rows_without_a_run_claim_nothing() -> None:
+    for row in ROWS:
+        if row.mark == "-":
+            assert row.value in (UNKNOWN, "not measured yet") and (row.beyond, row.ratio) == ("-", "-")
 
 
 @pytest.mark.parametrize("row", [r for r in ROWS if r.ratio != "-"], ids=named)
