Log calls of discovery, changes of the list, and reasons of closes, repeats and refusals

Change: a line for each call of discovery (reason, answer, end), for what news of the list change, and one request by id for each kind of failed attempt, repeat and unserved answer in 10 s; the counts tell the list's revision, its age, why connections were closed. Refusals carry the module's reason.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -403,6 +403,7 @@
 
     request: str
     retry_after: float = 0.0
+    reason: str = ""  # for the log
 
 
 @dataclass(slots=True)
@@ -410,6 +411,7 @@
     """Final answer: failed, nothing promised."""
 
     request: str
+    reason: str = ""  # for the log
 
 
 @dataclass(slots=True)
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -29,17 +29,38 @@
 MOST_OBJECT = 8 * 1024 * 1024  # bytes that an object may have on any node
 MOST_PART = 1 / 12  # of the node's memory that it may have: entries take thrice their bytes, new ones twice
 SLICE = 64 * 1024  # bytes that are read in one turn
+NOTES = 40  # lines on what becomes of calls, in 10 s at most
 DONE = object()
 
-Brought = bytes | mmap | BrokenObject | None
-"""What a call brings: an object or an empty line, what cannot become one, its end."""
-
-
 def most_object(memory_mb: float) -> int:
     """Bytes of one object at most, for a node with so much memory."""
     return max(MOST_OBJECT, int(memory_mb * MOST_PART * 1024 * 1024))
 
 
+class Reason(Enum):
+    """Why a call is made."""
+
+    WANTED = "the list is wanted"
+    MOVED = "new address"
+    SILENT = "the watch was silent"
+    RETRY = "the call before failed"
+    BESIDE = "beside one that still comes"
+
+
+class End(Enum):
+    """How a call came to its end."""
+
+    CLOSED = "closed by discovery"
+    NO_CONNECTION = "no connection"
+    REFUSED = "refused by discovery"
+    SILENT = "silent"
+    BROKEN = "broken answer"
+    COMPLETE = "whole list taken"
+    MOVED = "given up for a new address"
+    STOPPED = "not wanted any more"
+    OVERTAKEN = "another call has told the list"
+
+
 class Stage(Enum):
     """How far a call is."""
 
@@ -50,12 +71,23 @@
     OVER = "it is closed, and what else comes of it is not read"
 
 
+Brought = bytes | mmap | BrokenObject | End
+"""What a call brings: an object or an empty line, what cannot become one, its end."""
+
+
 class Call(asyncio.Protocol):
     """One call: a watch that goes on until its connection ends, or the whole list once."""
 
-    def __init__(self, owner: Discovery, target: str, watch: bool, quick: bool = False) -> None:
-        """`quick` where what it is to tell is due soon: after a silence, or at a new address."""
-        self.owner, self.target, self.watch, self.quick = owner, target, watch, quick
+    def __init__(
+        self, owner: Discovery, number: int, target: str, watch: bool, quick: bool = False
+    ) -> None:
+        """`number` names it in the log; `quick` where what it is to tell is due soon: after a silence, or at
+        a new address.
+        """
+        self.owner, self.number, self.target, self.watch, self.quick = owner, number, target, watch, quick
+        self.address = owner.address
+        self.dialled = owner.loop.time()
+        self.objects_told = 0
         self.stage = Stage.DIALLING
         self.dog = Watchdog(owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT))
         self.parser = httptools.HttpResponseParser(self)
@@ -66,7 +98,7 @@
         self.done = self.doubt = False
         self.unfed = bytearray()  # came, and waits for its turn
         self.feeding = self.paused = False
-        self.ended = False  # nothing more comes behind that
+        self.ended: End | None = None  # nothing more comes behind that
         self.spoilt = False  # nothing that still comes of it makes sense
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -76,7 +108,7 @@
             self.transport.abort()
             return
         self.stage = Stage.ASKED
-        host, port = self.owner.address
+        host, port = self.address
         keep = "keep-alive" if self.watch else "close"
         self.transport.write(
             f"GET {self.target} HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: {keep}\r\n\r\n".encode("ascii")
@@ -104,7 +136,7 @@
             self._arm()
             self.owner.slowed(self)
         else:
-            self.end(silent=True)
+            self.end(End.SILENT)
 
     def data_received(self, data: bytes) -> None:
         """Read, what is long in turns."""
@@ -125,8 +157,8 @@
             yield
         self.feeding = False
         self.unfed.clear()
-        if self.ended:
-            self._over()
+        if self.ended is not None:
+            self._over(self.ended)
         self.flow()
 
     def _feed(self, data: bytes) -> None:
@@ -136,7 +168,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self.owner.warn("discovery: broken answer", str(err))
             self.unfed.clear()
-            self._over()
+            self._over(End.BROKEN)
 
     def on_body(self, body: bytes) -> None:
         """Objects may be cut anywhere."""
@@ -158,8 +190,8 @@
         """Take it, unless the call was closed since; a long list takes some turns."""
         if self.stage is Stage.OVER:
             return
-        if what is None:
-            self.end()
+        if isinstance(what, End):
+            self.end(what)
             return
         try:
             if isinstance(what, BrokenObject):
@@ -181,8 +213,10 @@
         now = self.owner.loop.time()
         self.dog.told(now)
         self.stage = Stage.OPEN
+        self.objects_told += 1
         if self.told_at is None:
             self.told_at = now
+            self.owner.note(f"call {self.number} answered after {now - self.dialled:.2f} s")
         self.owner.told(self)
         if update is None:
             self.owner.node.unchanged()
@@ -196,23 +230,24 @@
             return
         self.owner.warn("discovery: bad list", err.line)
         self.owner.revision = 0
-        self.end()
+        self.end(End.BROKEN)
 
     def on_message_complete(self) -> None:
         """The end of a whole list, or of a watch."""
         if not (self.watch or self.stage is Stage.OVER or self.spoilt or self.objects.between):
             self.owner.read(self, BrokenObject("the answer ends before its JSON does"))
-        self._over()
+        refused = self.parser.get_status_code() != 200
+        self._over(End.REFUSED if refused else End.CLOSED if self.watch else End.COMPLETE)
 
-    def _over(self) -> None:
+    def _over(self, how: End) -> None:
         """Nothing more comes; what came whole before is still taken."""
         if self.feeding:
-            self.ended = True
+            self.ended = how
         elif self.owner.reads(self):
             self.spoilt = True
-            self.owner.read(self, None)
+            self.owner.read(self, how)
         else:
-            self.end()
+            self.end(how)
 
     @property
     def over(self) -> bool:
@@ -230,23 +265,28 @@
             self.transport.resume_reading()
         self.paused = paused
 
-    def close(self) -> None:
+    def close(self, how: End) -> None:
         """Nobody wants it any more."""
+        if self.stage is not Stage.OVER:
+            lasted = self.owner.loop.time() - self.dialled
+            self.owner.note(
+                f"call {self.number} ended after {lasted:.2f} s, {self.objects_told} objects: {how.value}"
+            )
         self.stage = Stage.OVER
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None:
             self.transport.abort()
 
-    def end(self, silent: bool = False) -> None:
+    def end(self, how: End) -> None:
         """It has come to its end by itself, or by the other side: the owner hears of it, once."""
         if self.stage is not Stage.OVER:
-            self.close()
-            self.owner.lost(self, silent)
+            self.close(how)
+            self.owner.lost(self, how is End.SILENT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The other side may have ended it."""
-        self._over()
+        self._over(End.CLOSED)
 
 
 class Discovery:
@@ -269,6 +309,8 @@
         self.unread: deque[tuple[Call, Brought]] = deque()
         self.reading: Call | None = None  # whose word is being taken
         self.warnings = LimitedWarnings(log, self.loop.time)
+        self.notes = LimitedWarnings(log, self.loop.time, NOTES, logging.INFO)
+        self.numbers = 0  # calls made
         memory_mb = node.config.memory_mb
         log.info("list: at most %.1f MiB in one object, of %g MB", most_object(memory_mb) / 2**20, memory_mb)
 
@@ -276,21 +318,21 @@
         """Start or stop the watch."""
         self.wanted = on
         if on:
-            self._connect()
+            self._connect(Reason.WANTED)
         else:
-            self._drop()
+            self._drop(End.STOPPED)
 
     def move(self, address: Address) -> None:
         """Go to another address: the old one tells nothing more, so a watch there is opened anew at once."""
         self.address, self.wait = address, WAIT_FIRST
-        self._drop()
-        self._connect(quick=True)
+        self._drop(End.MOVED)
+        self._connect(Reason.MOVED, quick=True)
 
-    def _drop(self) -> None:
+    def _drop(self, why: End) -> None:
         """Nothing of what was begun is heard of again."""
         for call in (self.call, self.slow):
             if call is not None:
-                call.close()
+                call.close(why)
         self.call = self.slow = None
         self._unset()
 
@@ -301,15 +343,21 @@
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
-        self._start(Call(self, "/discovery/hosts", False))
+        self._start(Call(self, self._number(), "/discovery/hosts", False), Reason.WANTED)
 
-    def _connect(self, quick: bool = False) -> None:
+    def _connect(self, why: Reason, quick: bool = False) -> None:
         self._unset()
         if self.wanted and self.call is None:
-            self.call = Call(self, f"/discovery/hosts?watch=1&from={self.revision}", True, quick)
-            self._start(self.call)
+            target = f"/discovery/hosts?watch=1&from={self.revision}"
+            self.call = Call(self, self._number(), target, True, quick)
+            self._start(self.call, why)
 
-    def _start(self, call: Call) -> None:
+    def _number(self) -> int:
+        self.numbers += 1
+        return self.numbers
+
+    def _start(self, call: Call, why: Reason) -> None:
+        self.note("call {} to {}:{} for {}: {}".format(call.number, *call.address, call.target, why.value))
         task = self.loop.create_task(self._dial(call))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -317,11 +365,15 @@
     async def _dial(self, call: Call) -> None:
         try:
             async with asyncio.timeout(HURRY if call.quick else CONNECT):
-                await self.loop.create_connection(lambda: call, *self.address)
+                await self.loop.create_connection(lambda: call, *call.address)
         except (OSError, TimeoutError) as err:
             if call.stage is not Stage.OVER:
                 self.warn("discovery: no connection", str(err) or "timed out")
-            call.end()
+            call.end(End.NO_CONNECTION)
+
+    def note(self, what: str) -> None:
+        """Log what becomes of the calls."""
+        self.notes.warn("call", f"discovery: {what}")
 
     def warn(self, what: str, why: str = "") -> None:
         """Log what went wrong, one line of a kind now and then."""
@@ -350,7 +402,7 @@
                     if call.stage is Stage.OVER:
                         break
             except Exception:  # a defect: what it says from here on would be without what is lost
-                call.end()
+                call.end(End.BROKEN)
                 raise
             finally:
                 self.reading = None
@@ -374,11 +426,11 @@
         """A call has told something whole: the other one, or the wait for it, is of no more use."""
         if call is self.slow:
             if self.call is not None:
-                self.call.close()
+                self.call.close(End.OVERTAKEN)
             self._unset()
             self.call, self.slow = call, None
         elif call is self.call and self.slow is not None:
-            self.slow.close()
+            self.slow.close(End.OVERTAKEN)
             self.slow = None
 
     def slowed(self, call: Call) -> None:
@@ -415,14 +467,15 @@
             self.wait = min(self.wait, WAIT_TOLD)
         self.answered = told
         if call.watch and silent and lasted:
-            self._connect(quick=True)
+            self._connect(Reason.SILENT, quick=True)
         elif self.node.settings.must_ask and not (call.quick and call.told_at is None):
             if not call.done:
                 self.node.list_failed()
         elif call.watch:
             left = max(REST, call.dog.dialled + PERIOD - self.loop.time())
             wait = min(self.wait, left) * random.uniform(1 / 3, 1.0)
-            self.timer = self.loop.call_later(wait, self._connect)
+            why = Reason.BESIDE if self.slow is call else Reason.RETRY
+            self.timer = self.loop.call_later(wait, self._connect, why)
             self.wait = min(2 * self.wait, WAIT_MOST)
         if self.node.fleet is not None and not call.done and self.slow is None:
             self.node.fleet.list_failed()
--- a/dillport/net/front.py
+++ b/dillport/net/front.py
@@ -200,6 +200,7 @@
         self.slow = None
         if not self.mid:
             if self.request is None:
+                self.node.counts["client_idle"] += 1
                 self.linger()
             return
         left = self._due() - self.front.loop.time()
@@ -445,6 +446,7 @@
             self.upload = None
         self.mid = True
         self._last_one()
+        self.node.counts[f"client_error_{code}"] += 1
         self._write(code, why.encode() + b"\n")
 
     @property
@@ -553,6 +555,7 @@
         Guards against a reset where the framing tells: what is on its way to the client would go with it, and
         a connection that ends with nothing of an answer is one that lost its request.
         """
+        self.node.counts["client_answer_broken_off"] += 1
         if self.framed or self.source is None:
             self.linger()
         else:
@@ -654,6 +657,7 @@
         self.node.counts["connected"] += 1
         self.idle[connection] = None
         if self.crowded and (oldest := self._oldest(connection)) is not None:
+            self.node.counts["client_displaced"] += 1
             oldest.linger()
         if len(self.connections) + len(self.lingering) > self.limit + over(self.limit):
             first = next(iter(self.lingering), connection)
@@ -663,6 +667,7 @@
     def displace(self) -> None:
         """Under a lower cap the longest idle ones go; those with a request under way may stay, and count."""
         while self.crowded and (oldest := self._oldest()) is not None:
+            self.node.counts["client_displaced"] += 1
             oldest.linger()
 
     def _oldest(self, newest: ClientConnection | None = None) -> ClientConnection | None:
--- a/dillport/net/listing.py
+++ b/dillport/net/listing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
@@ -14,11 +15,14 @@
 from typing import TypeVar
 
 from dillport import interface as api
+from dillport.net.changes import ListChanges
 from dillport.net.config import Member, News
 from dillport.net.shards import Shards, shard
 from dillport.net.turns import Turns
 from dillport.net.upstream import Pool
 
+log = logging.getLogger(__name__)
+
 SHORT = 256  # entries up to which news are taken at once, and backends held up to which a whole list is
 PIECE = 64  # entries that the module takes in one turn
 LOOKS = 512  # entries that are compared in one turn
@@ -42,6 +46,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._begun = False  # the module has been told a list
+        self._changes = ListChanges()  # since the last line on them
 
     def put(self, news: News | None, kind: api.ListKind) -> None:
         """Take news; None: nothing is new.
@@ -70,8 +75,10 @@
             self.taken(None, kind)
         elif len(news.members) <= SHORT and (kind is api.ListKind.CHANGES or len(self.pool.members) <= SHORT):
             self._begun = True
+            self._note(news.members, kind is not api.ListKind.CHANGES)
             self.pool.update(news.members, kind is not api.ListKind.CHANGES)
             self.tell(api.ListUpdate(kind, list(news.members), news.revision))
+            self._say(news)
             self.taken(news, kind)
         else:
             self.waiting.append((news, kind))
@@ -100,6 +107,8 @@
                 if self.waiting[0] is item:
                     self.waiting.popleft()
                     self._stopped = {name: by for name, by in self._stopped.items() if by is not news}
+                    if news is not None:
+                        self._say(news)
                     self.taken(news, kind)
                     rest = list(news.members) if news is not None else []
                     del item, news
@@ -143,9 +152,25 @@
         if self._stopped:
             up = api.Phase.UP
             piece = tuple(m for m in piece if m.phase is not up or m.backend not in self._stopped)
+        self._note(piece, False)
         self.pool.update(piece, False)
         self.tell(api.ListUpdate(kind, list(piece), revision, more))
 
+    def _note(self, members: tuple[Member, ...], whole: bool) -> None:
+        """Collect what these change, for the log; `whole`: all that they leave out is gone."""
+        held = self.pool.members
+        for member in members:
+            self._changes.add(member, held.get(member.backend))
+        if whole:
+            left_out = held.keys() - {member.backend for member in members}
+            self._changes.add_gone(held[name] for name in sorted(left_out))
+
+    def _say(self, news: News) -> None:
+        """Log what has changed, now that it is in force."""
+        if text := self._changes.text():
+            log.info("list: revision %d: %s", news.revision, text)
+            self._changes = ListChanges()
+
     def _left_out(self, named: Shards[Member]) -> Iterator[tuple[Member, ...]]:
         """What a whole list names no more, as gone; empty where a turn found nothing."""
         for held, told in zip(self.pool.members.parts, named.parts, strict=True):
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import os
 import time
 from collections import Counter, deque
@@ -18,6 +19,7 @@
 from dillport.net.config import Config, Member, News
 from dillport.net.figures import End, Figures
 from dillport.net.listing import Listing
+from dillport.net.request_log import RequestLog
 from dillport.net.stream import Budget, Upload
 from dillport.net.turns import Turns
 from dillport.net.upstream import Answer, Attempt, Connection, Pool, Sink
@@ -124,7 +126,7 @@
 class Try:
     """One attempt with its clock."""
 
-    __slots__ = ("attempt", "backend", "number", "over", "request", "sent", "stop", "timer")
+    __slots__ = ("attempt", "backend", "number", "over", "request", "sent", "status", "stop", "timer")
 
     def __init__(self, request: str, number: int, backend: str, sent: float) -> None:
         self.request, self.number, self.backend, self.sent = request, number, backend, sent
@@ -132,6 +134,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.stop = 0.0  # ms the module gives it; 0: until the client's time is up
         self.over = False
+        self.status: api.Status | None = None  # how it ended
 
 
 class Node:
@@ -160,6 +163,9 @@
         self._busy = False
         self._drained: Callable[[], None] = lambda: None
         self.counts: Counter[str] = Counter()  # since the last line of counts
+        self.requests = RequestLog(self.loop.time)
+        self.revision = config.known.revision  # of the list
+        self.heard_at = -math.inf  # s: discovery's last word
         self._lag = 0.0  # s: the latest pulse since then
         self._pulses = 0
 
@@ -181,9 +187,12 @@
         if self.fleet is not None:
             self.fleet.learned(self.balancer.learned, self.now())
         if self._pulses >= REPORT_EVERY and self.counts:
+            self.counts += Counter({f"closed_{why.value}": n for why, n in self.pool.closes.items()})
+            self.pool.closes.clear()
             text = " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
-            log.info("counts: %s open=%d upstream=%d lag_ms=%.0f %s", text, len(self.open), self.pool.count,
-                     self._lag * 1000, self.balancer.gauge())  # fmt: skip
+            log.info("counts: %s open=%d upstream=%d lag_ms=%.0f revision=%d heard_s=%.1f %s", text,
+                     len(self.open), self.pool.count, self._lag * 1000, self.revision, now - self.heard_at,
+                     self.balancer.gauge())  # fmt: skip
             self.counts.clear()
             self._lag, self._pulses = 0.0, 0
         self.loop.call_at(now + PULSE, self.pulse, now + PULSE)
@@ -339,10 +348,13 @@
 
     def list(self, news: News, kind: api.ListKind) -> None:
         """The list, or a change of it."""
+        if kind is not api.ListKind.SAVED:
+            self.revision, self.heard_at = news.revision, self.loop.time()
         self.listing.put(news, kind)
 
     def unchanged(self) -> None:
         """Discovery says that nothing has changed, which is news too."""
+        self.heard_at = self.loop.time()
         self.listing.put(None, api.ListKind.CHANGES)
 
     def _listed(self, news: News | None, kind: api.ListKind) -> None:
@@ -396,9 +408,11 @@
                 self.loop.call_later(wait, self.event, api.Timer(action.token))
             case api.Refuse():
                 self.counts["refused"] += 1
+                self._unserved(action.request, "refused", action.reason)
                 self._answer(action.request, End.REJECTED, lambda client: client.refused(action.retry_after))
             case api.Fail():
                 self.counts["failed"] += 1
+                self._unserved(action.request, "failed", action.reason)
                 self._answer(action.request, End.FAILED, lambda client: client.failed())
             case api.Cancel():
                 self._cancel(action)
@@ -413,6 +427,10 @@
             case _:
                 log.error("not carried out: %r", action)
 
+    def _unserved(self, name: str, answer: str, reason: str) -> None:
+        request = self.open.get(name)
+        self.requests.unserved(name, answer, reason, len(request.attempts) if request else 0)
+
     def _send(self, action: api.Send) -> None:
         request, now = self.open.get(action.request), self.now()
         number = len(request.attempts) if request else 0
@@ -420,6 +438,8 @@
         if request is None:
             self._outcome(item, Answer(api.Status.MOOT))
             return
+        if request.attempts and (before := request.attempts[-1].status) is not None:
+            self.requests.sent_again(action.request, number, action.backend, before)
         request.attempts.append(item)
         item.stop = action.timeout
         wait = self._clock(item, request)
@@ -492,10 +512,13 @@
 
     def _outcome(self, item: Try, answer: Answer) -> None:
         """The one outcome of an attempt; a backend's whole answer goes to the client and ends the request."""
-        item.over, item.attempt = True, None
+        item.over, item.attempt, item.status = True, None, answer.status
         if item.timer is not None:
             item.timer.cancel()
         self.counts[f"attempt_{answer.status.value}"] += 1
+        if answer.status is not api.Status.OK:
+            took = self.now() - item.sent
+            self.requests.attempt_failed(item.request, item.number, item.backend, answer.status, took)
         request = self.open.get(item.request)
         if request is not None and request.streaming:
             whole = answer.status is api.Status.OK
--- a/dillport/net/upstream.py
+++ b/dillport/net/upstream.py
@@ -8,8 +8,10 @@
 import logging
 import math
 import socket
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from itertools import takewhile
 from typing import Protocol, cast
 
@@ -93,6 +95,17 @@
     return None
 
 
+class CloseReason(Enum):
+    """Why this side closes a connection; the values are words of the line of counts."""
+
+    ENDED = "ended"  # by the backend, or it never came up
+    GIVEN_UP = "given_up"  # its attempt was called off or ran out of time
+    IDLE = "idle"  # for so long that the backend may close it
+    CROWDED = "crowded"  # another one needs its descriptor
+    UNLISTED = "unlisted"  # its backend drains, is gone, banned or elsewhere
+    UNUSABLE = "unusable"  # it cannot carry another request
+
+
 class Attempt:
     """One request on its way to one backend; `done` is called once with its end, unless it is dropped.
 
@@ -126,7 +139,7 @@
         """Stop waiting. The connection is closed on return, so that no two copies are out at once."""
         if self.connection is not None:
             self.connection.attempt = None
-            self.connection.close()
+            self.connection.close(CloseReason.GIVEN_UP)
             self._detach()
 
     def _detach(self) -> None:
@@ -224,10 +237,10 @@
         """The connection is up, or has rested: write what waits for it, if that is still to go out."""
         attempt = self.attempt
         if attempt is None or self.closed:
-            self.close()
+            self.close(CloseReason.GIVEN_UP)
         elif not self.host.up or self.host.address != self.address or not attempt.wanted():
             # Guards against sending to a backend that left the list meanwhile, or for a client that has gone.
-            self._fail(Status.MOOT)
+            self._fail(Status.MOOT, CloseReason.GIVEN_UP if self.host.up else CloseReason.UNLISTED)
         elif self.resting is not None and not self.alive:
             self._fail(Status.MOOT)
         else:
@@ -246,20 +259,21 @@
             return False
         return False  # half a line, a second answer, an end
 
-    def _fail(self, status: Status) -> None:
+    def _fail(self, status: Status, why: CloseReason = CloseReason.ENDED) -> None:
         attempt, self.attempt = self.attempt, None
-        self.close()
+        self.close(why)
         if attempt is not None:
             attempt.end(Answer(status))
 
     def _warn(self, kind: str, text: str = "") -> None:
         self.pool.warnings.warn(kind, "backend {}:{}: {:.300}".format(*self.address, text or kind))
 
-    def close(self) -> None:
+    def close(self, why: CloseReason) -> None:
         """Close now: transports would do it a turn of the loop later, after the next attempt went out."""
         if self.closed:
             return
         self.closed = True
+        self.pool.closes[why] += 1
         self._unwatch()
         self.pool.count -= 1
         if self in self.pool.idle:
@@ -550,6 +564,7 @@
         self.listed = 0  # of them, as in service
         self.hosts: dict[str, Host] = {}  # those of them that were sent to
         self.idle: dict[Connection, None] = {}  # of all hosts, longest idle first
+        self.closes: Counter[CloseReason] = Counter()  # since the last line of counts
         self.banned: set[str] = set()  # by the operators, listed or not
         self.sweeper: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
@@ -604,7 +619,7 @@
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a backend."""
         for connection in self.hosts[name].idle[:] if name in self.hosts else ():
-            connection.close()
+            connection.close(CloseReason.UNLISTED)
 
     def start(
         self, name: str, data: bytes, done: Callable[[Answer], None], begin: Begin = unwanted,
@@ -625,7 +640,7 @@
             if connection.alive:
                 connection.rest(attempt)
                 return attempt
-            connection.close()
+            connection.close(CloseReason.ENDED)
         if self.count >= self.limit and not self._evict():
             attempt.end(Answer(Status.MOOT))
             return attempt
@@ -658,23 +673,29 @@
         while index := bisect.bisect_right(host.idle, now - REST, key=lambda one: one.idle_since):
             connection = host.idle[index - 1]
             self.take(connection)
-            if connection.idle_since >= stale and connection.alive:
+            if connection.idle_since < stale:
+                connection.close(CloseReason.IDLE)
+            elif connection.alive:
                 return connection
-            connection.close()
+            else:
+                connection.close(CloseReason.ENDED)
         return None
 
     def _evict(self) -> bool:
         """Close the connection that has been idle longest."""
         for connection in self.idle:
-            connection.close()
+            connection.close(CloseReason.CROWDED)
             return True
         return False
 
     def release(self, connection: Connection, reusable: bool) -> None:
         """Take back a connection after its answer."""
         host = connection.host
-        if not reusable or not host.up or host.address != connection.address or connection.closed:
-            connection.close()
+        if not host.up or host.address != connection.address:
+            connection.close(CloseReason.UNLISTED)
+            return
+        if not reusable or connection.closed:
+            connection.close(CloseReason.UNUSABLE)
             return
         connection.wrote, connection.idle_since = False, self.loop.time()
         host.idle.append(connection)
@@ -686,13 +707,13 @@
         """Close what has been idle for long, well before the backend does so under a request."""
         self.sweeper, stale = None, self.loop.time() - KEEP * self.idle_limit
         for connection in [*takewhile(lambda one: one.idle_since < stale, self.idle)]:
-            connection.close()
+            connection.close(CloseReason.IDLE)
         if self.idle:
             self.sweeper = self.loop.call_later(max(SWEEP * self.idle_limit, 0.05), self._sweep)
 
     def close(self) -> None:
         """Close all idle connections, at the end."""
         for connection in [*self.idle]:
-            connection.close()
+            connection.close(CloseReason.IDLE)
         if self.sweeper is not None:
             self.sweeper.cancel()
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -772,7 +772,7 @@
         if harmless and away > 0:  # until there is room; guards against clients that come back in step
             wide = AWAY if self.admission is None else RETURNING
             away = min(away, req.cls.usual * self.rng.uniform(*wide))
-        self.acts.append(api.Refuse(req.id, away) if harmless else api.Fail(req.id))
+        self.acts.append(api.Refuse(req.id, away, why) if harmless else api.Fail(req.id, why))
         self.shed += 1
         if self.arrived >= 50 and self.shed > self.arrived / 4:  # worth a line to the people on call
             self._log(f"shedding: {self.shed} of {self.arrived} requests refused or failed")
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,84 @@
+"""Log lines for on call: when a call was made, what the list changed, why a request was not served."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from dillport.interface import Phase, Status
+from dillport.net.changes import NAMES, ListChanges
+from dillport.net.limited import EVERY, LimitedWarnings
+from dillport.net.request_log import RequestLog
+from tests.helpers import entry, member
+from tests.test_discovery import World
+
+HERE = "127.0.0.1:9"
+
+
+def test_the_changes_of_a_list_are_told_by_kind_and_the_rest_is_counted() -> None:
+    changes = ListChanges()
+    up = member(entry("b0"), HERE)
+    changes.add(up, up)
+    assert changes.text() == ""
+    for number in range(NAMES + 2):
+        one = replace(up, backend=f"b{number}")
+        changes.add(replace(one, phase=Phase.DRAINING), one)
+    changes.add(replace(up, backend="new"), None)
+    changes.add(replace(up, backend="old", phase=Phase.GONE), None)  # it was never listed
+    changes.add(replace(up, started_at=up.started_at + 1.0), up)
+    changes.add_gone([replace(up, backend="left-out")])
+    named = " ".join(f"b{number}" for number in range(NAMES))
+    assert changes.text() == f"draining {named} and 2 more, gone left-out, ready new, restarted b0"
+
+
+def test_lines_of_a_kind_are_limited_and_what_is_left_out_is_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    now = 0.0
+    lines = LimitedWarnings(logging.getLogger("tests"), lambda: now, lines=2)
+    for text in ("a", "b", "c", "d"):
+        lines.warn("kind", text)
+    lines.warn("other kind", "e")
+    now = EVERY
+    lines.warn("kind", "f")
+    assert caplog.messages == ["a", "b", "e", "f (2 more since such a line)"]
+
+
+def test_a_request_is_named_once_for_each_kind_of_trouble(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    requests = RequestLog(lambda: 0.0)
+    for name in ("r1", "r2"):
+        requests.attempt_failed(name, 0, "b0", Status.RESET, 3.2)
+        requests.sent_again(name, 1, "b1", Status.RESET)
+        requests.unserved(name, "refused", "held", 2)
+    requests.unserved("r3", "failed", "held", 2)
+    assert caplog.messages == [
+        "request r1: attempt 1 at b0: reset after 3 ms",
+        "request r1: attempt 2 at b1, after one that ended: reset",
+        "request r1: refused, reason held, attempts 2",
+        "request r3: failed, reason held, attempts 2",
+    ]
+
+
+def test_each_call_of_discovery_is_logged_with_its_reason_and_its_end(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    world = World(tmp_path, False, "falls", "refuse", "busy", "good")
+    world.play(20)
+    lines = [line for line in caplog.messages if line.startswith(("discovery: call", "list: revision"))]
+    target = "127.0.0.1:1 for /discovery/hosts?watch=1&from="
+    names = " ".join(f"b{i}" for i in range(NAMES))
+    assert lines[:3] == [
+        f"discovery: call 1 to {target}0: the list is wanted",
+        "discovery: call 1 answered after 0.00 s",
+        f"list: revision 8: ready {names} and 4 more",
+    ]
+    reasons = [line.rpartition(": ")[2] for line in lines[3:]]
+    assert reasons[:5] == [
+        "silent", "the watch was silent", "no connection", "the call before failed", "refused by discovery"
+    ]  # fmt: skip
+    assert lines[-1].endswith("not wanted any more")
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -21,7 +21,7 @@
 from dillport.net.figures import Figures
 from dillport.net.node import AGAIN, MARGIN
 from dillport.net.stream import LARGEST, SMALL, Budget
-from dillport.net.upstream import MAX_HEAD, Answer, Attempt, Connection, Pool
+from dillport.net.upstream import MAX_HEAD, Answer, Attempt, CloseReason, Connection, Pool
 from tests.sockets import HOUR, WAIT, Backend, Client, Message, answer, running
 from tests.test_console import CONSOLE
 from tests.test_node import _list
@@ -364,7 +364,7 @@
             connection.pause()
             connection.resume()
             connection.connection_lost(ConnectionResetError())
-            connection.close()
+            connection.close(CloseReason.GIVEN_UP)
         assert wire.pool.count == 0 and wire.ends.empty()
         wire.start()
         other = await wire.accepted()
