Calls of discovery are not given up for a new address, and one crowded queue is not joined twice

Ruled out: a file that was turned down (each signal is followed by a call at its address), versions that fall (they only rise), a silent watch held for open (calls follow each end within 1 s). At fault: Discovery.move, which closed every call and dialled anew for each address; Call._look, which ended a hurried call after 1.5 s though it may wait in the queue; Balancer._list, whose wait doubled up to 3.95 s while the 6 s ran out. Change: calls at former addresses go on until a newer one has told the list or they end; a new address is called once no call has been unanswered for less than 1 s; a hurried call goes on beside the next; a whole list that another call has overtaken is not taken; where discovery itself ends calls the wait is 1.2 s at most within the 6 s, and later calls are 2.8 s apart at most.

--- a/dillport/interface.py
+++ b/dillport/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -211,6 +212,15 @@
 # --- events -----------------------------------------------------------------------------------------
 
 
+@dataclass(slots=True, frozen=True)
+class CallFailure:
+    """How a call of discovery has failed."""
+
+    silent_for: float = math.inf  # ms since discovery last told something whole
+    reached: bool = False  # discovery itself has ended it: it may be there, and only have too many callers
+    queued: bool = False  # and that with nothing told, after a wait
+
+
 @dataclass(slots=True)
 class ListUpdate:
     """News of the backends; `FAILED` carries none.
@@ -222,6 +232,7 @@
     entries: list[Entry]
     revision: int = 0
     more: bool = False  # further pieces of the same list follow
+    failure: CallFailure | None = None  # of FAILED, where it is known
 
 
 @dataclass(slots=True)
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections import deque
 from collections.abc import Iterator
@@ -14,17 +15,19 @@
 import httptools
 
 from dillport import interface as api
+from dillport.net import watchdog
 from dillport.net.config import Address, ListError, News, news_in_turns, news_of
 from dillport.net.limited import LimitedWarnings
 from dillport.net.node import Node
 from dillport.net.objects import BrokenObject, Objects
-from dillport.net.watchdog import ANSWER, HURRY, LOOK, PERIOD, REST, SILENT, Watchdog
+from dillport.net.watchdog import Watchdog
 
 log = logging.getLogger(__name__)
 
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
 WAIT_TOLD = 0.6  # s, likewise, where the call told something and those before it did not
+ONE_AT_A_TIME = 1.0  # s that a call may have been unanswered for which a new address has to wait
 LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
 MOST_OBJECT = 8 * 1024 * 1024  # bytes that an object may have on any node
 MOST_PART = 1 / 12  # of the node's memory that it may have: entries take thrice their bytes, new ones twice
@@ -88,14 +91,18 @@
         self.address = owner.address
         self.dialled = owner.loop.time()
         self.objects_told = 0
+        self.known = owner.revision  # what the node held when it was dialled, or took from it last
         self.stage = Stage.DIALLING
-        self.dog = Watchdog(owner.loop.time(), HURRY if quick else ANSWER, random.uniform(*SILENT))
+        answer = watchdog.HURRY if quick else watchdog.ANSWER
+        self.dog = Watchdog(owner.loop.time(), answer, random.uniform(*watchdog.SILENT))
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
         self.objects = Objects(most_object(owner.node.config.memory_mb))
         self.timer: asyncio.TimerHandle | None = None
         self.told_at: float | None = None  # when it first told something
         self.done = self.doubt = False
+        self.how: End | None = None  # it has ended
+        self.lasted = 0.0  # s from dialling to its end
         self.unfed = bytearray()  # came, and waits for its turn
         self.feeding = self.paused = False
         self.ended: End | None = None  # nothing more comes behind that
@@ -130,14 +137,26 @@
             self._arm()
         elif not self.doubt or self.owner.reads(self):
             self.doubt = True  # the node may have stood still itself, with news unread, or it decodes a list
-            self.timer = self.owner.loop.call_later(LOOK, self._look)
-        elif self.watch and self.dog.trickles(now) and self.owner.slow is None:
+            self.timer = self.owner.loop.call_later(watchdog.LOOK, self._look)
+        elif self.owner.call is self and self.owner.slow is None and self._may_still_tell(now):
             self.doubt, self.stage = False, Stage.SLOW
             self._arm()
             self.owner.slowed(self)
         else:
             self.end(End.SILENT)
 
+    def _may_still_tell(self, now: float) -> bool:
+        """Whether it is worth keeping beside the next call.
+
+        A hurried one may have come far in discovery's queue: given up, the next one would begin at its end.
+        """
+        if self.dog.trickles(now):
+            return True
+        if self.quick and self.stage is Stage.ASKED:
+            self.dog.extend(watchdog.ANSWER)
+            return True
+        return False
+
     def data_received(self, data: bytes) -> None:
         """Read, what is long in turns."""
         if len(data) <= SLICE and not self.feeding:
@@ -222,14 +241,15 @@
             self.owner.node.unchanged()
         else:
             self.done = not self.watch
-            self.owner.news(update)
+            self.owner.news(self, update)
+        self.owner.settled(self)
 
     def _broken(self, err: ListError | BrokenObject) -> None:
         """What it said is lost, and later changes do not repeat it: only the whole list will do."""
         if self.stage is Stage.OVER:  # nobody wants it any more
             return
         self.owner.warn("discovery: bad list", err.line)
-        self.owner.revision = 0
+        self.owner.forget()
         self.end(End.BROKEN)
 
     def on_message_complete(self) -> None:
@@ -249,6 +269,16 @@
         else:
             self.end(how)
 
+    @property
+    def reached(self) -> bool:
+        """Whether discovery itself has ended it: it may be there, and only crowded."""
+        return self.how in (End.REFUSED, End.CLOSED)
+
+    @property
+    def was_queued(self) -> bool:
+        """Whether it was turned away after a wait, with nothing told."""
+        return self.reached and self.told_at is None and self.lasted >= watchdog.QUEUED
+
     @property
     def over(self) -> bool:
         """Whether it is closed."""
@@ -268,10 +298,9 @@
     def close(self, how: End) -> None:
         """Nobody wants it any more."""
         if self.stage is not Stage.OVER:
-            lasted = self.owner.loop.time() - self.dialled
-            self.owner.note(
-                f"call {self.number} ended after {lasted:.2f} s, {self.objects_told} objects: {how.value}"
-            )
+            self.how, self.lasted = how, self.owner.loop.time() - self.dialled
+            told = f"{self.objects_told} objects: {how.value}"
+            self.owner.note(f"call {self.number} ended after {self.lasted:.2f} s, {told}")
         self.stage = Stage.OVER
         if self.timer is not None:
             self.timer.cancel()
@@ -293,7 +322,10 @@
     """Keeps the node's list up to date; the last list stays in force while discovery is away.
 
     While the watch is wanted there is a call, or a timer for the next one, or the module has set its own;
-    never two of these. Beside them a slow call may go on.
+    never two of these. Beside them a slow call may go on, and after a move those at former addresses.
+
+    A call is not given up because another one is due. Discovery takes calls in turn: the next one starts at
+    the end of its queue, while an answer to the former may be on its way and counts as told.
     """
 
     def __init__(self, node: Node, address: Address, revision: int) -> None:
@@ -302,6 +334,8 @@
         self.call: Call | None = None  # the watch, from the moment it is dialled
         self.timer: asyncio.TimerHandle | None = None  # for the next one
         self.slow: Call | None = None  # an older one that still comes
+        self.former: list[Call] = []  # those at addresses that were left: they end there, or are overtaken
+        self.moving = False  # the timer is for the first call at a new address
         self.wait = WAIT_FIRST
         self.answered = True  # the last call that ended had told something
         self.loop = asyncio.get_running_loop()
@@ -317,16 +351,36 @@
     def watch(self, on: bool) -> None:
         """Start or stop the watch."""
         self.wanted = on
-        if on:
-            self._connect(Reason.WANTED)
-        else:
+        if not on:
             self._drop(End.STOPPED)
+        elif not self.moving:
+            self._connect(Reason.WANTED)
 
     def move(self, address: Address) -> None:
-        """Go to another address: the old one tells nothing more, so a watch there is opened anew at once."""
+        """Go to another address: the old one takes no calls, and soon tells nothing more."""
         self.address, self.wait = address, WAIT_FIRST
-        self._drop(End.MOVED)
-        self._connect(Reason.MOVED, quick=True)
+        for call in (self.slow, self.call):
+            if call is not None and call.stage is Stage.DIALLING:
+                call.close(End.MOVED)
+            elif call is not None:
+                self.former.append(call)
+        self.call = self.slow = None
+        self._unset()
+        self._call_new_address()
+
+    def _call_new_address(self) -> None:
+        """Call there once no other call waits for its answer, or has waited for long.
+
+        Guards against addresses in quick succession: a call for each would crowd discovery.
+        """
+        asked = [call.dialled for call in self.former if call.stage is Stage.ASKED]
+        due = max(asked, default=-math.inf) + ONE_AT_A_TIME
+        if due <= self.loop.time():
+            self._connect(Reason.MOVED, quick=True)
+        elif self.wanted:
+            self._unset()
+            self.moving = True
+            self.timer = self.loop.call_at(due, self._connect, Reason.MOVED, True)
 
     def _drop(self, why: End) -> None:
         """Nothing of what was begun is heard of again."""
@@ -334,9 +388,16 @@
             if call is not None:
                 call.close(why)
         self.call = self.slow = None
+        self._close_former(why)
         self._unset()
 
+    def _close_former(self, why: End) -> None:
+        for call in self.former:
+            call.close(why)
+        self.former.clear()
+
     def _unset(self) -> None:
+        self.moving = False
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -364,7 +425,7 @@
 
     async def _dial(self, call: Call) -> None:
         try:
-            async with asyncio.timeout(HURRY if call.quick else CONNECT):
+            async with asyncio.timeout(watchdog.HURRY if call.quick else CONNECT):
                 await self.loop.create_connection(lambda: call, *call.address)
         except (OSError, TimeoutError) as err:
             if call.stage is not Stage.OVER:
@@ -408,12 +469,14 @@
                 self.reading = None
             call.flow()
 
-    def news(self, update: News) -> None:
+    def news(self, call: Call, update: News) -> None:
         """Apply an object by its revision: a change that is not newer than the list held is an old one.
 
-        One of the same revision is what a watch begins with where nothing has changed.
+        One of the same revision is what a watch begins with where nothing has changed. A whole list may be
+        older where discovery has begun anew, but not where another call has told more since.
         """
-        if update.complete:
+        overtaken = call.known < self.revision and update.revision < self.revision
+        if update.complete and not overtaken:
             self.revision = update.revision
             self.node.list(update, api.ListKind.FULL)
         elif update.revision > self.revision:
@@ -421,9 +484,22 @@
             self.node.list(update, api.ListKind.CHANGES)
         elif update.revision == self.revision:
             self.node.unchanged()
+        call.known = self.revision
+
+    def forget(self) -> None:
+        """News were lost: the whole list is to be told, and by a call that does not go on from them."""
+        self.revision = 0
+        self._close_former(End.BROKEN)
+
+    def settled(self, call: Call) -> None:
+        """What a call has told is in force, or on its way there."""
+        if call in self.former and self.moving:
+            self._call_new_address()
 
     def told(self, call: Call) -> None:
-        """A call has told something whole: the other one, or the wait for it, is of no more use."""
+        """A call has told something whole: the others, or the wait for it, are of no more use."""
+        if call in (self.call, self.slow):
+            self._close_former(End.OVERTAKEN)
         if call is self.slow:
             if self.call is not None:
                 self.call.close(End.OVERTAKEN)
@@ -440,6 +516,11 @@
 
     def lost(self, call: Call, silent: bool) -> None:
         """A call has ended. Beside a slow one the next has been seen to already."""
+        if call in self.former:
+            self.former.remove(call)
+            if self.moving:
+                self._call_new_address()
+            return
         if call is self.slow:
             self.slow = None
             return
@@ -470,10 +551,12 @@
             self._connect(Reason.SILENT, quick=True)
         elif self.node.settings.must_ask and not (call.quick and call.told_at is None):
             if not call.done:
-                self.node.list_failed()
+                self.node.list_failed(call.reached, call.was_queued)
         elif call.watch:
-            left = max(REST, call.dog.dialled + PERIOD - self.loop.time())
-            wait = min(self.wait, left) * random.uniform(1 / 3, 1.0)
+            period = watchdog.TURNED_AWAY if call.reached else watchdog.PERIOD
+            left = max(watchdog.REST, call.dialled + period - self.loop.time())
+            most = watchdog.CROWDED if call.was_queued else min(self.wait, left)
+            wait = most * random.uniform(1 / 3, 1.0)
             why = Reason.BESIDE if self.slow is call else Reason.RETRY
             self.timer = self.loop.call_later(wait, self._connect, why)
             self.wait = min(2 * self.wait, WAIT_MOST)
--- a/dillport/net/node.py
+++ b/dillport/net/node.py
@@ -379,10 +379,12 @@
         self.pool.ban(backend, out)
         self.event(api.Maintenance(backend, out, since))
 
-    def list_failed(self) -> None:
-        """A call that the module asked for has failed."""
+    def list_failed(self, reached: bool = False, queued: bool = False) -> None:
+        """A call that the module asked for has failed; see `api.CallFailure`."""
         self.list_failures = True
-        self.event(api.ListUpdate(api.ListKind.FAILED, []))
+        silent_for = (self.loop.time() - self.heard_at) * 1000
+        failure = api.CallFailure(silent_for, reached, queued)
+        self.event(api.ListUpdate(api.ListKind.FAILED, [], failure=failure))
 
     async def finish(self, wait: float) -> None:
         """Wait until all that was taken is answered, `wait` seconds at most, then fail the rest.
--- a/dillport/net/watchdog.py
+++ b/dillport/net/watchdog.py
@@ -20,7 +20,14 @@
     0.15  a drawn wait before the second call, which is as patient as any
     1.00  left for discovery's own queue
 
-After SIGHUP the first call at the new address is hurried as well: the second one is out after 1.75 s of 4.
+After SIGHUP the first call at the new address is hurried as well, and may wait until one that is under way
+has been unanswered for 1 s: the second one is out after 2.75 s of 4. A hurried call is kept beside the next
+one, for ANSWER in all: it may have come far in discovery's queue.
+
+Discovery may be there and turn calls away, as it has too many: at once, or after a wait in its queue.
+Several calls have to fit into the 6 s then. The wait between two is 1.2 s at most (CROWDED) while they
+last; later, as nobody can tell a crowd from an outage, 2.8 s lie between two calls at most (TURNED_AWAY):
+two of them, and 1 s in the queue, are 6.6 s, which the grace of a drain covers.
 
 An object that comes in pieces and does not end is no answer and no sign of life: the next call is due as if
 nothing came. But the slow one may be a list that really takes so long: it goes on beside the next calls
@@ -32,6 +39,8 @@
 from dillport import policy
 
 PERIOD, REST = policy.ASK_PERIOD / 1000, policy.ASK_REST / 1000
+TURNED_AWAY, CROWDED = policy.ASK_TURNED_AWAY / 1000, policy.ASK_CROWDED / 1000
+QUEUED = 0.5  # from which on a call that is turned away has waited for others
 SILENT = (2.75, 3.25)  # without anything whole, drawn for each call
 LOOK = 0.05  # until the second look
 HURRY = 1.5
@@ -48,6 +57,10 @@
         self.whole_by = now + answer  # when something whole is due
         self.last = now - silent  # byte of the body
 
+    def extend(self, answer: float) -> None:
+        """The first whole object may take so long from dialling, after all."""
+        self.whole_by = self.dialled + answer
+
     def fed(self, now: float) -> None:
         """A piece of the body came."""
         self.last = now
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -46,6 +46,9 @@
 SHOWN = 500.0  # a backend that has been avoided for this long is shown as unavailable
 ASK_PERIOD = 3_950.0  # from one call of discovery to the next at most, see net/watchdog.py
 ASK_REST = 900.0  # of it, what is left for the wait after a call that took as long as one may
+ASK_KNOWN = 6_000.0  # ms after which what discovery has counts as told, see net/watchdog.py
+ASK_CROWDED = 1_200.0  # the longest wait until then where discovery itself ends calls: it may be crowded
+ASK_TURNED_AWAY = 2_800.0  # from one call to the next at most where discovery itself turns calls away
 TINY = 1e-9  # ms: a time to divide by is never 0
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
 
@@ -825,6 +828,7 @@
             # last asked for here: a watch is opened anew without a word.
             left = max(ASK_REST, self.asked + ASK_PERIOD - self.now)
             most = min(1.5 * self.cfg.ask_within / 32 * 2**self.asks_failed, left)
+            most = self._ask_soon(most, ev.failure or api.CallFailure())
             wait = most * self.rng.uniform(1 / 3, 1.0)
             self._ask_in(wait)
             self._log(f"list: call failed {self.asks_failed} times, asking again in {wait / 1000:.1f} s")
@@ -843,6 +847,18 @@
             self.index.take(entry)
         self._refresh({entry.backend: None for entry in entries}, ev.more)
 
+    def _ask_soon(self, most: float, failure: api.CallFailure) -> float:
+        """The longest wait for the next call, out of `most`, so that several can fail in a crowded queue.
+
+        Guards against a wait that grows while the time runs out in which a change counts as told.
+        """
+        if not failure.reached:
+            return most
+        time_left = ASK_KNOWN - failure.silent_for
+        if time_left <= 0:
+            return min(most, max(ASK_REST, self.asked + ASK_TURNED_AWAY - self.now))
+        return min(most, ASK_CROWDED)
+
     def _refresh(self, names: Iterable[str], more: bool = False) -> None:
         """Who of these may have new work has changed, or may have: this node's own order of the list.
 
