Waits between calls shrink while a change is due, a list that was overtaken is asked for again; tests

Change: a call that was turned away at once is followed after at most a quarter of the time left, 0.8 to 1.2 s; an overtaken list ends its call, and the next one, which names the newer version, is believed; a fleet's room hears of no failure while a call at a former address goes on. Tests for a former address, a hurried call, an overtaken list, and the return of a crowded discovery after five kinds of outage.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -473,10 +473,14 @@
         """Apply an object by its revision: a change that is not newer than the list held is an old one.
 
         One of the same revision is what a watch begins with where nothing has changed. A whole list may be
-        older where discovery has begun anew, but not where another call has told more since.
+        older where discovery has begun anew. Where another call has told more since this one was dialled,
+        that is not certain: the next call says how far this node is, and its answer holds.
         """
         overtaken = call.known < self.revision and update.revision < self.revision
-        if update.complete and not overtaken:
+        if update.complete and overtaken:
+            call.end(End.OVERTAKEN)
+            return
+        if update.complete:
             self.revision = update.revision
             self.node.list(update, api.ListKind.FULL)
         elif update.revision > self.revision:
@@ -560,5 +564,5 @@
             why = Reason.BESIDE if self.slow is call else Reason.RETRY
             self.timer = self.loop.call_later(wait, self._connect, why)
             self.wait = min(2 * self.wait, WAIT_MOST)
-        if self.node.fleet is not None and not call.done and self.slow is None:
+        if self.node.fleet is not None and not (call.done or self.slow or self.former):
             self.node.fleet.list_failed()
--- a/dillport/policy.py
+++ b/dillport/policy.py
@@ -48,6 +48,8 @@
 ASK_REST = 900.0  # of it, what is left for the wait after a call that took as long as one may
 ASK_KNOWN = 6_000.0  # ms after which what discovery has counts as told, see net/watchdog.py
 ASK_CROWDED = 1_200.0  # the longest wait until then where discovery itself ends calls: it may be crowded
+ASK_TRIES = 4.0  # a wait is at most such a part of what is left until then, for a call that was not queued
+ASK_LEAST = 800.0  # and this at least
 ASK_TURNED_AWAY = 2_800.0  # from one call to the next at most where discovery itself turns calls away
 TINY = 1e-9  # ms: a time to divide by is never 0
 LOG_EVERY = 10_000.0  # a node logs at most one line in this time
@@ -857,7 +859,9 @@
         time_left = ASK_KNOWN - failure.silent_for
         if time_left <= 0:
             return min(most, max(ASK_REST, self.asked + ASK_TURNED_AWAY - self.now))
-        return min(most, ASK_CROWDED)
+        if failure.queued:
+            return min(most, ASK_CROWDED)
+        return min(most, ASK_CROWDED, max(ASK_LEAST, time_left / ASK_TRIES))
 
     def _refresh(self, names: Iterable[str], more: bool = False) -> None:
         """Who of these may have new work has changed, or may have: this node's own order of the list.
--- a/tests/test_discovery_reloads.py
+++ b/tests/test_discovery_reloads.py
@@ -19,8 +19,9 @@
 import logging
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, replace
+from enum import Enum
 from itertools import count, product
 from pathlib import Path
 from typing import cast
@@ -32,14 +33,16 @@
 from dillport.net.discovery import Call, Discovery
 from dillport.net.node import Node
 from tests.sockets import Backend, Client, FakeDiscovery, Rig, configuration, read_message, started
-from tests.test_discovery import HEAD, KNOWN, Line, World
+from tests.test_discovery import FAR, HEAD, KNOWN, NEW, Line, World
 
+SAVED = 41  # revision of the list that a node starts with here
 GRACE = 1.0  # s after which nothing may go to a backend that is told to drain
 CLOSES = 1.5  # s after which an address that was given up closes its connections
 NODES = 6
 CONFIGURATIONS = (0.0, 0.35, 0.7, 1.6)  # s at which a node gets one, from its first
 NEXT_NODE = 0.4  # s between the first ones of two nodes
 CHANGES = (0.0, 0.6, 1.1, 6.2, 6.5, 6.8, 7.6, 12.2)  # s at which the list changes; revision 1 and on
+AWAY = 8.0  # s of an outage
 SETTLED = 30.0  # s before all that, and after it
 
 
@@ -84,6 +87,16 @@
     revision: int
 
 
+class Outage(Enum):
+    """What becomes of the calls while discovery is down."""
+
+    REFUSED = "no connection comes up"
+    TURNED_AWAY = "503 at once"
+    TURNED_AWAY_LATE = "503 after a second"
+    RESET = "the connection is reset"
+    SILENT = "no answer"
+
+
 class QueueWorld(World):
     """Several nodes and one discovery that handles calls in turn; one that waits for over a second fails."""
 
@@ -100,6 +113,7 @@
         self.busy, self.revision = False, 0
         self.written, self.taken = list[Told](), list[Told]()
         self.current: dict[int, Address] = {}  # where discovery is, by node
+        self.outage: Outage | None = None  # discovery is down
         self.most_unanswered = 0  # calls of one node that waited at the same time
         self.draws = random.Random(seed)
 
@@ -108,10 +122,15 @@
         node = cast(Call, protocol).owner.node.settings.me
         if self.current.setdefault(node, address) != address:
             raise ConnectionRefusedError("an address that was given up")
+        if self.outage is Outage.REFUSED:
+            raise ConnectionRefusedError("down")
         protocol.connection_made(QueuedLine(self, protocol, node, address))
 
     def enqueue(self, line: QueuedLine) -> None:
         """A call has come."""
+        if self.outage is not None:
+            self._turn_away(line, self.outage)
+            return
         if self.at_once and self.call_s * len(self.queue_of_calls) > self.patience:
             self.loop.call_later(0.02, line.busy)
             return
@@ -124,6 +143,12 @@
         if not self.busy:
             self._next()
 
+    def _turn_away(self, line: QueuedLine, outage: Outage) -> None:
+        if outage is Outage.RESET:
+            self.loop.call_later(0.02, line.abort)
+        elif outage is not Outage.SILENT:
+            self.loop.call_later(0.02 if outage is Outage.TURNED_AWAY else 1.0, line.busy)
+
     def _expire(self, line: QueuedLine) -> None:
         if line.waiting:
             line.waiting = False
@@ -199,13 +224,43 @@
             cast(Discovery, node.discovery).watch(False)
         return made
 
-    def play_all(self, seed: int) -> dict[int, float]:
-        """As `life`, to its end."""
+    async def after_outage(self, seed: int, outage: Outage) -> dict[int, float]:
+        """Discovery is away for a while; the list changes as it returns, and soon after."""
+        nodes = [self.begin(number, seed * NODES + number) for number in range(NODES)]
+        await asyncio.sleep(SETTLED)
+        self.outage = outage
+        for line in self.lines:
+            line.abort()
+        await asyncio.sleep(AWAY)
+        self.outage, back = None, self.now
+        made = {revision: back + at for revision, at in enumerate((0.0, 0.5, 2.0), 1)}
+        for revision, at in made.items():
+            self.loop.call_at(at, self.change, revision)
+        await asyncio.sleep(SETTLED)
+        for node in nodes:
+            cast(Discovery, node.discovery).watch(False)
+        return made
+
+    def play_all(self, life: Coroutine[None, None, dict[int, float]]) -> dict[int, float]:
+        """To its end."""
         try:
-            return self.loop.run_until_complete(self.life(seed))
+            return self.loop.run_until_complete(life)
         finally:
             self.loop.close()
 
+    def late(self, made: dict[int, float]) -> dict[tuple[int, int], float]:
+        """What was in force only after the grace, with how long after it was made, s; by node and revision.
+
+        A change counts as told 6 s after discovery had it, or once it is written to a node.
+        """
+        out = dict[tuple[int, int], float]()
+        for node in range(NODES):
+            for revision, at in made.items():
+                taken = self.first(self.taken, node, revision)
+                if taken > min(at + KNOWN, self.first(self.written, node, revision)) + GRACE:
+                    out[node, revision] = round(taken - at, 2)
+        return out
+
     def first(self, told: list[Told], node: int, revision: int) -> float:
         """When a node had been told at least that."""
         return min([t.at for t in told if t.node == node and t.revision >= revision], default=math.inf)
@@ -219,41 +274,89 @@
     logging.disable(logging.NOTSET)
 
 
-Late = dict[tuple[int, int, int], float]
-"""How long after it was made a change was in force, s, by seed, node and revision."""
-
-
-def late_changes(
-    path: Path, seed: int, call_s: float, ends: bool, abandoned_cost: bool, at_once: bool
-) -> Late:
-    """What was in force only after the grace, in one play.
-
-    A change counts as told 6 s after discovery had it, or once it is written to a node, whatever that did.
-    """
-    random.seed(seed)
-    world = QueueWorld(path, seed, call_s, ends, abandoned_cost, at_once)
-    made, late = world.play_all(seed), Late()
-    for node in range(NODES):
-        for revision, at in made.items():
-            taken = world.first(world.taken, node, revision)
-            told = min(at + KNOWN, world.first(world.written, node, revision))
-            if taken > told + GRACE:
-                late[seed, node, revision] = round(taken - at, 2)
-    assert world.most_unanswered <= 2
-    return late
-
-
 @pytest.mark.usefixtures("quiet")
 def test_a_crowded_discovery_tells_all_nodes_in_time_across_new_configurations(tmp_path: Path) -> None:
     """On each node, over seeded plays; discovery may handle calls that were given up, or leave them out."""
-    late = dict[tuple[float, bool, bool, bool], Late]()
+    late = dict[object, dict[tuple[int, int], float]]()
     for kind in product((0.17, 0.245), (False, True), (False, True), (False, True)):
         for seed in range(1, 9):
-            if found := late_changes(tmp_path, seed, *kind):
-                late.setdefault(kind, {}).update(found)
+            random.seed(seed)
+            world = QueueWorld(tmp_path, seed, *kind)
+            if found := world.late(world.play_all(world.life(seed))):
+                late[kind, seed] = found
+            assert world.most_unanswered <= 2
     assert late == {}
 
 
+@pytest.mark.usefixtures("quiet")
+def test_a_crowded_discovery_tells_all_nodes_in_time_after_an_outage(tmp_path: Path) -> None:
+    """Its queue is not long enough for all of them, and some are turned away once it is back."""
+    late = dict[object, dict[tuple[int, int], float]]()
+    for call_s, ends, outage in product((0.17, 0.385), (False, True), Outage):
+        for seed in range(1, 7):
+            random.seed(seed)
+            world = QueueWorld(tmp_path, seed, call_s, ends, abandoned_cost=True, at_once=True)
+            if found := world.late(world.play_all(world.after_outage(seed, outage))):
+                late[call_s, ends, outage, seed] = found
+            assert world.most_unanswered <= 2
+    assert late == {}
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+def test_a_watch_at_a_former_address_is_heard_until_the_new_one_tells(tmp_path: Path, must_ask: bool) -> None:
+    world = World(tmp_path, must_ask, "good", "mute")
+
+    def move(discovery: Discovery) -> None:
+        discovery.move(FAR)
+        world.loop.call_later(0.2, lambda: world.lines[0].put(world.whole(revision=NEW), first=False))
+        world.loop.call_later(0.4, lambda: world.lines[1].put(world.whole(revision=NEW + 1)))
+
+    world.play(9.0, lambda discovery: cast(None, world.loop.call_at(8.0, move, discovery)))
+    heard = [(round(at, 6), revision) for at, revision in world.heard if at > 8.0]
+    assert heard == [(8.2, NEW), (8.4, NEW + 1)]
+    assert [round(line.ended, 6) for line in world.lines] == [8.4, 9.0]
+
+
+@pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
+def test_a_hurried_call_that_waits_in_the_queue_is_answered_beside_the_next(
+    tmp_path: Path, must_ask: bool
+) -> None:
+    """Given up after 1.5 s it would have lost its place, 0.9 s before its turn."""
+    world = World(tmp_path, must_ask, "halts", "mute")
+
+    lines = list[list[bool]]()  # which are open, before the answer and behind it
+
+    def answer() -> None:
+        lines.append([line.open for line in world.lines])
+        world.lines[1].put(world.whole(revision=NEW))
+        lines.append([line.open for line in world.lines])
+
+    def wait(discovery: Discovery) -> None:
+        if len(world.dialled) < 2:
+            world.loop.call_later(0.1, wait, discovery)
+        else:
+            world.loop.call_at(world.dialled[1] + 2.4, answer)
+
+    world.play(11.0, wait)
+    assert lines == [[False, True, True], [False, True, False]]
+    assert [revision for _, revision in world.heard] == [SAVED, 8, NEW]
+
+
+def test_a_whole_list_that_another_call_has_overtaken_is_asked_for_again(tmp_path: Path) -> None:
+    """It may be older than what is in force; one that discovery gives for a newer version has begun anew."""
+    world = World(tmp_path, False, "good", "mute")
+
+    def move(discovery: Discovery) -> None:
+        discovery.move(FAR)
+        world.lines[0].put(world.whole(revision=NEW), first=False)
+        world.loop.call_later(0.1, lambda: world.lines[1].put(world.whole(revision=3)))
+        world.loop.call_later(0.5, lambda: world.lines[2].put(world.whole(revision=3)))
+
+    world.play(9.0, lambda discovery: cast(None, world.loop.call_at(8.0, move, discovery)))
+    assert [revision for _, revision in world.heard] == [SAVED, 8, NEW, 3]
+    assert [target.rpartition("=")[2] for _, target, _ in world.asked] == ["0", "8", str(NEW)]
+
+
 class Queue(FakeDiscovery):
     """Discovery at one address, where a call waits until the test answers it."""
 
