--- a/dillport/lab/hub.py
+++ b/dillport/lab/hub.py
@@ -8,6 +8,7 @@
 import math
 import time
 from collections import Counter, deque
+from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
@@ -16,9 +17,10 @@
 from dillport.lab.model.directory import Directory, Listed, Phase, Watch
 from dillport.lab.model.weather import Weather
 from dillport.lab.places import Places, text
-from dillport.lab.spec import Experiment
+from dillport.lab.spec import Experiment, Reload
 from dillport.lab.wires import Clock, Listener, Wire
 
+LEFT = 1.5  # s after which an address that was left closes its connections
 EMPTY_LINE = 2.0  # s between two empty lines of a watch
 MOST_DATAGRAM = 256  # bytes; a longer one breaks the protocol
 
@@ -39,16 +41,30 @@
         self.calls: deque[tuple[float, DiscoveryWire, int | None]] = deque()
         self.busy = False
         self.counts: Counter[str] = Counter()
-        self.listeners = [
-            Listener(places.discovery(node), lambda node=node: DiscoveryWire(self, node))  # type: ignore[misc]
+        moves = sum(isinstance(fault, Reload) and fault.moves for fault in spec.faults)
+        self.moved = Counter[int]()  # how often discovery has moved, by node
+        self.listeners = {
+            (node, move): Listener(places.discovery(node, move), partial(DiscoveryWire, self, node, move))
             for node in range(spec.fleet.nodes)
-        ]
+            for move in range(moves + 1)
+        }
 
     def open(self) -> None:
-        """Listen."""
-        for listener in self.listeners:
+        """Listen, at the addresses to come as well."""
+        for listener in self.listeners.values():
             listener.open()
 
+    def move(self, names: tuple[str, ...]) -> None:
+        """These nodes are told another address."""
+        for node in (int(name[1:]) for name in names):
+            self.listeners[node, self.moved[node]].close()
+            self.moved[node] += 1
+            asyncio.get_running_loop().call_later(LEFT, self._leave, node, self.moved[node])
+
+    def _leave(self, node: int, move: int) -> None:
+        for wire in [w for w in self.wires if w.node == node and w.move < move]:
+            wire.finish()
+
     def fail(self, down: bool) -> None:
         """Go down, with resets; or come back."""
         self.down = down
@@ -96,7 +112,9 @@
     def _handled(self) -> None:
         came, wire, since = self.calls.popleft()
         late = self.clock.now() - came > self.spec.discovery.timeout_ms
-        if late:
+        if not wire.open:
+            self.counts["abandoned"] += 1
+        elif late:
             self.counts["failed"] += 1
             wire.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
         elif since is None:
@@ -104,7 +122,7 @@
             wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(line), line))
         else:
             wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            wire.watch = Watch(since)
+            wire.watch = Watch(since, brief=self.spec.discovery.ends)
             wire.tell()
             wire.beat()
         self._next()
@@ -133,9 +151,10 @@
 class DiscoveryWire(Wire):
     """A node's connection to discovery."""
 
-    def __init__(self, service: DirectoryService, node: int) -> None:
+    def __init__(self, service: DirectoryService, node: int, move: int = 0) -> None:
+        """`move`: how often discovery had moved to come to this address."""
         super().__init__(service.weather, service.clock, "d", f"n{node}")
-        self.service, self.node = service, node
+        self.service, self.node, self.move = service, node, move
         self.parser = httptools.HttpRequestParser(self)
         self.watch: Watch | None = None
         self.beats: asyncio.TimerHandle | None = None
@@ -161,7 +180,12 @@
         self.service.call(self, since)
 
     def tell(self) -> None:
-        """What the watch does not know yet."""
+        """What the watch does not know yet; one that ends instead tells no more than its first object."""
+        if self.open and self.watch is not None and self.watch.ends(self.service.core):
+            self.watch = None
+            self.send(b"0\r\n\r\n")
+            self.finish()
+            return
         news = self.watch.news(self.service.core) if self.open and self.watch is not None else None
         if news is not None:
             line = self.service.line(self.node, *news)
--- a/dillport/lab/model/directory.py
+++ b/dillport/lab/model/directory.py
@@ -35,6 +35,11 @@
     told: int
     first: bool = True
     silent: bool = False
+    brief: bool = False  # it ends where something has changed, instead of telling it
+
+    def ends(self, directory: Directory) -> bool:
+        """Whether it is to end now."""
+        return self.brief and not (self.first or self.silent) and self.told != directory.revision
 
     def news(self, directory: Directory) -> tuple[list[Listed], bool] | None:
         """What it does not know, and whether that is the whole list; None where nothing is to be said."""
--- a/dillport/lab/places.py
+++ b/dillport/lab/places.py
@@ -45,9 +45,9 @@
         """Where a node finds a backend."""
         return self._at(PAIRS, node * self.backends + backend), PORT
 
-    def discovery(self, node: int) -> tuple[str, int]:
-        """Where a node finds discovery."""
-        return self._at(DISCOVERY, node), PORT
+    def discovery(self, node: int, moves: int = 0) -> tuple[str, int]:
+        """Where a node finds discovery, after it has moved so many times."""
+        return self._at(DISCOVERY, node), PORT + moves
 
     def console(self, node: int, process: int) -> tuple[str, int]:
         """Where operators find a process of a node."""
--- a/dillport/lab/processes.py
+++ b/dillport/lab/processes.py
@@ -83,8 +83,10 @@
     }  # fmt: skip
 
 
-def configuration(spec: Experiment, places: Places, node: int, seed: int, attempts: int) -> dict[str, Any]:
-    """A node's file."""
+def configuration(
+    spec: Experiment, places: Places, node: int, seed: int, attempts: int, moves: int = 0
+) -> dict[str, Any]:
+    """A node's file; discovery has moved so many times."""
     members = [
         {"id": name, "host_port": text(places.backend(node, number)), "locality": spec.zone_of(name),
          "flavor": "std", "cell": spec.cell_of(number), "phase": "in_service", "size": 1.0, "up_since_ms": 0}
@@ -93,7 +95,7 @@
     out = {
         "name": f"n{node}",
         "listen": text(places.node(node)),
-        "discovery": text(places.discovery(node)),
+        "discovery": text(places.discovery(node, moves)),
         "console": text(places.console(node, 0)),
         "seed": f"{seed:016x}",
         "limits": {
@@ -187,6 +189,7 @@
     attempts: int
     starts: int = 0
     clock: float = 0.0  # s by which its wall clock is off
+    moves: int = 0  # of its discovery
     running: list[Running] = field(default_factory=list)
 
     @property
@@ -216,7 +219,8 @@
     def write_config(self) -> None:
         """The file as the platform would write it now."""
         seed = (self.fleet.seed << 16 | self.number << 8 | self.starts) % 2**64
-        table = configuration(self.fleet.spec, self.fleet.places, self.number, seed, self.attempts)
+        fleet = self.fleet
+        table = configuration(fleet.spec, fleet.places, self.number, seed, self.attempts, self.moves)
         self.config.write_text(json.dumps(table), "utf-8")
 
     async def start(self, keep_tmp: bool = False) -> Running:
@@ -231,7 +235,7 @@
         env |= {
             "PROXY_NAME": self.name, "PROXY_CONFIG": str(self.config), "TMPDIR": str(self.tmp),
             "PROXY_LISTEN": text(fleet.places.node(self.number)), "PYTHONUNBUFFERED": "1",
-            "PROXY_DISCOVERY": text(fleet.places.discovery(self.number)),
+            "PROXY_DISCOVERY": text(fleet.places.discovery(self.number, self.moves)),
             "PROXY_CONSOLE": text(fleet.places.console(self.number, process)),
         }  # fmt: skip
         tables = ["[membership]\n"] if fleet.spec.fleet.membership else []
@@ -341,6 +345,7 @@
             self.config.write_text(self.config.read_text("utf-8")[:-40], "utf-8")
         else:
             self.attempts = fault.attempts
+            self.moves += fault.moves
             self.write_config()
         for running in self.alive():
             running.signal(signal.SIGHUP)
--- a/dillport/lab/spec.py
+++ b/dillport/lab/spec.py
@@ -76,6 +76,7 @@
     call_ms: float = 4.0  # work of one call; calls are handled in turn
     timeout_ms: float = 1000.0  # a call that has to wait longer fails
     indented: bool = False  # lists come over many lines
+    ends: bool = False  # a watch ends where something has changed, instead of telling it
 
 
 class Network(Table, frozen=True):
@@ -202,11 +203,18 @@
 
 
 class Reload(Fault, frozen=True, tag="reload"):
-    """Nodes get a new file and SIGHUP: `attempts` allowed from now on, or a file that is `broken`."""
+    """Nodes get a new file and SIGHUP: `attempts` allowed from now on, or a file that is `broken`.
+
+    With `moves` the file names another address of discovery: the one before takes no new connections, and
+    closes those that it has a while later.
+    """
 
     what: str
     attempts: int = 3
     broken: bool = False
+    moves: bool = False
+    batches: int = 1
+    every: float = 1.0
 
 
 class Disk(Fault, frozen=True, tag="disk"):
--- a/dillport/lab/timeline.py
+++ b/dillport/lab/timeline.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from dillport.lab.power import returns
-from dillport.lab.spec import AnyFault, Drain, Experiment, Kill, Power, Terminate, batches, parties
+from dillport.lab.spec import AnyFault, Drain, Experiment, Kill, Power, Reload, Terminate, batches, parties
 
 
 class Step(Enum):
@@ -41,9 +41,9 @@
     out: list[Moment] = []
     for fault in spec.faults:
         names = parties(spec, fault)
-        groups = batches(names, fault.batches) if isinstance(fault, (Kill, Terminate)) else [names]
+        groups = batches(names, fault.batches) if isinstance(fault, (Kill, Terminate, Reload)) else [names]
         for index, group in enumerate(groups):
-            at = fault.at + (index * fault.every if isinstance(fault, (Kill, Terminate)) else 0.0)
+            at = fault.at + (index * fault.every if isinstance(fault, (Kill, Terminate, Reload)) else 0.0)
             some = tuple(group)
             out.append(Moment(at, Step.BEGIN, fault, some))
             if isinstance(fault, Kill) and fault.restart_after is not None:
--- a/dillport/lab/worker.py
+++ b/dillport/lab/worker.py
@@ -36,6 +36,7 @@
     LateConnect,
     Link,
     Power,
+    Reload,
     Resets,
     Slow,
     Stall,
@@ -154,6 +155,9 @@
             directory.late_ms = fault.by_ms if moment.step is Step.BEGIN else 0.0
         elif isinstance(fault, WatchSilent):
             directory.silence(moment.names)
+        elif isinstance(fault, Reload):
+            if fault.moves:
+                directory.move(moment.names)
         elif isinstance(fault, Power):
             self._outage(directory, moment)
         elif isinstance(fault, (Kill, Drain)):
