Calls in a queue that others fill are fewer: none beside another, and none right behind one that waited

Seen: the lab's discovery fails a call in its turn, so one that waited too long costs as much as an answer. At fault: Discovery._call_new_address and _again, which waited as if a call that had to queue had failed for another reason. Change: a call that was answered or turned away after 0.5 s or more marks discovery as crowded for 3 s. Then a new address waits for up to 1.5 s for the call under way, and a call behind one that waited, or beside a hurried one, comes 0.4 to 1.2 s later.

--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -28,6 +28,8 @@
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
 WAIT_TOLD = 0.6  # s, likewise, where the call told something and those before it did not
 ONE_AT_A_TIME = 1.0  # s that a call may have been unanswered for which a new address has to wait
+ONE_IN_A_CROWD = 1.5  # s, likewise, where other callers crowd discovery
+CROWD_LASTS = 3.0  # s for which it counts as crowded after a call that had to wait there
 LASTED = 2.0  # s from its first news on in which a watch has shown that it goes on
 MOST_OBJECT = 8 * 1024 * 1024  # bytes that an object may have on any node
 MOST_PART = 1 / 12  # of the node's memory that it may have: entries take thrice their bytes, new ones twice
@@ -336,6 +338,7 @@
         self.slow: Call | None = None  # an older one that still comes
         self.former: list[Call] = []  # those at addresses that were left: they end there, or are overtaken
         self.moving = False  # the timer is for the first call at a new address
+        self.queued_at = -math.inf  # when a call was answered, or turned away, that had waited in a queue
         self.wait = WAIT_FIRST
         self.answered = True  # the last call that ended had told something
         self.loop = asyncio.get_running_loop()
@@ -374,14 +377,23 @@
         Guards against addresses in quick succession: a call for each would crowd discovery.
         """
         asked = [call.dialled for call in self.former if call.stage is Stage.ASKED]
-        due = max(asked, default=-math.inf) + ONE_AT_A_TIME
+        due = max(asked, default=-math.inf) + (ONE_IN_A_CROWD if self.crowded else ONE_AT_A_TIME)
         if due <= self.loop.time():
             self._connect(Reason.MOVED, quick=True)
-        elif self.wanted:
-            self._unset()
+        else:
+            self._call_new_address_at(due)
+
+    def _call_new_address_at(self, due: float) -> None:
+        self._unset()
+        if self.wanted:
             self.moving = True
             self.timer = self.loop.call_at(due, self._connect, Reason.MOVED, True)
 
+    @property
+    def crowded(self) -> bool:
+        """Whether other callers made one of this node's wait lately."""
+        return self.loop.time() - self.queued_at < CROWD_LASTS
+
     def _drop(self, why: End) -> None:
         """Nothing of what was begun is heard of again."""
         for call in (self.call, self.slow):
@@ -502,6 +514,8 @@
 
     def told(self, call: Call) -> None:
         """A call has told something whole: the others, or the wait for it, are of no more use."""
+        if call.objects_told == 1 and self.loop.time() - call.dialled >= watchdog.QUEUED:
+            self.queued_at = self.loop.time()
         if call in (self.call, self.slow):
             self._close_former(End.OVERTAKEN)
         if call is self.slow:
@@ -520,9 +534,13 @@
 
     def lost(self, call: Call, silent: bool) -> None:
         """A call has ended. Beside a slow one the next has been seen to already."""
+        if call.was_queued:
+            self.queued_at = self.loop.time()
         if call in self.former:
             self.former.remove(call)
-            if self.moving:
+            if self.moving and call.was_queued:  # the next one is not to join the same queue at once
+                self._call_new_address_at(self.loop.time() + watchdog.CROWDED * random.uniform(1 / 3, 1.0))
+            elif self.moving:
                 self._call_new_address()
             return
         if call is self.slow:
@@ -559,7 +577,8 @@
         elif call.watch:
             period = watchdog.TURNED_AWAY if call.reached else watchdog.PERIOD
             left = max(watchdog.REST, call.dialled + period - self.loop.time())
-            most = watchdog.CROWDED if call.was_queued else min(self.wait, left)
+            waits = call.was_queued or (call is self.slow and self.crowded)
+            most = watchdog.CROWDED if waits else min(self.wait, left)
             wait = most * random.uniform(1 / 3, 1.0)
             why = Reason.BESIDE if self.slow is call else Reason.RETRY
             self.timer = self.loop.call_later(wait, self._connect, why)
--- a/tests/test_discovery_reloads.py
+++ b/tests/test_discovery_reloads.py
@@ -22,7 +22,7 @@
 from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
-from itertools import count, product
+from itertools import chain, count, product
 from pathlib import Path
 from typing import cast
 
@@ -56,6 +56,7 @@
         self.told = -1  # revision
 
     def write(self, data: object) -> None:
+        self.begun = self.world.now
         self.discovery.enqueue(self)
 
     def tell(self, first: bool) -> None:
@@ -87,6 +88,14 @@
     revision: int
 
 
+class Refusal(Enum):
+    """What becomes of a call that waits too long in the queue, or would have to."""
+
+    AT_ONCE = "it fails as it comes"
+    EXPIRES = "it fails after a second, also while it is handled"
+    IN_TURN = "it fails in its turn, which takes as long as an answer"
+
+
 class Outage(Enum):
     """What becomes of the calls while discovery is down."""
 
@@ -101,13 +110,13 @@
     """Several nodes and one discovery that handles calls in turn; one that waits for over a second fails."""
 
     def __init__(
-        self, path: Path, seed: int, call_s: float, ends: bool, abandoned_cost: bool, at_once: bool
+        self, path: Path, seed: int, call_s: float, ends: bool, abandoned_cost: bool, refusal: Refusal
     ) -> None:
         """`call_s`: what a call takes; `ends`: watches end instead of telling; `abandoned_cost`: a call whose
-        connection has gone is handled like any other; `at_once`: one that would wait too long fails at once.
+        connection has gone is handled like any other.
         """
         super().__init__(path, True, "mute", seed=seed)
-        self.call_s, self.ends, self.abandoned_cost, self.at_once = call_s, ends, abandoned_cost, at_once
+        self.call_s, self.ends, self.abandoned_cost, self.refusal = call_s, ends, abandoned_cost, refusal
         self.patience = 1.0
         self.queue_of_calls: list[QueuedLine] = []
         self.busy, self.revision = False, 0
@@ -131,14 +140,14 @@
         if self.outage is not None:
             self._turn_away(line, self.outage)
             return
-        if self.at_once and self.call_s * len(self.queue_of_calls) > self.patience:
+        if self.refusal is Refusal.AT_ONCE and self.call_s * len(self.queue_of_calls) > self.patience:
             self.loop.call_later(0.02, line.busy)
             return
         line.waiting = True
         self.queue_of_calls.append(line)
         unanswered = sum(other.node == line.node and other.open for other in self.queue_of_calls)
         self.most_unanswered = max(self.most_unanswered, unanswered)
-        if not self.at_once:
+        if self.refusal is Refusal.EXPIRES:
             self.loop.call_later(self.patience, self._expire, line)
         if not self.busy:
             self._next()
@@ -167,8 +176,11 @@
         if line.waiting:
             line.waiting = False
             self.queue_of_calls = [other for other in self.queue_of_calls if other is not line]
-            line.tell(True)
-            self.loop.call_later(2.0, line.beat_on)
+            if self.refusal is Refusal.IN_TURN and self.now - line.begun > self.patience:
+                line.busy()
+            else:
+                line.tell(True)
+                self.loop.call_later(2.0, line.beat_on)
         self._next()
 
     def change(self, revision: int) -> None:
@@ -278,7 +290,9 @@
 def test_a_crowded_discovery_tells_all_nodes_in_time_across_new_configurations(tmp_path: Path) -> None:
     """On each node, over seeded plays; discovery may handle calls that were given up, or leave them out."""
     late = dict[object, dict[tuple[int, int], float]]()
-    for kind in product((0.17, 0.245), (False, True), (False, True), (False, True)):
+    quick = product((0.17, 0.245), (False, True), (False, True), (Refusal.AT_ONCE, Refusal.EXPIRES))
+    wasteful = product((0.17, 0.23), (False, True), (False, True), (Refusal.IN_TURN,))
+    for kind in chain(quick, wasteful):
         for seed in range(1, 9):
             random.seed(seed)
             world = QueueWorld(tmp_path, seed, *kind)
@@ -295,7 +309,7 @@
     for call_s, ends, outage in product((0.17, 0.385), (False, True), Outage):
         for seed in range(1, 7):
             random.seed(seed)
-            world = QueueWorld(tmp_path, seed, call_s, ends, abandoned_cost=True, at_once=True)
+            world = QueueWorld(tmp_path, seed, call_s, ends, True, Refusal.AT_ONCE)
             if found := world.late(world.play_all(world.after_outage(seed, outage))):
                 late[call_s, ends, outage, seed] = found
             assert world.most_unanswered <= 2
