At most three calls at former addresses of discovery are kept

Need: each has a descriptor, and configurations may come for as long as somebody sends them. Change: the oldest is closed first; the room kept for discovery's calls is five descriptors of 32. Result: 40 moves 0.45 s apart to addresses that say nothing: four calls open at most, one in the end.

--- a/dillport/net/config.py
+++ b/dillport/net/config.py
@@ -30,7 +30,7 @@
     "terminating": api.Phase.DRAINING,
     "terminated": api.Phase.GONE,
 }
-# Descriptors kept for what the process needs by itself: 16 for loop, log, listeners and lock, up to 3 for
+# Descriptors kept for what the process needs by itself: 16 for loop, log, listeners and lock, up to 5 for
 # discovery's calls, 4 for the files and the port of a fleet, the rest for the callers of the console.
 SPARE = 32
 # Bytes that an entry of a table takes once it is read, the module's part included: measured, rounded up.
--- a/dillport/net/discovery.py
+++ b/dillport/net/discovery.py
@@ -27,6 +27,7 @@
 CONNECT = 2.0  # s for a connection to come up
 WAIT_FIRST, WAIT_MOST = 0.15, 3.0  # s before a new try at most, doubled with each failure, and drawn
 WAIT_TOLD = 0.6  # s, likewise, where the call told something and those before it did not
+MOST_FORMER = 3  # calls at former addresses that are kept: each has a descriptor
 ONE_AT_A_TIME = 1.0  # s that a call may have been unanswered for which a new address has to wait
 ONE_IN_A_CROWD = 1.5  # s, likewise, where other callers crowd discovery
 CROWD_LASTS = 3.0  # s for which it counts as crowded after a call that had to wait there
@@ -367,6 +368,8 @@
                 call.close(End.MOVED)
             elif call is not None:
                 self.former.append(call)
+        while len(self.former) > MOST_FORMER:
+            self.former.pop(0).close(End.MOVED)
         self.call = self.slow = None
         self._unset()
         self._call_new_address()
--- a/tests/test_discovery_reloads.py
+++ b/tests/test_discovery_reloads.py
@@ -30,7 +30,7 @@
 
 from dillport.interface import ListKind
 from dillport.net.config import Address, News
-from dillport.net.discovery import Call, Discovery
+from dillport.net.discovery import MOST_FORMER, Call, Discovery
 from dillport.net.node import Node
 from tests.sockets import Backend, Client, FakeDiscovery, Rig, configuration, read_message, started
 from tests.test_discovery import FAR, HEAD, KNOWN, NEW, Line, World
@@ -331,6 +331,23 @@
     assert [round(line.ended, 6) for line in world.lines] == [8.4, 9.0]
 
 
+def test_calls_at_former_addresses_are_few_however_often_it_moves(tmp_path: Path) -> None:
+    """Each has a descriptor; the oldest goes first, and all of them once the newest address has told."""
+    world, most = World(tmp_path, False, "mute"), list[int]()
+
+    def move(discovery: Discovery, moves: int) -> None:
+        discovery.move(("127.0.0.2", moves))
+        most.append(sum(line.open for line in world.lines))
+        if moves < 40:
+            world.loop.call_later(0.45, move, discovery, moves + 1)
+        else:
+            world.loop.call_later(2.0, lambda: world.lines[-1].put(world.whole(revision=NEW)))
+
+    world.play(22.0, lambda discovery: cast(None, world.loop.call_at(1.0, move, discovery, 1)))
+    assert 2 <= max(most) <= MOST_FORMER + 1
+    assert max(line.ended for line in world.lines[:-1]) < 20.6 and world.lines[-1].ended == 22.0
+
+
 @pytest.mark.parametrize("must_ask", [False, True], ids=["pushed", "asked"])
 def test_a_hurried_call_that_waits_in_the_queue_is_answered_beside_the_next(
     tmp_path: Path, must_ask: bool
