A call of discovery in a module of its own; a lab test of configurations that move discovery

Change: discovery_call.py has one call, discovery.py which calls go on and when; no behaviour changed. A run of two nodes with three moves.

--- a/dillport/lab/scale/listing.py
+++ b/dillport/lab/scale/listing.py
@@ -28,7 +28,7 @@
 from dillport.lab.scale import crowd, fleet, module, size
 from dillport.lab.scale.points import NotPlayed, Play, Point
 from dillport.net.config import News, news_in_turns, news_of
-from dillport.net.discovery import most_object
+from dillport.net.discovery_call import most_object
 from dillport.net.figures import Figures
 from dillport.net.listing import Listing
 from dillport.net.objects import BrokenObject, Objects
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,7 +19,8 @@
 from dillport.interface import ListKind
 from dillport.net import config
 from dillport.net.config import Address
-from dillport.net.discovery import Discovery, Stage
+from dillport.net.discovery import Discovery
+from dillport.net.discovery_call import Stage
 from dillport.net.node import Node, Rooms
 from dillport.net.watchdog import PERIOD
 from tests.sockets import configuration
--- a/tests/test_lab_run.py
+++ b/tests/test_lab_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import resource
 import signal
 import socket
@@ -133,6 +134,43 @@
     assert json.loads(again.stdout) == table
 
 
+MOVES = """
+name = "moves"
+seconds = 4.0
+warmup = 0.5
+[fleet]
+nodes = 2
+[load]
+rate = 60.0
+[discovery]
+ends = true
+[[faults]]
+kind = "reload"
+at = 1.0
+what = "nodes"
+moves = true
+batches = 2
+every = 0.2
+[[faults]]
+kind = "reload"
+at = 1.5
+what = "nodes:1"
+moves = true
+"""
+
+
+def test_discovery_moves_with_new_configurations(tmp_path: Path) -> None:
+    """Each node is told its own addresses, and calls the newest one."""
+    out = tmp_path / "out"
+    done = lab("run", file(tmp_path, MOVES), "--out", str(out), "--set", "fleet.ready-within=60.0")
+    assert done.returncode in (0, 2), done.stderr  # 2: the machine was too busy for figures
+    for node, last in enumerate(("8081", "8082")):
+        text = (out / "logs" / f"n{node}-0.log").read_text()
+        ports = re.findall(r"discovery: call \d+ to [\d.]+:(\d+) ", text)  # the first may come after SIGHUP
+        assert ports == sorted(ports) and ports[-1] == last
+        assert text.count("reload: classes") == node + 1 and "nothing is taken" not in text
+
+
 def started(out: Path) -> list[int]:
     """The children of a lab whose clients have come."""
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -19,9 +19,10 @@
 from dillport import interface as api
 from dillport.__main__ import take_place
 from dillport.interface import ListKind, Phase
-from dillport.net import config, discovery, listing, objects, rows
+from dillport.net import config, discovery_call, listing, objects, rows
 from dillport.net.config import Member, News
-from dillport.net.discovery import MOST_OBJECT, Discovery, most_object
+from dillport.net.discovery import Discovery
+from dillport.net.discovery_call import MOST_OBJECT, most_object
 from dillport.net.node import Node, Rooms
 from dillport.net.watchdog import Watchdog
 from dillport.policy import Balancer
@@ -572,7 +573,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Also where the connection has ended by then, and where no HTTP stands behind it."""
-    monkeypatch.setattr(discovery, "SLICE", 50)
+    monkeypatch.setattr(discovery_call, "SLICE", 50)
     for behind in (b"0\r\n\r\n", b"no HTTP\r\n"):
         world, read = Long(tmp_path, "opens", "mute"), list[int]()
 
