--- a/dillport/net/changes.py
+++ b/dillport/net/changes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import Enum
 
 from dillport import interface as api
@@ -21,6 +21,12 @@
     RESTARTED = "restarted"
 
 
+BY_PHASE = {
+    api.Phase.DRAINING: Change.DRAINING, api.Phase.GONE: Change.GONE, api.Phase.UP: Change.READY
+}  # fmt: skip
+"""What has become of a backend that is in another phase now."""
+
+
 class ListChanges:
     """The changes of one object of discovery, collected piece by piece."""
 
@@ -38,6 +44,17 @@
         if len(names) < NAMES:
             names.append(member.backend)
 
+    def add_piece(self, members: Sequence[Member]) -> None:
+        """These have all changed; what they were is not looked up, as a long list has many such pieces."""
+        counts, names = self.counts, self.names
+        for member in members:
+            change = BY_PHASE[member.phase]
+            counts[change] += 1
+            if counts[change] == 1:
+                names[change] = []
+            if counts[change] <= NAMES:
+                names[change].append(member.backend)
+
     def add_gone(self, members: Iterable[Member]) -> None:
         """These are left out by a whole list."""
         for member in members:
@@ -60,9 +77,7 @@
 def _change(member: Member, was: Member | None) -> Change | None:
     before = api.Phase.GONE if was is None else was.phase
     if member.phase is not before:
-        return {
-            api.Phase.DRAINING: Change.DRAINING, api.Phase.GONE: Change.GONE, api.Phase.UP: Change.READY
-        }[member.phase]  # fmt: skip
+        return BY_PHASE[member.phase]
     if was is not None and member.started_at > was.started_at:
         return Change.RESTARTED
     return None
--- a/dillport/net/listing.py
+++ b/dillport/net/listing.py
@@ -152,7 +152,7 @@
         if self._stopped:
             up = api.Phase.UP
             piece = tuple(m for m in piece if m.phase is not up or m.backend not in self._stopped)
-        self._note(piece, False)
+        self._changes.add_piece(piece)
         self.pool.update(piece, False)
         self.tell(api.ListUpdate(kind, list(piece), revision, more))
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -34,6 +34,14 @@
     assert changes.text() == f"draining {named} and 2 more, gone left-out, ready new, restarted b0"
 
 
+def test_pieces_of_a_long_list_add_up() -> None:
+    changes, up = ListChanges(), member(entry("b"), HERE)
+    changes.add_piece([replace(up, backend=f"b{number}") for number in range(NAMES)])
+    changes.add_piece([replace(up, backend="more"), replace(up, backend="old", phase=Phase.GONE)])
+    named = " ".join(f"b{number}" for number in range(NAMES))
+    assert changes.text() == f"gone old, ready {named} and 1 more"
+
+
 def test_lines_of_a_kind_are_limited_and_what_is_left_out_is_counted(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
