--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -339,3 +339,12 @@
     actions = core.handle(301.0, received(1, kind=MessageKind.PING))
     answers = [action for action in actions if isinstance(action, SendDatagram) and action.node == 1]
     assert decode(answers[0].data).kind == MessageKind.ACK
+
+
+def test_plain_swim_broadcasts_its_leaving_too() -> None:
+    """Guards against a reserve that a rate of 0 takes away: peers found a node that left by probes only."""
+    core = Membership(Config.plain_swim(), 0, NODE_COUNT, OWN_GENERATION, 1, 0.0)
+    actions = core.handle(2.0, Leave())
+    actions += core.handle(300.0, Tick())
+    broadcasts = [action for action in actions if isinstance(action, SendDatagram) and action.node is None]
+    assert len(broadcasts) == 2
--- a/tests/test_membership_tier.py
+++ b/tests/test_membership_tier.py
@@ -197,3 +197,26 @@
     tier.kill(5)
     assert tier.run_until_converged(4 * SETTLE_MS) < 4 * SETTLE_MS
     assert all(core.node.counts["broadcasts"] == 0 for core in running(tier))
+
+
+def test_a_stalled_process_ticks_again_once_it_goes_on() -> None:
+    """Guards against a process that lives by datagrams alone after a stall."""
+    tier = converged(6)
+    tier.stall(2, 6_000.0)
+    tier.run(tier.now + 6_100.0)
+    tier.network.is_cut = lambda source, target: True  # datagrams would make its timers run
+    tier.run(tier.now + 20_000.0)
+    host = tier.hosts[2]
+    assert host.core is not None
+    assert host.core.next_wakeup_ms > tier.now + host.clock_offset
+    tier.network.is_cut = is_never_cut
+    assert tier.run_until_converged(2 * SETTLE_MS) < 2 * SETTLE_MS
+
+
+def test_a_shorter_second_stall_does_not_end_the_first() -> None:
+    tier = converged(6)
+    tier.stall(2, 6_000.0)
+    tier.run(tier.now + 100.0)
+    tier.stall(2, 500.0)
+    tier.run(tier.now + 3_000.0)
+    assert tier.hosts[2].inbox
--- a/tests/test_recovery_bans.py
+++ b/tests/test_recovery_bans.py
@@ -97,3 +97,20 @@
     core.handle(tier.now, PeersChanged(3, frozenset({2})))
     core.handle(tier.now, MembershipChanged({0: 1, 1: 1}, True))
     assert core.stats().reported_peers == 1 and core.register.is_banned("a") and core.quota.share == 1 / 2
+
+
+def test_a_ban_that_crosses_the_write_of_a_lift_holds_everywhere() -> None:
+    """Guards against a ban that was answered with yes and that a lift, requested before it, covers."""
+    tier = settled_tier(3)
+    tier.event(0, BanRequested("a", True, tier.now, 1))
+    tier.run(1_000)
+    waiting = tier.nodes[1]
+    (keep,) = waiting.handle(tier.now, BanRequested("a", False, tier.now, 1))
+    assert isinstance(keep, PersistEntries)
+    tier.event(0, BanRequested("a", True, tier.now, 2))
+    tier.run(20)
+    tier.event(1, WriteCompleted(1, True))
+    assert tier.of(1, ApplyBan)[-1].banned  # what the lift is answered with
+    tier.run(6_000)
+    assert all(core.register.is_banned("a") for core in tier.nodes.values())
+    assert len({core.register.hash for core in tier.nodes.values()}) == 1
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -102,3 +102,15 @@
     own_demand: float, peer_demands: list[float], share: float
 ) -> None:
     assert demand_weighted_share(own_demand, peer_demands) == pytest.approx(share)
+
+
+@pytest.mark.parametrize("demands", [(0.0, 0.04, 0.02), (0.04, 0.04, 0.04), (0.0, 0.3, 0.04)])
+def test_nodes_with_hardly_any_demand_do_not_each_take_all_of_a_budget(demands: tuple[float, ...]) -> None:
+    """Guards against a node that counts its own demand to the last digit, and that of its peers rounded."""
+    tier = restarted_tier(3)
+    for _ in range(3):
+        for node, demand in enumerate(demands):
+            tier.event(node, DemandMeasured(demand))
+        tier.run(1_000)
+    shares = [tier.of(node, CapacityGranted)[-1].share for node in range(3)]
+    assert sum(shares) <= 1.16
--- a/tests/test_recovery_register.py
+++ b/tests/test_recovery_register.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -81,3 +83,60 @@
     here.merge([BanEntry("a", 0, 2**32 - 3, 2**32 - 2, False, 0.0)])
     here.commit([here.new_ban("a", 0.0)])
     assert here.is_banned("a")
+
+
+def test_a_lift_that_waits_for_the_disk_covers_no_newer_ban() -> None:
+    """Guards against a lift that lifts a ban requested while it was written."""
+    one, two = BanRegister(1, 1), BanRegister(2, 1)
+    one.commit([one.new_ban("a", 0.0)])
+    two.merge(one.entries())
+    waiting = two.new_lift("a", 1.0)
+    one.commit([one.new_ban("a", 2.0)])
+    two.merge(one.entries())
+    two.commit(waiting)
+    assert two.is_banned("a") and entry_states(two) == entry_states(one) and two.hash == one.hash
+
+
+def test_no_entry_moves_back_while_writes_wait() -> None:
+    """Guards against any crossing of requests that wait for the disk and entries of peers."""
+    for seed in range(20):
+        _play_crossing_requests(random.Random(seed))
+
+
+def _play_crossing_requests(draws: random.Random) -> None:
+    registers = [BanRegister(node, 1) for node in range(3)]
+    waiting: list[list[list[BanEntry]]] = [[], [], []]
+    for number in range(200):
+        node = draws.randrange(3)
+        register = registers[node]
+        before = {entry.key: entry.version for entry in register.entries()}
+        match draws.choice(["ban", "lift", "written", "learn"]):
+            case "ban":
+                waiting[node].append([register.new_ban("a", float(number))])
+            case "lift":
+                waiting[node].append(register.new_lift("a", float(number)))
+            case "written" if waiting[node]:
+                if reissued := register.commit(waiting[node].pop(0)):
+                    waiting[node].append(reissued)
+            case "learn":
+                register.merge(registers[draws.randrange(3)].entries())
+        for entry in register.entries():
+            assert entry.version >= before.get(entry.key, entry.version)
+
+
+def test_a_saved_ban_holds_against_a_lift_by_an_incarnation_unknown_to_the_disk() -> None:
+    """Guards against a lost disk and a late clock: the ban came after the lift with the greater counter."""
+    here = BanRegister(1, 5225)
+    here.restore([BanEntry("a", 1, 2206, 7, True, 0.0)])
+    changed = here.merge([BanEntry("a", 1, 3645, 3, False, 0.0)])
+    assert here.is_banned("a")
+    there = register_of([BanEntry("a", 1, 3645, 3, False, 0.0)])
+    there.merge(changed)
+    assert there.is_banned("a") and there.hash == here.hash
+
+
+def test_a_saved_ban_gives_way_to_later_bans_of_its_own_incarnation() -> None:
+    here = BanRegister(1, 5225)
+    here.restore([BanEntry("a", 1, 2206, 7, True, 0.0)])
+    here.merge([BanEntry("a", 1, 2206, 9, False, 0.0)])
+    assert not here.is_banned("a")
--- a/tests/test_recovery_sim.py
+++ b/tests/test_recovery_sim.py
@@ -104,3 +104,10 @@
     found = disk.read(condition, 1_000.0, random.Random(1))
     assert (len(found.entries), found.sound) == (found_entries, sound)
     assert disk.epoch == (condition is not Condition.SOUND)
+
+
+@pytest.mark.parametrize("seed", [703848, 800662, 900294])
+def test_seeds_that_broke_an_invariant_once(seed: int) -> None:
+    """Guards: a ban lost to a late clock, a cold backend over its budget, an entry that moves back."""
+    played = play(draw(seed, (3, 4, 5, 7, 9)))
+    assert not played.breaches, str(shrink(played))
