Bans: a lift that waited for the disk does not cover a ban requested meanwhile

What callers saw: requests went on to a backend that operators had taken out with a yes; the console of another node said it was out. Cause: BanRegister.commit put a lift that had waited for the disk over a newer entry, as it compared versions for bans alone. Why this works: every way into the register now compares versions, so no entry can move back.

--- a/balancer/recovery/ban_register.py
+++ b/balancer/recovery/ban_register.py
@@ -176,18 +176,21 @@
     def commit(self, entries: Iterable[BanEntry]) -> list[BanEntry]:
         """Merge entries requested here that are on the disk; return those that have to be issued anew for it.
 
-        Meanwhile an entry of a former incarnation may have come that no disk here knew: a ban is issued above
-        it.
+        Meanwhile a newer entry may have come. A ban is issued above it, as it is one of a former incarnation
+        that no disk here knew; a lift does not apply to it, as it has not seen that ban.
         """
         reissued = []
         for entry in entries:
             known = self.get(entry.backend, entry.node)
-            if entry.active and known is not None and known.version > entry.version:
+            is_superseded = known is not None and known.version > entry.version
+            if not is_superseded:
+                self.put(entry)
+                if entry.active:
+                    self._issued.add(entry.backend)
+            elif entry.active:
                 reissued.append(self.new_ban(entry.backend, entry.changed_at))
-                continue
-            if entry.active:
-                self._issued.add(entry.backend)
-            self.put(entry)
+            else:
+                self.counts["lifts_superseded"] += 1
         return reissued
 
     # --- entries of peers and of the disk
@@ -237,7 +240,7 @@
         return reissued
 
     def put(self, entry: BanEntry) -> None:
-        """Replace an entry, whatever its version."""
+        """Replace an entry, whatever its version: callers have compared it with the known one."""
         by_node = self._entries.setdefault(entry.backend, {})
         former = by_node.get(entry.node)
         by_node[entry.node] = entry
