Bans: a saved ban holds against a lift of an incarnation that its disk does not know

Cause: a ban read from the disk was issued anew only above entries that count further than the process itself; a process whose clock is right again counts above those of a former disk, too. Change: the incarnation of the saved ban is compared, not that of the process. Why this works: a disk cannot know an incarnation that ran on another one; a greater sequence of the same incarnation still covers the ban (a test says so).

--- a/balancer/recovery/ban_register.py
+++ b/balancer/recovery/ban_register.py
@@ -114,7 +114,7 @@
         self._entries: dict[str, dict[int, BanEntry]] = {}
         self._size = 0
         self._issued: set[str] = set()  # backends whose own entry this process has issued
-        self._restored: set[str] = set()  # those whose own active entry was on the disk
+        self._restored: dict[str, int] = {}  # incarnation of own active entries that were on the disk
 
     def __len__(self) -> int:
         """Return the number of entries."""
@@ -198,14 +198,15 @@
     def restore(self, entries: Sequence[BanEntry]) -> list[BanEntry]:
         """Merge what this node's own disk has; return the entries that changed.
 
-        Own bans among it are issued anew once a peer shows a later incarnation of this node: either the disk
-        came after a lost one, by a clock that was behind, or it is an old one. In doubt they hold.
+        Own bans among it are issued anew once a peer shows an entry of a later incarnation of this node than
+        theirs: either the disk came after a lost one, by a clock that was behind, or it is an old one. In
+        doubt they hold.
         """
         own = [entry for entry in entries if entry.node == self.node and self._is_valid(entry)]
         for entry in own:
             self.counter.advance_past(entry)
         changed = self.merge(entries)
-        self._restored.update(entry.backend for entry in own if entry.active)
+        self._restored.update((entry.backend, entry.incarnation) for entry in own if entry.active)
         return changed
 
     def merge(self, entries: Iterable[BanEntry]) -> list[BanEntry]:
@@ -258,7 +259,9 @@
         """Return own bans issued anew because of an entry of this node that a peer had."""
         is_ahead = self.counter.is_behind(entry)
         if is_ahead:  # of an incarnation unknown to this disk: what the disk has may come after that one
-            self._issued |= self._restored
+            self._issued |= self._restored.keys()
+        elif entry.incarnation > self._restored.get(entry.backend, entry.incarnation):
+            self._issued.add(entry.backend)  # the same, though this process has a greater one already
         if not is_ahead and entry.backend not in self._issued:
             return []
         return self.outbid(entry)
