Quota of recovery: a node counts its own demand as its peers read it

Cause: a status tells demand in tenths, the node's own was not rounded, so each of three nodes with 0.04, 0.00 and 0.02 requests a second saw peers without any. Change: the core rounds its own demand as the encoder does, by one function. Why this works: all nodes divide the same numbers.

--- a/balancer/recovery/core.py
+++ b/balancer/recovery/core.py
@@ -38,7 +38,7 @@
 )
 from balancer.recovery.exchange import Exchange, ExchangeLimits
 from balancer.recovery.list_filter import build_filter
-from balancer.recovery.messages import Message, NodeStatus, StatusFlag, encode
+from balancer.recovery.messages import Message, NodeStatus, StatusFlag, encode, rounded_demand
 from balancer.recovery.phase_machine import PhaseMachine, entry_kind
 from balancer.recovery.phases import PATHS, Phase, RecoveryPath
 from balancer.recovery.poll_schedule import PollSchedule
@@ -257,9 +257,12 @@
         self.saved_list.receive(event)
 
     def _measure_demand(self, event: DemandMeasured) -> None:
-        """Send the demand to all, as the capacity of cold backends is shared by it."""
+        """Send the demand to all, as the capacity of cold backends is shared by it.
+
+        All nodes have to count the same numbers, so this node counts its own as its peers read it.
+        """
         context = self.context
-        self.quota.demand = max(0.0, event.requests_per_s)
+        self.quota.demand = rounded_demand(max(0.0, event.requests_per_s))
         self.quota.review_soon()
         if context.serves:
             self.exchange.send_status(None, context.now, DEMAND_SPREAD_MS * context.generator.random())
--- a/balancer/recovery/messages.py
+++ b/balancer/recovery/messages.py
@@ -143,6 +143,13 @@
     return sum(1 << node for node in nodes)
 
 
+def rounded_demand(demand: float) -> float:
+    """Return a demand as peers read it from a status: in tenths, infinite if it is unknown."""
+    if demand == math.inf:
+        return math.inf
+    return min(round(demand * RATE_SCALE), UNKNOWN - 1) / RATE_SCALE
+
+
 def encoded_entry_size(entry: BanEntry) -> int:
     """Return the bytes that an entry takes in a datagram."""
     return ENTRY_LAYOUT.size + len(entry.backend.encode())
@@ -173,8 +180,7 @@
 def _encode_status(status: NodeStatus) -> bytes:
     bits = status.present_nodes & (1 << MAX_STATUS_NODES) - 1
     present = bits.to_bytes((bits.bit_length() + 7) // 8, "big")
-    max_demand = UNKNOWN - 1
-    demand = UNKNOWN if status.demand == math.inf else min(round(status.demand * RATE_SCALE), max_demand)
+    demand = rounded_demand(status.demand)
     fixed = STATUS_LAYOUT.pack(
         status.incarnation,
         min(int(status.uptime_ms), MAX_U32),
@@ -183,7 +189,7 @@
         status.flags,
         status.revision & MAX_U32,
         min(round(status.warm_rate * RATE_SCALE), MAX_U32),
-        demand,
+        UNKNOWN if demand == math.inf else round(demand * RATE_SCALE),
         status.recovering,
         len(present),
     )
