Quota of recovery: no equal share beside a peer that has all the demand

What callers saw: as before, a cold backend over its budget after a loss of power. Cause: the largest peer counts as four times all the rest; where the rest is 0 the peer became 0 as well, and nodes without demand took an equal share: 0.867 + 0.333 + 0.333 for demands 0, 0.3, 0. Evidence: test_nodes_with_hardly_any_demand_...[demands2] failed before, with 1.53. Change: beside such a peer all others share the fifth that it leaves. Why this works: it is what the formula tends to as their demand goes to 0, so shares come to 1.16 at most, as the docstring says. Test: its bound of 1.16 is met to the last digit of a float, so it got a margin of 1e-9.

--- a/balancer/recovery/demand_share.py
+++ b/balancer/recovery/demand_share.py
@@ -27,9 +27,14 @@
     mean = sum(known) / len(known)
     own = own_demand if own_demand < math.inf else mean
     peers = sorted(demand if demand < math.inf else mean for demand in peer_demands)
+    largest_peer = peers[-1] if peers else 0.0
     if peers:
-        peers[-1] = min(peers[-1], MAX_PEER_DEMAND * (own + sum(peers[:-1])))
+        peers[-1] = min(largest_peer, MAX_PEER_DEMAND * (own + sum(peers[:-1])))
     total = own + sum(peers)
-    if total <= 0:
-        return equal_share
-    return (1.0 - EQUAL_PART) * own / total + EQUAL_PART * equal_share
+    if total > 0:
+        part = own / total
+    elif largest_peer > 0:  # it has all the demand: what it leaves is for all others alike
+        part = 1.0 / (1.0 + MAX_PEER_DEMAND) / len(peers)
+    else:
+        part = equal_share
+    return (1.0 - EQUAL_PART) * part + EQUAL_PART * equal_share
--- a/tests/test_recovery_core.py
+++ b/tests/test_recovery_core.py
@@ -29,6 +29,8 @@
 from balancer.recovery.poll_schedule import PollSchedule
 from tests.recovery_tier import BAN, restarted_tier
 
+ROUNDING = 1e-9  # of a sum of floats
+
 
 def test_peers_only_restrict_a_saved_list_and_half_of_it_at_most() -> None:
     tier = restarted_tier(3, revision=4)
@@ -94,6 +96,8 @@
     [
         (1.0, [1e9], 0.26),
         (0.0, [0.0, 0.0], 1 / 3),
+        (0.0, [5.0], 0.26),
+        (0.0, [5.0, 0.0], 0.8 * 0.2 / 2 + 0.2 / 3),
         (math.inf, [2.0, math.inf], 1 / 3),
         (5.0, [], 1.0),
     ],
@@ -113,4 +117,4 @@
             tier.event(node, DemandMeasured(demand))
         tier.run(1_000)
     shares = [tier.of(node, CapacityGranted)[-1].share for node in range(3)]
-    assert sum(shares) <= 1.16
+    assert sum(shares) <= 1.16 + ROUNDING
