Bans: the counters of two processes of one incarnation never meet

Cause: processes were told apart by the first of their sequence numbers alone, and both count by one, so their numbers meet; an equal counter that is lifted cannot be told from a lift of the new ban. Evidence: test_a_former_incarnation_... failed with BanEntry(a, 0, 0, 2, active=False) at incarnation 0; the new test_two_processes_of_one_incarnation_... failed with first numbers 0 and 1, two bans and one. Change: the drawn number stands in the lower 24 bits of each sequence number, the count above it. Why this works: numbers of different tags differ in the lower bits, whatever the counts.

--- a/balancer/recovery/ban_register.py
+++ b/balancer/recovery/ban_register.py
@@ -22,6 +22,8 @@
 BUCKET_COUNT = 16  # of a digest
 COUNTER_LIMIT = 0xFFFFFFFF  # no incarnation or sequence comes so high: a greater counter always exists
 MAX_NODE = 0xFFFF
+TAG_BITS = 24  # of a sequence number
+MAX_ISSUED = COUNTER_LIMIT >> TAG_BITS  # bans of one incarnation, the next ones are of the next
 
 
 class EntryKey(NamedTuple):
@@ -77,12 +79,22 @@
 
 
 class BanCounter:
-    """Counter of the bans that one node issues."""
+    """Counter of the bans that one process of a node issues.
 
-    def __init__(self, incarnation: int, sequence: int) -> None:
-        """Create a counter that stands at these numbers."""
+    Its sequence numbers end in the tag of the process, so two processes of one incarnation, of which one had
+    a disk that was lost, issue no counter twice unless their tags are equal.
+    """
+
+    def __init__(self, incarnation: int, tag: int) -> None:
+        """Create the counter of a process that has issued nothing."""
         self.incarnation = incarnation
-        self.sequence = sequence
+        self._tag = tag % (1 << TAG_BITS)
+        self._issued_count = 0  # in this incarnation
+
+    @property
+    def sequence(self) -> int:
+        """Sequence number of the last ban."""
+        return self._issued_count << TAG_BITS | self._tag
 
     def is_behind(self, entry: BanEntry) -> bool:
         """Return whether an entry of this node counts further."""
@@ -95,17 +107,17 @@
 
     def increment(self) -> None:
         """Advance to the next ban."""
-        self.sequence += 1
-        if self.sequence >= COUNTER_LIMIT:
+        self._issued_count += 1
+        if self._issued_count >= MAX_ISSUED:
             self.incarnation += 1
-            self.sequence = 0
+            self._issued_count = 0
 
 
 class BanRegister:
     """The entries that one node knows."""
 
     def __init__(self, node: int, incarnation: int, sequence: int = 0) -> None:
-        """Create an empty register; `sequence` should differ between two processes of one incarnation."""
+        """Create an empty register; `sequence` is to differ between two processes of one incarnation."""
         self.node = node
         self.counter = BanCounter(incarnation, sequence)
         self.hash = 0  # of all shareable entries; equal where the entries are
--- a/balancer/recovery/core.py
+++ b/balancer/recovery/core.py
@@ -18,7 +18,7 @@
 
 from balancer.recovery.actions import Action, PersistEntries, RequestList, SendDatagram
 from balancer.recovery.ban_controller import BanController
-from balancer.recovery.ban_register import BanRegister
+from balancer.recovery.ban_register import TAG_BITS, BanRegister
 from balancer.recovery.config import RecoveryConfig
 from balancer.recovery.context import RecoveryContext
 from balancer.recovery.events import (
@@ -49,7 +49,6 @@
 from balancer.recovery.survey import PeerSurvey
 from balancer.recovery.trust import TRUST_TABLE, DiskState, StateKind, TrustRule
 
-MAX_SEQUENCE_START = 1 << 24
 DEMAND_SPREAD_MS = 300.0  # over which nodes send their demand to all
 
 
@@ -96,7 +95,7 @@
             cold_since=now,
             phase_since=now,
         )
-        self.register = parts.register(node, incarnation, generator.randrange(MAX_SEQUENCE_START))
+        self.register = parts.register(node, incarnation, generator.randrange(1 << TAG_BITS))
         limits = ExchangeLimits(config.datagrams_per_s, config.burst, config.survey_interval)
         self.exchange = parts.exchange(self.register, generator, limits, now)
         self.schedule = parts.schedule(node, config.poll_slot)
--- a/tests/test_recovery_register.py
+++ b/tests/test_recovery_register.py
@@ -76,6 +76,19 @@
     assert not here.commit([again]) and here.is_banned("a")
 
 
+@given(st.integers(0, 2**24 - 1), st.integers(0, 2**24 - 1), st.integers(0, 600), st.integers(0, 600))
+def test_two_processes_of_one_incarnation_issue_no_counter_twice(
+    one: int, other: int, bans_of_one: int, bans_of_other: int
+) -> None:
+    """Guards against a lost disk and a start in the same moment: a lift of one's ban lifts the other's."""
+    issued = []
+    for sequence, bans in ((one, bans_of_one), (other, bans_of_other)):
+        register = BanRegister(0, 7, sequence)
+        issued.append({register.new_ban("a", 0.0).counter for _ in range(bans)})
+        assert len(issued[-1]) == bans
+    assert one == other or not issued[0] & issued[1]
+
+
 def test_no_counter_can_keep_a_node_from_its_bans() -> None:
     here = BanRegister(0, 1)
     here.merge([BanEntry("a", 0, 2**32 - 1, 0, False, 0.0), BanEntry("a", 0, 5, 2**32 - 1, False, 0.0)])
