Membership: transfers survive another peer list, and have one chain of timers

What callers saw: after SIGHUP with a shorter list or a replaced peer a node kept a wrong view of who is present, its log had one traceback. Cause: a number of a member that is gone stayed in a transfer (IndexError), or no transfer was left for the timer (StopIteration); the chain ended and no other transfer began it again; a forgotten transfer left its timer beside that of the next. Change: members that are gone leave all transfers; one flag for the timer, set anew before anything is sent. Why this works: no number outlives its member, and no path leaves a transfer without a timer or with two.

--- a/balancer/membership/anti_entropy.py
+++ b/balancer/membership/anti_entropy.py
@@ -35,6 +35,7 @@
         self._node = node
         self._sender = sender
         self._transfers: dict[int, list[int]] = {}  # by receiver, the members whose records it lacks
+        self._is_sending = False  # a timer for the next datagram of the transfers is set
         self._differing_since_ms = math.inf  # since when every reported view has differed
         self._synced_ms = node.now_ms  # when a digest was last sent for a view that differed
         self._unconfirmed_deaths: dict[int, Update] = {}  # by member
@@ -103,10 +104,15 @@
         update = self._unconfirmed_deaths.pop(member)
         return update if update.key > self._node.view.records[member].key else None
 
-    def forget(self, member: int) -> None:
-        """Drop all that concerns a member."""
-        self._unconfirmed_deaths.pop(member, None)
-        self._transfers.pop(member, None)
+    def forget(self, members: set[int]) -> None:
+        """Drop all that concerns members that are gone, as receivers and in the transfers of others."""
+        for member in members:
+            self._unconfirmed_deaths.pop(member, None)
+            self._transfers.pop(member, None)
+        for receiver, remaining in list(self._transfers.items()):
+            remaining[:] = [member for member in remaining if member not in members]
+            if not remaining:
+                del self._transfers[receiver]
 
     def _is_doubtful_death(self, update: Update) -> bool:
         node = self._node
@@ -125,25 +131,31 @@
         ]
 
     def _start_transfer(self, receiver: int, members: list[int]) -> None:
-        was_idle = not self._transfers
         if receiver not in self._transfers and len(self._transfers) >= MAX_TRANSFERS:
             self._node.counts["repairs_dropped"] += 1
         elif members:
             self._node.random.shuffle(members)  # nodes that send the same receiver begin at different members
             self._transfers[receiver] = members  # replaces the rest of an earlier transfer
-        if was_idle and self._transfers:
-            self._node.timers.call_later(0.0, self._send_chunk)
+        self._schedule_chunk(0.0)
+
+    def _schedule_chunk(self, wait_ms: float) -> None:
+        """Set the timer for the next datagram, unless it is set or nothing is to be sent."""
+        if self._transfers and not self._is_sending:
+            self._is_sending = True
+            self._node.timers.call_later(wait_ms, self._send_chunk)
 
     def _send_chunk(self) -> None:
         """Send one datagram to the receiver whose turn it is, the next one a probe interval later."""
+        self._is_sending = False
+        if not self._transfers:
+            return
         receiver = next(iter(self._transfers))
         remaining = self._transfers.pop(receiver)
         chunk = self._take_chunk(remaining)
         if remaining:
             self._transfers[receiver] = remaining
+        self._schedule_chunk(self._node.config.probe_interval_ms)
         self._sender.send_updates(receiver, chunk)
-        if self._transfers:
-            self._node.timers.call_later(self._node.config.probe_interval_ms, self._send_chunk)
 
     def _take_chunk(self, members: list[int]) -> tuple[Update, ...]:
         """Remove as many members from the end as have records that fit into a datagram."""
--- a/balancer/membership/core.py
+++ b/balancer/membership/core.py
@@ -198,6 +198,7 @@
         for member in removed:
             self._remove(member)
         self._detector.forget(removed)
+        self._anti_entropy.forget(removed)
         node.view.resize(event.count)
         node.node_count = event.count
         node.view_changed_ms = node.now_ms
@@ -209,7 +210,6 @@
         if old.state in PRESENT_STATES:
             self.node.emit(MemberChanged(member, old.state, MemberState.LEFT, old.generation))
         self.suspicions.forget(member)
-        self._anti_entropy.forget(member)
         self.peer_views.forget(member)
         self._liveness.forget(member)
 
