Membership: the relay of indirect probes forgets members that are gone

What callers saw: a node's probes rested until the next datagram, after a traceback, where a peer list without the requester of an indirect probe came before the answer. Cause: PingRelay forgot no request when the list changed; sending to the requester is an index beyond the view. Change: the relay forgets requests of and about members that are gone. Why this works: it is the last part that kept their numbers.

--- a/balancer/membership/core.py
+++ b/balancer/membership/core.py
@@ -198,6 +198,7 @@
         for member in removed:
             self._remove(member)
         self._detector.forget(removed)
+        self._relay.forget(removed)
         self._anti_entropy.forget(removed)
         node.view.resize(event.count)
         node.node_count = event.count
--- a/balancer/membership/ping_relay.py
+++ b/balancer/membership/ping_relay.py
@@ -14,10 +14,11 @@
 
 @dataclass(slots=True, frozen=True)
 class PingRequest:
-    """The peer on whose behalf a ping was sent, and the sequence number under which it asked."""
+    """The peer on whose behalf a member was pinged, and the sequence number under which it asked."""
 
     requester: int
     sequence: int
+    subject: int
 
 
 class PingRelay:
@@ -32,9 +33,9 @@
     def ping(self, message: Message) -> None:
         """Ping the subject of a request."""
         sequence = self._sender.ping(message.subject)
-        self._requests[sequence] = PingRequest(message.sender, message.sequence)
+        self._requests[sequence] = PingRequest(message.sender, message.sequence, message.subject)
         wait_ms = self._node.config.ping_timeout_ms * NACK_SHARE
-        self._node.timers.call_later(wait_ms, partial(self._send_nack, sequence, message.subject))
+        self._node.timers.call_later(wait_ms, partial(self._send_nack, sequence))
 
     def forward_ack(self, message: Message) -> None:
         """Pass an ack on if it answers a ping on behalf of a peer."""
@@ -46,10 +47,18 @@
         """Drop all requests."""
         self._requests.clear()
 
-    def _send_nack(self, sequence: int, subject: int) -> None:
+    def forget(self, members: set[int]) -> None:
+        """Drop the requests of members that are gone, and those to ping them."""
+        self._requests = {
+            sequence: request
+            for sequence, request in self._requests.items()
+            if request.requester not in members and request.subject not in members
+        }
+
+    def _send_nack(self, sequence: int) -> None:
         request = self._requests.get(sequence)
         if request is not None:
-            self._sender.send(request.requester, MessageKind.NACK, request.sequence, subject)
+            self._sender.send(request.requester, MessageKind.NACK, request.sequence, request.subject)
             wait_ms = self._node.config.probe_interval_ms
             self._node.timers.call_later(wait_ms, partial(self._drop, sequence))
 
