Membership: the broadcasts reserved for a leave are sent at any rate

What callers saw: with plain SWIM, or less than one broadcast a second, peers learned of a node that left only by probes. Cause: the reserve was cut to the rate, 0, before it was spent. Evidence: test_plain_swim_broadcasts_its_leaving_too failed before with no broadcast. Change: a refill takes no tokens away. Why this works: what is reserved stays until it is spent; at the usual rate of 4 nothing differs. Result: tests of membership pass.

--- a/balancer/membership/dissemination.py
+++ b/balancer/membership/dissemination.py
@@ -91,7 +91,8 @@
         is_refutation = bool(updates) and updates[0].state is MemberState.ALIVE
         earned = (now_ms - self._updated_ms) / 1000 * self._rate_per_s
         for bucket, tokens in self._tokens.items():
-            self._tokens[bucket] = min(self._rate_per_s, tokens + earned)
+            refilled = min(self._rate_per_s, tokens + earned)
+            self._tokens[bucket] = max(tokens, refilled)  # what is reserved may exceed those of a second
         self._updated_ms = now_ms
         if self._tokens[is_refutation] < 1.0:
             return False
@@ -99,5 +100,5 @@
         return True
 
     def reserve(self, tokens: float) -> None:
-        """Provide for so many broadcasts that are no refutations, at most those of a second."""
+        """Provide for so many broadcasts that are no refutations, whatever the rate."""
         self._tokens[False] = max(self._tokens[False], tokens)
