Simulation: a process that stalled runs its timers again

Need: tests with stalls played a process that lives by datagrams alone, so deaths could stay undeclared unseen. Cause: a tick that came due during the stall left next_tick in the past and nothing was planned after it; a second, shorter stall ended the first. Evidence: test_a_stalled_process_ticks_again_... and test_a_shorter_second_stall_... failed before. Change: _resume forgets the passed tick; the later end of two stalls counts. Why this works: every plan of a tick compares with next_tick, which is infinite once none is planned.

--- a/balancer/sim/members.py
+++ b/balancer/sim/members.py
@@ -110,9 +110,9 @@
         self.at(self.now + shutdown, partial(self.kill, node))
 
     def stall(self, node: int, duration: float) -> None:
-        """Stall a process; what arrives meanwhile waits in its socket."""
+        """Stall a process; what arrives meanwhile waits in its socket, and its timers do not run."""
         host = self.hosts[node]
-        host.stalled_until = self.now + duration
+        host.stalled_until = max(host.stalled_until, self.now + duration)
         self.at(self.now + duration, partial(self._resume, node, host.process_number))
 
     def running_nodes(self) -> list[int]:
@@ -148,6 +148,7 @@
             return
         inbox = host.inbox
         host.inbox = []
+        host.next_tick = math.inf  # a tick that was due during the stall has passed without effect
         for source, data in inbox:  # an event loop reads sockets before it runs timers
             self._handle(node, DatagramReceived(source, data))
         self._handle(node, Tick())
