A callback that raises by a defect ends no chain of timers and takes no other work with it

What callers saw: after one defect a node's probes rested, its bans were no longer applied (and answered yes), its counts, demand and learned state ended, or another request's actions were lost. Cause: timers were set after the work, and one try stood around many callbacks, or none. Why this works: no path from a callback to its caller is left in these places; cores still raise, so tests see defects.

--- a/balancer/membership/core.py
+++ b/balancer/membership/core.py
@@ -76,6 +76,7 @@
         )
         self._periods = 0
         self._last_event_ms = now_ms
+        self._told_hash = self.node.view.state_hash  # of the view that the last ViewChanged told
         self._merger.apply(Update(node_id, generation, 0, MemberState.ALIVE))
         # Nodes that start together must not probe in step.
         first_probe_ms = self.node.random.uniform(0, config.probe_interval_ms)
@@ -95,11 +96,11 @@
     def adopt_view(self, view: View) -> None:
         """Replace the view without any action, as if the node had long known it."""
         self.node.view = view
+        self._told_hash = view.state_hash
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Return what to do about an event; `now_ms` is monotonic."""
         node = self.node
-        hash_before = node.view.state_hash
         node.timers.advance(now_ms)
         self._detect_stall()
         match event:
@@ -113,7 +114,8 @@
         self._last_event_ms = node.now_ms
         actions = node.take_actions()
         view = node.view
-        if view.state_hash != hash_before:
+        if view.state_hash != self._told_hash:
+            self._told_hash = view.state_hash
             reason = _change_reason(actions)
             actions.append(ViewChanged(view.state_hash, view.present_count, self.has_quorum(), reason))
         return actions
--- a/balancer/membership/shell.py
+++ b/balancer/membership/shell.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from balancer.defects import DefectLog
 from balancer.membership.change_log import ChangeLog
 from balancer.membership.config import Config
 from balancer.membership.core import Membership
@@ -31,6 +32,7 @@
 
 EPOCH_S = 1_577_836_800.0  # Unix time of the year 2020, from which generations are counted
 GENERATION_UNIT_S = 0.256  # a generation fits four bytes until 2054, and a process takes longer to start
+MAX_DEFECTS_PER_EVENT = 16  # after which what is still due waits for the next event
 COLUMNS = ("state", "life", "incarnation", "changed_ms", "view")  # of a member in `stats`
 
 
@@ -57,6 +59,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._wakeup_ms = math.inf
         self._log = ChangeLog()
+        self._defects = DefectLog(log, "membership")
         self._view_reason = ""
         self._view_changed_ms = 0.0
         self._member_changed_ms: list[float] = []  # when the state of each member last changed
@@ -113,7 +116,8 @@
             "health": core.health.score,
             "columns": list(COLUMNS),
             "members": [self._member_row(core, record) for record in view.records],  # by number
-            "counts": dict(node.counts) | {"foreign": self._socket.counts["foreign"]},
+            "counts": dict(node.counts)
+            | {"foreign": self._socket.counts["foreign"], "defects": self._defects.count},
         }
 
     def _member_row(self, core: Membership, record: Update) -> list[object]:
@@ -133,9 +137,21 @@
     def _handle(self, event: Event) -> None:
         if self.core is None:
             return
-        for action in self.core.handle(_now_ms(), event):
-            self._perform(action, self.core)
-        self._set_timer(self.core.next_wakeup_ms)
+        for action in self._actions_of(self.core, event):
+            with self._defects.contain(type(action).__name__):
+                self._perform(action, self.core)
+        if self.core is not None:
+            self._set_timer(self.core.next_wakeup_ms)
+
+    def _actions_of(self, core: Membership, event: Event) -> list[Action]:
+        """Return what the core wants done; where a callback of it raises the others still run."""
+        for _ in range(MAX_DEFECTS_PER_EVENT):
+            try:
+                return core.handle(_now_ms(), event)
+            except Exception as error:  # guards the node against a defect of the core
+                self._defects.record(type(event).__name__, error)
+                event = Tick()
+        return []
 
     def _perform(self, action: Action, core: Membership) -> None:
         match action:
--- a/balancer/net/counts_log.py
+++ b/balancer/net/counts_log.py
@@ -5,6 +5,7 @@
 import logging
 from collections import Counter
 
+from balancer.defects import DefectLog
 from balancer.net.node import Node
 
 log = logging.getLogger(__name__)
@@ -21,6 +22,7 @@
         self._node = node
         self._lag_s = 0.0  # the longest since the last line
         self._pulses = 0  # since the last line
+        self._defects = DefectLog(log, "counts")
 
     def start(self) -> None:
         """Measure and log from now on."""
@@ -31,11 +33,13 @@
         now = node.loop.time()
         self._lag_s = max(self._lag_s, now - due)
         self._pulses += 1
+        node.loop.call_at(now + PULSE_INTERVAL_S, self._pulse, now + PULSE_INTERVAL_S)
         if node.fleet is not None:
-            node.fleet.save_learned(node.balancer.learned_state, node.now())
+            with self._defects.contain("the sample of learned state"):
+                node.fleet.save_learned(node.balancer.learned_state, node.now())
         if self._pulses >= PULSES_PER_LINE and node.counts:
-            self._write_line(now)
-        node.loop.call_at(now + PULSE_INTERVAL_S, self._pulse, now + PULSE_INTERVAL_S)
+            with self._defects.contain("the counts line"):
+                self._write_line(now)
 
     def _write_line(self, now: float) -> None:
         node = self._node
--- a/balancer/net/maintenance_file.py
+++ b/balancer/net/maintenance_file.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from balancer.defects import DefectLog
 from balancer.errors import BalancerError
 from balancer.net.shared_files import write_atomically
 
@@ -91,6 +92,7 @@
         self._on_change = on_change
         self._stamp_read: FileStamp | None = None
         self._is_fault_logged = False
+        self._defects = DefectLog(log, "bans")
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -209,8 +211,9 @@
         return FileStamp(found.st_ino, found.st_mtime_ns, found.st_size)
 
     def _refresh_periodically(self) -> None:
-        self.refresh()
         self._timer = self._loop.call_later(REFRESH_INTERVAL_S, self._refresh_periodically)
+        with self._defects.contain("reading the file"):
+            self.refresh()
 
     def refresh(self) -> None:
         """Read the file if it was replaced."""
@@ -238,10 +241,15 @@
         former = self.record
         self.record = record
         for name in sorted(record.out - former.out):
-            self._on_change(name, True, 0.0)
+            self._tell(name, True, 0.0)
         for name, time in sorted(record.returned_at.items()):
             if name not in record.out and former.returned_at.get(name) != time:
-                self._on_change(name, False, time)
+                self._tell(name, False, time)
         # A backend that is out no more without a time of return: the file was made anew by hand.
         for name in sorted(former.out - record.out - record.returned_at.keys()):
-            self._on_change(name, False, 0.0)
+            self._tell(name, False, 0.0)
+
+    def _tell(self, name: str, is_out: bool, since: float) -> None:
+        """Tell of a change; where that fails those of other backends are told all the same."""
+        with self._defects.contain("a change of a ban"):
+            self._on_change(name, is_out, since)
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -95,12 +95,19 @@
             self._is_handling = False
 
     def _handle(self, event: api.Event) -> None:
+        """Carry out the decision on an event; one bad request must not end the node with all the others."""
         try:
-            for action in self.balancer.handle(self.now(), event):
-                self._execute(action)
-        except Exception:  # one bad request must not end the node with all the others
+            actions = self.balancer.handle(self.now(), event)
+        except Exception:
             log.exception("decision on %s failed", type(event).__name__)
             self.requests.abandon(getattr(event, "request", ""))
+            return
+        for action in actions:
+            try:
+                self._execute(action)
+            except Exception:
+                log.exception("decision on %s failed", type(event).__name__)
+                self.requests.abandon(getattr(action, "request", getattr(event, "request", "")))
 
     def _execute(self, action: api.Action) -> None:
         match action:
--- a/balancer/net/process_slots.py
+++ b/balancer/net/process_slots.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from balancer.defects import DefectLog
 from balancer.errors import BalancerError
 
 log = logging.getLogger(__name__)
@@ -44,6 +45,7 @@
         self._on_peer_change = on_peer_change
         self._lock_fd = NO_SLOT
         self._timer: asyncio.TimerHandle | None = None
+        self._defects = DefectLog(log, "slots")
 
     @property
     def has_slot(self) -> bool:
@@ -91,9 +93,11 @@
 
     def refresh_periodically(self) -> None:
         """Look for peers now and every `REFRESH_INTERVAL_S`."""
-        self.refresh()
-        self.on_refresh()
         self._schedule()
+        with self._defects.contain("the look for other processes"):
+            self.refresh()
+        with self._defects.contain("the refresh"):
+            self.on_refresh()
 
     def _schedule(self) -> None:
         loop = asyncio.get_running_loop()
--- a/balancer/recovery/ban_requests.py
+++ b/balancer/recovery/ban_requests.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from balancer.defects import DefectLog
 from balancer.durable.records import BanLifted, BanSet, RegisterRow, RegisterRowsChanged
 from balancer.durable.state import DurableState
 from balancer.durable.store import DurableStore
@@ -56,6 +57,7 @@
         apply_change: ApplyChange,
         handle_event: HandleEvent,
         is_banned: Callable[[str], bool],
+        defects: DefectLog,
     ) -> None:
         """Start to apply changes on the running loop.
 
@@ -64,11 +66,13 @@
             apply_change: Puts a change in force at the node.
             handle_event: Hands an event to the core, with the request that it is about.
             is_banned: Returns what the register says of a backend.
+            defects: Takes what a change raises that is no error of an operator's.
         """
         self._disk = disk
         self._apply_change = apply_change
         self._handle_event = handle_event
         self._is_banned = is_banned
+        self._defects = defects
         self._loop = asyncio.get_running_loop()
         self._pending: dict[int, BanRequest] = {}  # by token
         self._last_token = 0
@@ -180,15 +184,34 @@
     async def _apply_changes(self) -> None:
         while True:
             change = await self._changes.get()
-            action = change.action
-            request = change.request
+            failure: BalancerError | None = BanCallError("the node is ending")
             try:
-                await self._apply_change(action.backend, action.banned, max(0.0, action.since_ms))
+                failure = await self._applied_or_failure(change.action)
             finally:
-                if request is not None and not request.done.done():
-                    request.done.set_result(action.banned)
+                self._answer(change, failure)
                 self._changes.task_done()
 
+    @staticmethod
+    def _answer(change: BanChange, failure: BalancerError | None) -> None:
+        """Answer the request that a change belongs to, if there is one."""
+        if change.request is None or change.request.done.done():
+            return
+        if failure is None:
+            change.request.done.set_result(change.action.banned)
+        else:
+            change.request.done.set_exception(failure)
+
+    async def _applied_or_failure(self, action: actions.ApplyBan) -> BalancerError | None:
+        """Apply a change; return why its request fails, None if it is in force."""
+        try:
+            await self._apply_change(action.backend, action.banned, max(0.0, action.since_ms))
+        except BalancerError as error:
+            return error
+        except Exception as error:  # the changes after it are to be applied all the same
+            self._defects.record("a change of a ban", error)
+            return BanCallError(f"the node could not apply it: {type(error).__name__}")
+        return None
+
 
 def saved_entries(saved: DurableState) -> tuple[BanEntry, ...]:
     """Return the register as the disk has it."""
--- a/balancer/recovery/shell.py
+++ b/balancer/recovery/shell.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from balancer.defects import DefectLog
 from balancer.durable.state import DurableState
 from balancer.durable.store import DurableStore
 from balancer.durable.timestamp import Timestamp
@@ -92,11 +93,12 @@
         self.disk = disk
         self.core = Recovery(config, node, len(port.peers), incarnation, seed, host.now())
         self.has_failed = False
+        self._defects = DefectLog(log, "recovery")
         self.serving = asyncio.Event()  # from the phase LISTED on
         self._capacity: actions.CapacityGranted | None = None
         self._admission = Admission(Phase.FULL, None)
         self._timer = WakeupTimer(host.now, lambda: self.handle(events.Tick()))
-        self._requests = BanRequests(disk, host.apply_ban, self.handle, self.is_banned)
+        self._requests = BanRequests(disk, host.apply_ban, self.handle, self.is_banned, self._defects)
         self._migrated: list[BanRequest] = []  # bans from before the register
         port.register(RECOVERY_KINDS, lambda source, data: self.handle(events.DatagramReceived(source, data)))
 
@@ -162,8 +164,10 @@
             self._give_up()
             return
         for action in wanted:
-            self._perform(action, request)
-        self._update_admission()
+            with self._defects.contain(type(action).__name__):
+                self._perform(action, request)
+        with self._defects.contain("the admission"):
+            self._update_admission()
         self._timer.arm(self.core.next_wakeup)
 
     def members_changed(self, incarnations: Mapping[int, int], quorum: bool) -> None:
@@ -202,6 +206,7 @@
     def stats(self) -> dict[str, object]:
         """Return the table for `/stats`."""
         stats = msgspec.structs.replace(self.core.stats(), failed=self.has_failed)
+        stats.counts["defects"] = self._defects.count
         table: dict[str, object] = msgspec.to_builtins(stats)
         return table
 
@@ -235,18 +240,21 @@
         if phase < Phase.LISTED:
             return
         admission = Admission(phase, None if phase is Phase.FULL else self._capacity)
+        self.serving.set()
         if admission != self._admission:
             self._admission = admission
             self.host.set_admission(admission.phase, admission.capacity)
-        self.serving.set()
 
     def _give_up(self) -> None:
         self.has_failed = True
         self._requests.fail()
-        self.host.restrict_saved_list(frozenset())
-        self.host.set_admission(Phase.FULL, None)
-        self.host.allow_polling()
         self.serving.set()
+        with self._defects.contain("the saved list"):
+            self.host.restrict_saved_list(frozenset())
+        with self._defects.contain("the admission"):
+            self.host.set_admission(Phase.FULL, None)
+        with self._defects.contain("the poll of discovery"):
+            self.host.allow_polling()
 
     # --- the end
 
