Bans: an operator's call is not applied behind a newer change of the tier

What callers saw: requests went to a backend that the node's own register holds banned. Cause: set_maintenance wrote a recorded call to the file of bans once more, behind a peer's entry that had been applied in between, and compared nothing. Change: under the file's lock the write asks whether the register still says so. Why this works: the register orders both, and no await stands between the question and the write.

--- a/balancer/net/fleet.py
+++ b/balancer/net/fleet.py
@@ -164,6 +164,10 @@
         elif self.durable is not None and is_change:
             await self.durable.save_ban(backend, is_out, at)
 
+    def confirms(self, backend: str, is_out: bool) -> bool:
+        """Return whether a recorded maintenance change is still the newest that the tier knows of."""
+        return self.recovery is None or self.recovery.shell.is_banned(backend) is is_out
+
     def start(self) -> None:
         """Join the tier, unless done. A successor calls this when its predecessor has ended."""
         if self.peer_socket is not None and self._opening is None:
--- a/balancer/net/maintenance_file.py
+++ b/balancer/net/maintenance_file.py
@@ -138,7 +138,14 @@
         """Return whether a backend is out, or was."""
         return backend in self.record.out or backend in self.record.returned_at
 
-    async def change(self, backend: str, is_out: bool, now: float, retention_ms: float) -> None:
+    async def change(
+        self,
+        backend: str,
+        is_out: bool,
+        now: float,
+        retention_ms: float,
+        is_current: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Take a backend out or put it back, in the file first.
 
         Args:
@@ -146,6 +153,7 @@
             is_out: whether it is taken out.
             now: Unix time in ms.
             retention_ms: how long times of return are kept.
+            is_current: is asked once the file is locked; where it returns False nothing is changed.
 
         Raises:
             MaintenanceError: the file cannot be written; nothing is changed.
@@ -153,7 +161,7 @@
         try:
             async with self._locked():
                 self.refresh()  # the other process may have written meanwhile
-                if is_out == (backend in self.record.out):
+                if is_out == (backend in self.record.out) or not is_current():
                     return
                 record = self._changed(backend, is_out, now, retention_ms)
                 self._write(record)
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -169,7 +169,13 @@
         if self.fleet is not None:
             await self.fleet.record_maintenance(backend, is_out, now, is_change)
         try:
-            await self.maintenance.change(backend, is_out, now, self.settings.slow_start_ms)
+            await self.maintenance.change(
+                backend,
+                is_out,
+                now,
+                self.settings.slow_start_ms,
+                lambda: self.fleet is None or self.fleet.confirms(backend, is_out),
+            )
         except BalancerError:
             if self.fleet is not None and is_change:  # the call fails: no later process may take it as done
                 with contextlib.suppress(BalancerError):
--- a/balancer/net/node_ports.py
+++ b/balancer/net/node_ports.py
@@ -57,6 +57,9 @@
         `is_change` tells whether it differs from what is in force. Raises BalancerError.
         """
 
+    def confirms(self, backend: str, is_out: bool) -> bool:
+        """Return whether a recorded maintenance change is still the newest that the tier knows of."""
+
     def list_request_failed(self) -> None:
         """Take note that a call of discovery has ended or failed."""
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -7,6 +7,8 @@
 import os
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
@@ -15,6 +17,7 @@
 from balancer.net import maintenance_file
 from balancer.net.connection_pool import ConnectionPool
 from balancer.net.maintenance_file import MaintenanceError, MaintenanceFile, MaintenanceRecord
+from balancer.net.node import Node
 from balancer.net.shared_files import shared_path
 from balancer.net.statistics import RequestStatistics
 from balancer.net.stream import StreamMemory
@@ -214,3 +217,32 @@
     balancer.handle(5003.0, api.ListUpdate(api.ListUpdateKind.DELTA, [entry("b0", zone="z")]))
     assert sent_to(balancer, 5004.0, 1) == {"b0"}
     assert sent_to(balancer, 5005.0) == {"b1", "b2"}
+
+
+@pytest.mark.parametrize("is_out", [True, False])
+async def test_a_call_does_not_undo_what_the_tier_has_changed_right_after_it(
+    tmp_path: Path, is_out: bool
+) -> None:
+    """Guards a ban by another node: a lift that was recorded before it was applied once more behind it."""
+    changes: list[bool] = []
+    file = MaintenanceFile(tmp_path / "node", lambda backend, is_out, since: changes.append(is_out))
+    file.start(has_peer=False)
+    await file.change("a", not is_out, 1.0, 1000.0)
+
+    async def record_maintenance(backend: str, is_out: bool, at: float, is_change: bool) -> None:
+        await file.follow(backend, is_out, 2.0, 1000.0)  # the call's own entry, as the register has it
+        await file.follow(backend, not is_out, 3.0, 1000.0)  # a peer's entry that came behind it
+
+    fleet = SimpleNamespace(
+        record_maintenance=record_maintenance, confirms=lambda backend, wanted: wanted is not is_out
+    )
+    parts = SimpleNamespace(
+        balancer=SimpleNamespace(is_listed=lambda backend: True),
+        maintenance=file,
+        now=lambda: 4.0,
+        settings=BASE,
+        fleet=fleet,
+    )
+    assert await Node.set_maintenance(cast(Node, parts), "a", is_out)
+    assert ("a" in file.record.out) is not is_out and changes[-1] is not is_out
+    file.stop()
