Order of endpoints: those that change zone together keep the order of their node

What callers saw: none yet; after several backends moved zone in one update all nodes fed the same first ones, in the order of the list. Cause: each was moved behind the one moved last, as the update names them. Change: they are moved together, sorted by their present place. Why this works: the order between them no longer depends on the update.

--- a/balancer/policy/endpoint_list.py
+++ b/balancer/policy/endpoint_list.py
@@ -78,6 +78,7 @@
     def _remove_and_move(self, changed: list[EndpointRecord]) -> list[EndpointRecord]:
         """Remove endpoints that get no new work, move those that changed zone, and return those to add."""
         added = list[EndpointRecord]()
+        moved = list[str]()
         for endpoint in changed:
             name = endpoint.entry.backend
             if endpoint.block is None:
@@ -86,9 +87,10 @@
             elif not self.eligibility.is_in_service(endpoint):
                 self.index.remove(name)
             elif endpoint.is_local != self.zones.is_local(endpoint):
-                self.index.order.change_side(name, not endpoint.is_local)
+                moved.append(name)
             if endpoint.entry.phase is api.EndpointPhase.REMOVED:
                 self.forget(endpoint)
+        self.index.order.change_sides(moved)
         return added
 
     def _insert(self, added: list[EndpointRecord]) -> None:
--- a/balancer/policy/ordered_names.py
+++ b/balancer/policy/ordered_names.py
@@ -14,6 +14,8 @@
 
 BLOCK_SIZE = 512  # names in a block, twice as many at most: about the square root of a long list
 
+MAX_LOOKED_UP = 64  # names whose positions are looked up; for more of them all names are walked through
+
 Insertion = tuple[int, str]
 """A position, before whose present name a new name goes, and that name."""
 
@@ -161,10 +163,22 @@
         """Remove an endpoint that is here."""
         self.side(self.records[name].is_local).remove(name)
 
-    def change_side(self, name: str, is_local: bool) -> None:
-        """Move an endpoint to the other side, next to the side that it leaves."""
-        self.remove(name)
-        self.insert([(len(self.local) if is_local else 0, name)], is_local)
+    def change_sides(self, names: Sequence[str]) -> None:
+        """Move endpoints to the other side, next to the side that they leave, in the order that they have."""
+        moved: dict[bool, list[str]] = {True: [], False: []}
+        for name in self._in_order(names):
+            moved[not self.records[name].is_local].append(name)
+        for name in names:
+            self.remove(name)
+        self.insert([(len(self.local), name) for name in moved[True]], is_local=True)
+        self.insert([(0, name) for name in moved[False]], is_local=False)
+
+    def _in_order(self, names: Sequence[str]) -> list[str]:
+        """Return names of both sides in the order of each side."""
+        if len(names) <= MAX_LOOKED_UP:
+            return sorted(names, key=self.index)
+        wanted = set(names)
+        return [name for name in self if name in wanted]
 
     def partition(self, is_local: Callable[[EndpointRecord], bool]) -> None:
         """Assign all endpoints to sides anew; each side keeps its order."""
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -255,6 +255,21 @@
         agrees(b, plain)
 
 
+@pytest.mark.parametrize("count", [5, 300])
+def test_endpoints_that_change_zone_together_keep_the_order_of_their_node(count: int) -> None:
+    """Guards against nodes that all feed the same endpoints after a zone has moved, as the list has them."""
+    names = [f"m{i:03d}" for i in range(count)]
+    for before, after in (("b", "a"), ("a", "b")):
+        b = Balancer(PRICED, 7)
+        b.handle(
+            1000.0, api.ListUpdate(FULL, [entry(n, zone=before) for n in names] + [entry("x", zone="a")])
+        )
+        order = [name for name in b.index.order if name != "x"]
+        assert order != names
+        b.handle(1001.0, api.ListUpdate(CHANGES, [entry(n, zone=after) for n in names]))
+        assert [name for name in b.index.order if name != "x"] == order
+
+
 def test_ordered_names_equal_a_plain_list_after_any_change() -> None:
     rng = random.Random(5)
     records = {f"n{i}": EndpointRecord(entry(f"n{i}")) for i in range(6 * BLOCK_SIZE)}
