Lab: a soak that draws whole experiments from seeds and plays them with real processes

Change: lab soak, drawn from the lab's own tables and faults; signals in series, a crowd of idle clients, peer lists that change by SIGHUP; a tier is asked at its end whether views, registers and bans agree, logs are searched for tracebacks.

--- a/balancer/cli/app.py
+++ b/balancer/cli/app.py
@@ -368,6 +368,30 @@
         print(out / "scale.html")
 
 
+@lab.command("soak")
+def lab_soak(
+    seeds: Annotated[str, typer.Option(help="One seed, or the first and the last: 1-50.")],
+    out: Out,
+    as_json: AsJson = False,
+) -> None:
+    """Play experiments drawn from seeds. Exit code 0: nothing found; 1: a finding; 2: too many void."""
+    from balancer.cli.soak import seeds_of, show_seed, show_soak
+    from balancer.lab.soak.runner import play_seeds
+
+    chosen = seeds_of(seeds)
+    what = program(WORKING_TREE)
+    with stopping():
+        out.mkdir(parents=True, exist_ok=True)
+        result = play_seeds(chosen, what, out, show_seed)
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(result)))
+    else:
+        show_soak(result)
+    if result.broken:
+        raise typer.Exit(Exit.SHORT)
+    raise typer.Exit(Exit.HELD if result.is_telling else Exit.NOT_RUN)
+
+
 def _show_differences(result: dict[str, Any], judged: int, out: Path) -> None:
     rows = Table(title=f"{result['experiment']}: A {result['a']}, B {result['b']}, {result['seeds']} seeds",
                  title_justify="left")  # fmt: skip
--- /dev/null
+++ b/tests/test_lab_soak.py
@@ -0,0 +1,136 @@
+"""The soak: what it draws, what it checks of a tier, and a few of its seeds with real processes."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from balancer.experiments.checks import check_experiment
+from balancer.experiments.faults import Kill, Terminate, Upgrade, fault_kind
+from balancer.lab.programs import ROOT, Program
+from balancer.lab.records import BackendAttemptRecord
+from balancer.lab.run import MaintenanceCall
+from balancer.lab.soak.draws import draw
+from balancer.lab.soak.runner import SeedResult, SoakResult, play_seed
+from balancer.lab.soak.tier_checks import Finding, NodeStats, check_agreement, check_bans, check_logs
+from balancer.lab.timeline import last_step_at
+
+NODE = Program("tests", ROOT, f"exec {sys.executable} -B -m balancer")
+PLAYS = 3  # at most, until one is not void
+CI_SEEDS = (1001, 1013, 1031)
+
+
+def test_every_seed_draws_a_sound_experiment_and_the_same_each_time() -> None:
+    kinds: Counter[str] = Counter()
+    signals: set[str] = set()
+    for seed in range(300):
+        soak = draw(seed)
+        assert soak == draw(seed)
+        check_experiment(soak.spec)
+        assert soak.spec.seconds > last_step_at(soak.spec)
+        kinds.update({fault_kind(fault) for fault in soak.spec.faults})
+        signals |= {fault.signals for fault in soak.spec.faults if isinstance(fault, Terminate)}
+        kinds.update({"tier"} if soak.spec.fleet.recovery else {"crowd"} if soak.crowd else ())
+    assert signals == {"once", "twice", "reload-first", "reload-behind", "while-starting"}
+    wanted = {
+        "terminate",
+        "kill",
+        "reload",
+        "upgrade",
+        "stall",
+        "drain",
+        "maint",
+        "disk",
+        "link",
+        "tier",
+        "crowd",
+    }
+    assert wanted <= kinds.keys() and min(kinds[kind] for kind in wanted) >= 10
+
+
+def test_a_node_has_one_fault_of_its_process_at_most() -> None:
+    for seed in range(300):
+        faults = draw(seed).spec.faults
+        ended = [
+            f.targets for f in faults if isinstance(f, (Terminate, Kill, Upgrade)) and "nodes" in f.targets
+        ]
+        assert len(ended) == len(set(ended))
+
+
+def stats(node: int, view: str = "v", register: str = "r", present: int = 2, **more: Any) -> NodeStats:
+    """Return what a node says of its tier."""
+    membership = {"view": view, "present_nodes": present, "counts": {"defects": 0}} | more
+    recovery = {"register": register, "failed": False, "counts": {"defects": 0}}
+    return NodeStats(node, {"membership": membership, "recovery": recovery})
+
+
+@pytest.mark.parametrize(
+    ("found", "checks"),
+    [
+        ([stats(0), stats(1)], []),
+        ([stats(0)], ["agree"]),
+        ([stats(0), stats(1, view="w")], ["agree"]),
+        ([stats(0, present=1), stats(1, present=1)], ["agree"]),
+        ([stats(0), stats(1, register="s")], ["agree"]),
+        ([stats(0), stats(1, counts={"defects": 1})], ["defect"]),
+        ([stats(0), NodeStats(1, {"membership": {"present": False}})], ["agree"]),
+    ],
+)
+def test_a_tier_has_to_agree(found: list[NodeStats], checks: list[str]) -> None:
+    assert [finding.check for finding in check_agreement(2, found)] == checks
+
+
+def attempt(at: float, backend: int) -> BackendAttemptRecord:
+    """Return an attempt that reached a backend."""
+    return BackendAttemptRecord("id", 1, backend, "GET", "/", "", at, at, "served", at, at, True)
+
+
+@pytest.mark.parametrize(
+    ("lift", "at", "count"),
+    [
+        (None, 20_000.0, 1),
+        (None, 15_000.0, 0),  # within the bound after the last fault
+        (MaintenanceCall(2, 4, False, 900.0, 1_100.0, True), 20_000.0, 0),  # it may have seen the ban
+        (MaintenanceCall(2, 4, False, 100.0, 200.0, True), 20_000.0, 1),  # it was over before
+    ],
+)
+def test_a_ban_with_yes_holds_everywhere(lift: MaintenanceCall | None, at: float, count: int) -> None:
+    ban = MaintenanceCall(0, 4, True, 1_000.0, 1_050.0, True)
+    calls = [ban, *([lift] if lift is not None else [])]
+    assert len(list(check_bans(6_000.0, calls, [attempt(at, 4), attempt(at, 5)]))) == count
+
+
+def test_a_ban_without_a_yes_binds_nobody() -> None:
+    refused = MaintenanceCall(0, 4, True, 1_000.0, 1_050.0, False)
+    assert not list(check_bans(6_000.0, [refused], [attempt(20_000.0, 4)]))
+
+
+def test_a_traceback_in_a_log_is_a_finding(tmp_path: Path) -> None:
+    (tmp_path / "n0-0.log").write_text("all is well\n")
+    (tmp_path / "n1-0.log").write_text("x\nERROR it failed\nTraceback (most recent call last):\n  File\n")
+    (finding,) = check_logs(tmp_path)
+    assert finding.check == "traceback" and finding.text.startswith("n1-0.log: ERROR it failed")
+
+
+def test_a_soak_with_many_void_plays_tells_nothing() -> None:
+    def result(seed: int, void: bool, *findings: Finding) -> SeedResult:
+        return SeedResult(seed, void, list(findings), [], False, 0)
+
+    broken = Finding("answer", "late")
+    soak = SoakResult("p", [result(1, False, broken), result(2, True, broken), result(3, False)])
+    assert [each.seed for each in soak.broken] == [1] and soak.void == [2] and not soak.is_telling
+    assert soak.broken[0].command == "bin/balancer lab soak --seeds 1 --out DIR"
+
+
+@pytest.mark.parametrize("seed", CI_SEEDS)
+def test_seeds_with_real_processes_break_nothing(tmp_path: Path, seed: int) -> None:
+    for play in range(PLAYS):
+        result = play_seed(seed, NODE, tmp_path / str(play))
+        if not result.void:
+            break
+    assert not result.void, "the machine was too busy in all plays"
+    assert not result.findings, result
