Membership: timers that set their successors are not dropped where all timers are taken

What callers saw: a node that never again sends records to peers which lack them, after a flood of requests for indirect probes. Cause: with 4,096 timers pending the next one is dropped, and a transfer or a bulk broadcast then believes for ever that its timer is set. Evidence: test_a_flood_of_requests_ends_no_transfers failed before, no datagram of the transfer was sent. Change: such a timer takes the place of the ordinary one that is due last. Why this works: each chain has one timer at most, so they never fill the queue themselves.

--- a/balancer/membership/anti_entropy.py
+++ b/balancer/membership/anti_entropy.py
@@ -142,7 +142,7 @@
         """Set the timer for the next datagram, unless it is set or nothing is to be sent."""
         if self._transfers and not self._is_sending:
             self._is_sending = True
-            self._node.timers.call_later(wait_ms, self._send_chunk)
+            self._node.timers.call_later(wait_ms, self._send_chunk, is_essential=True)
 
     def _send_chunk(self) -> None:
         """Send one datagram to the receiver whose turn it is, the next one a probe interval later."""
--- a/balancer/membership/bulk_dissemination.py
+++ b/balancer/membership/bulk_dissemination.py
@@ -33,7 +33,7 @@
             return
         self._is_pending = True
         wait_ms = node.random.expovariate(rate_per_s / node.node_count) * 1000
-        node.timers.call_later(wait_ms, self._fire)
+        node.timers.call_later(wait_ms, self._fire, is_essential=True)
 
     def _fire(self) -> None:
         self._is_pending = False
--- a/balancer/membership/core.py
+++ b/balancer/membership/core.py
@@ -80,7 +80,7 @@
         self._merger.apply(Update(node_id, generation, 0, MemberState.ALIVE))
         # Nodes that start together must not probe in step.
         first_probe_ms = self.node.random.uniform(0, config.probe_interval_ms)
-        self.node.timers.call_later(first_probe_ms, self._run_period)
+        self.node.timers.call_later(first_probe_ms, self._run_period, is_essential=True)
         self._anti_entropy.join()
 
     @property
@@ -155,7 +155,8 @@
         """Do what is due once in a probe interval, and schedule the next one."""
         node = self.node
         config = node.config
-        node.timers.call_later(self.health.scale(config.probe_interval_ms), self._run_period)
+        period_ms = self.health.scale(config.probe_interval_ms)
+        node.timers.call_later(period_ms, self._run_period, is_essential=True)
         self._periods += 1
         if node.view.present_count < MIN_PRESENT:
             self._anti_entropy.join()
--- a/balancer/membership/timers.py
+++ b/balancer/membership/timers.py
@@ -6,10 +6,20 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 MAX_TIMERS = 4096
 
 
+class Timer(NamedTuple):
+    """A pending callback; timers are ordered by their first two fields."""
+
+    due_ms: float
+    number: int  # in the order of scheduling
+    callback: Callable[[], None]
+    is_essential: bool
+
+
 class TimerQueue:
     """Callbacks by their due time; those due at the same time run in the order of scheduling."""
 
@@ -17,7 +27,7 @@
         """Start the clock at `now_ms`; `counts` gets the number of timers dropped for want of space."""
         self.now_ms = now_ms
         self._counts = counts
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._heap: list[Timer] = []
         self._scheduled = 0
 
     def __len__(self) -> int:
@@ -27,22 +37,33 @@
     @property
     def next_due_ms(self) -> float:
         """When the next timer is due; infinity if there is none."""
-        return self._heap[0][0] if self._heap else math.inf
+        return self._heap[0].due_ms if self._heap else math.inf
 
     def advance(self, now_ms: float) -> None:
         """Set the clock; it never goes back."""
         self.now_ms = max(self.now_ms, now_ms)
 
-    def call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
-        """Schedule a callback, or drop it where too many are pending."""
+    def call_later(self, delay_ms: float, callback: Callable[[], None], is_essential: bool = False) -> None:
+        """Schedule a callback, or drop it where too many are pending.
+
+        An essential one, which schedules its successor itself, takes the place of another that is due late.
+        """
         if len(self._heap) >= MAX_TIMERS:
             self._counts["timers_dropped"] += 1
-            return
+            if not is_essential:
+                return
+            self._drop_latest()
         self._scheduled += 1
-        heapq.heappush(self._heap, (self.now_ms + delay_ms, self._scheduled, callback))
+        timer = Timer(self.now_ms + delay_ms, self._scheduled, callback, is_essential)
+        heapq.heappush(self._heap, timer)
+
+    def _drop_latest(self) -> None:
+        ordinary = [timer for timer in self._heap if not timer.is_essential]
+        if ordinary:
+            self._heap.remove(max(ordinary))
+            heapq.heapify(self._heap)
 
     def run_due(self) -> None:
         """Run all callbacks that are due, those included that others schedule for now."""
-        while self._heap and self._heap[0][0] <= self.now_ms:
-            _, _, callback = heapq.heappop(self._heap)
-            callback()
+        while self._heap and self._heap[0].due_ms <= self.now_ms:
+            heapq.heappop(self._heap).callback()
--- a/tests/test_membership_peer_lists.py
+++ b/tests/test_membership_peer_lists.py
@@ -19,6 +19,7 @@
     decode,
     encode,
 )
+from balancer.membership.timers import MAX_TIMERS
 from tests.membership_helpers import OWN_GENERATION, PEER_GENERATION, received
 
 NODE_COUNT = 90  # whose records take several datagrams
@@ -118,6 +119,19 @@
     assert not [action for action in to_requester if decode(action.data).kind in answers]
 
 
+def test_a_flood_of_requests_ends_no_transfers(core: Membership) -> None:
+    """Guards timers that set their successors: with all of them taken that of a transfer was dropped."""
+    message = Message(MessageKind.PING_REQ, 50, PEER_GENERATION, 0, 9, 7, 2)
+    for _ in range(MAX_TIMERS):
+        core.handle(2.0, DatagramReceived(50, encode(message)))
+    core.handle(2.0, digest(1))
+    assert len(core.node.timers) <= MAX_TIMERS
+    assert len(transferred(run(core, 2.0, 3 * PERIOD_MS), 1)) >= 2
+    begin_ms = 4 * PERIOD_MS
+    core.handle(begin_ms, digest(2))
+    assert len(transferred(run(core, begin_ms, 3 * PERIOD_MS), 2)) >= 2
+
+
 def test_no_change_of_the_list_brings_an_exception_or_ends_probes() -> None:
     """Guards each index by a member's number, and each chain of timers, in tiers whose lists change often."""
     for seed in range(20):
--- a/tests/test_recovery_bans.py
+++ b/tests/test_recovery_bans.py
@@ -114,3 +114,19 @@
     tier.run(6_000)
     assert all(core.register.is_banned("a") for core in tier.nodes.values())
     assert len({core.register.hash for core in tier.nodes.values()}) == 1
+
+
+def test_registers_agree_after_peer_lists_have_changed_and_datagrams_were_lost() -> None:
+    """The membership tells who is present: without it a node that hears nobody for 10 s sends to nobody."""
+    tier = settled_tier(8)
+    tier.loss = 0.1
+    for round_number in range(6):
+        node = round_number % 7
+        tier.event(node, PeersChanged(7, frozenset({6})))
+        tier.event(node, BanRequested("ab"[round_number % 2], round_number % 3 > 0, tier.now, round_number))
+        tier.run(300)
+    for node in range(8):
+        tier.event(node, PeersChanged(8))
+    tier.see()
+    tier.run(20_000)
+    assert len({core.register.hash for core in tier.nodes.values()}) == 1
