--- a/balancer/lab/scale/power_recovery.py
+++ b/balancer/lab/scale/power_recovery.py
@@ -108,20 +108,20 @@
     for count in sizes:
         of, each = PointFactory(ROLE, count), count / REPRESENTATIVES
         tier = RecoveringTier(
-            REPRESENTATIVES, seed, RecoveryConfig(poll_slot=RecoveryConfig().poll_slot * each)
+            REPRESENTATIVES, seed, RecoveryConfig(poll_slot_ms=RecoveryConfig().poll_slot_ms * each)
         )
         tier.finish()
         early = sum(tier.full[node] < at for node, at in tier.listed_at.items() if node in tier.full)
         listed_at = _last(tier.listed_at, REPRESENTATIVES)
         yield from of.took("turns_told", listed_at)
         yield of.counted("turns_early", "entries", early * each)
-        one = PollSchedule(0, RecoveryConfig().poll_slot)
+        one = PollSchedule(0, RecoveryConfig().poll_slot_ms)
         one.poll_started(0.0, count)
         one.poll_failed(0.0, count)
         yield from of.took("turns_again", one.next_poll_at)
         begun = time.thread_time()
         for node in range(MEASURED_PLANS):
-            PollSchedule(node, RecoveryConfig().poll_slot).schedule_first(0.0, range(count))
+            PollSchedule(node, RecoveryConfig().poll_slot_ms).schedule_first(0.0, range(count))
         took = (time.thread_time() - begun) * 1000 / MEASURED_PLANS
         yield of.machine("turns_plan", "ms", took)
 
--- a/balancer/net/recovery_adapter.py
+++ b/balancer/net/recovery_adapter.py
@@ -53,7 +53,7 @@
         self.disk = disk
         self.saved_state = disk.state if disk is not None else DurableState()
         settings = node.settings
-        config = RecoveryConfig(ramp_time=settings.slow_start_ms)
+        config = RecoveryConfig(ramp_time_ms=settings.slow_start_ms)
         self.shell = RecoveryShell(
             config, settings.node_index, incarnation, node.config.seed, port, self, disk
         )
--- a/balancer/recovery/ban_controller.py
+++ b/balancer/recovery/ban_controller.py
@@ -40,12 +40,12 @@
     """Applies the register's changes and spreads them."""
 
     def __init__(
-        self, register: BanRegister, exchange: Exchange, ramp_time: float, actions: list[Action]
+        self, register: BanRegister, exchange: Exchange, ramp_time_ms: float, actions: list[Action]
     ) -> None:
-        """Create the controller; `ramp_time` (ms) is how long a backend that returned is cold."""
+        """Create the controller; `ramp_time_ms` (ms) is how long a backend that returned is cold."""
         self.register = register
         self.exchange = exchange
-        self.ramp_time = ramp_time
+        self.ramp_time_ms = ramp_time_ms
         self.counts: Counter[str] = Counter()
         self.pending: dict[int, PendingRequest] = {}  # by token
         self._actions = actions
@@ -98,7 +98,7 @@
             banned = self.register.is_banned(backend)
             since = self.register.since(backend)
             former = self._applied.get(backend, NEVER_APPLIED)
-            is_recent_lift = not banned and since > max(former.since, now - self.ramp_time)
+            is_recent_lift = not banned and since > max(former.since, now - self.ramp_time_ms)
             if banned != former.banned or is_recent_lift:
                 self.announce(backend)
 
--- a/balancer/recovery/core.py
+++ b/balancer/recovery/core.py
@@ -1,11 +1,11 @@
 """Recovery of one node: given the time and events, it returns actions. No I/O, no clock of its own.
 
 Limits of a hostile peer: it can ban backends and lift bans, as an operator at any node can (entries are
-relayed, so their sender proves nothing); keep this node in ASK for `RecoveryConfig.max_survey`; have it
+relayed, so their sender proves nothing); keep this node in ASK for `RecoveryConfig.max_survey_ms`; have it
 avoid half of a saved list until discovery sends a list; and reduce its share by a false demand, which
 counts as four fifths of all at most. Two hostile peers can make the recovery look like a crash: the node
 then serves as it would without this subsystem. None can keep it from FULL for longer than
-`RecoveryConfig.max_warming`.
+`RecoveryConfig.max_warming_ms`.
 """
 
 from __future__ import annotations
@@ -96,10 +96,10 @@
             phase_since=now,
         )
         self.register = parts.register(node, incarnation, generator.randrange(1 << TAG_BITS))
-        limits = ExchangeLimits(config.datagrams_per_s, config.burst, config.survey_interval)
+        limits = ExchangeLimits(config.datagrams_per_s, config.burst, config.survey_interval_ms)
         self.exchange = parts.exchange(self.register, generator, limits, now)
-        self.schedule = parts.schedule(node, config.poll_slot)
-        self.bans = parts.bans(self.register, self.exchange, config.ramp_time, context.actions)
+        self.schedule = parts.schedule(node, config.poll_slot_ms)
+        self.bans = parts.bans(self.register, self.exchange, config.ramp_time_ms, context.actions)
         self.survey = PeerSurvey(context)
         self.saved_list = parts.saved_list(context)
         self.quota = parts.quota(context, self.survey)
--- a/balancer/recovery/phase_machine.py
+++ b/balancer/recovery/phase_machine.py
@@ -50,7 +50,7 @@
         self.serving_since = context.now
         self.is_warm = False  # by this node's clock
         self.deferred_entries: list[BanEntry] = []  # of the disk, until the survey is over
-        self._survey_interval = context.config.survey_interval
+        self._survey_interval_ms = context.config.survey_interval_ms
         self._warm_check_at = context.now
 
     # --- times
@@ -70,12 +70,12 @@
     def phase_ends_at(self) -> float:
         """Return when LISTED or WARMING ends at the latest, by what is known."""
         config = self.context.config
-        latest = self.serving_since + config.max_warming
+        latest = self.serving_since + config.max_warming_ms
         if self.context.phase is Phase.LISTED:
-            return self.serving_since + config.max_listed
+            return self.serving_since + config.max_listed_ms
         if self.saved_list.fresh is None:
             return latest
-        return min(latest, max(self.saved_list.fresh.starts, default=-math.inf) + config.ramp_time)
+        return min(latest, max(self.saved_list.fresh.starts, default=-math.inf) + config.ramp_time_ms)
 
     def deadline(self) -> float:
         """Return when the present phase ends at the latest; infinite for VERIFY and FULL."""
@@ -83,13 +83,13 @@
             case Phase.VERIFY | Phase.FULL:
                 return math.inf
             case Phase.ASK:
-                return self.survey_started_at + self.context.config.max_survey
+                return self.survey_started_at + self.context.config.max_survey_ms
         return self.phase_ends_at()
 
     def _next_survey_deadline(self) -> float:
         config = self.context.config
         now = self.context.now
-        waits = (config.survey_interval, config.isolation_timeout, config.max_survey)
+        waits = (config.survey_interval_ms, config.isolation_timeout_ms, config.max_survey_ms)
         deadlines = (self.survey_started_at + wait for wait in waits)
         return min((deadline for deadline in deadlines if deadline > now), default=now)
 
@@ -139,9 +139,9 @@
         now = self.context.now
         if now >= self.next_survey_at:
             self.exchange.request_survey()
-            self.next_survey_at = now + self._survey_interval
-            self._survey_interval *= 2
-        is_first_round = now < self.survey_started_at + self.context.config.survey_interval
+            self.next_survey_at = now + self._survey_interval_ms
+            self._survey_interval_ms *= 2
+        is_first_round = now < self.survey_started_at + self.context.config.survey_interval_ms
         if self.survey.reports and is_first_round and not self.survey.has_established_peers:
             return  # too early for anything but a crash
         found = self.survey.classify()
@@ -161,13 +161,13 @@
         elapsed = self.context.now - self.survey_started_at
         if self.context.node_count == 1:
             return "the tier has no other node"
-        if elapsed >= config.max_survey:
+        if elapsed >= config.max_survey_ms:
             return "the survey timed out"
         is_agreed = not self.exchange.agreement.peers_ahead()
         if path is RecoveryPath.CRASH and is_agreed:
             return "the peers agree" if self._agreeing_peers_suffice() else None
         if not self.survey.reports:
-            return "no peer answers" if elapsed >= config.isolation_timeout else None
+            return "no peer answers" if elapsed >= config.isolation_timeout_ms else None
         if not is_agreed:
             return None
         if self._surveyed_peers() >= MIN_SURVEYED_PEERS:
@@ -175,8 +175,10 @@
         if self.awaited_peers():
             return None
         if 2 * (len(self.survey.reports) + 1) > self.context.node_count:
-            return "the peers agree" if elapsed >= config.survey_interval else None
-        return "the peers heard agree, the others are silent" if elapsed >= config.isolation_timeout else None
+            return "the peers agree" if elapsed >= config.survey_interval_ms else None
+        return (
+            "the peers heard agree, the others are silent" if elapsed >= config.isolation_timeout_ms else None
+        )
 
     def awaited_peers(self) -> list[int]:
         """Return, in ASK, who has not been heard, or has entries that this node lacks."""
@@ -237,7 +239,7 @@
             starts = self.saved_list.fresh.starts
             last = f", the last started {now - max(starts):.0f} ms ago" if starts else ""
             self.enter(Phase.WARMING, f"discovery sent {len(starts)} backends{last}")
-        elif now >= self.serving_since + self.context.config.max_listed:
+        elif now >= self.serving_since + self.context.config.max_listed_ms:
             self.enter(Phase.WARMING, "discovery does not answer: warming up by this node's own start")
 
     def _await_warm_backends(self) -> None:
@@ -246,7 +248,7 @@
         The starts that discovery sends are wall-clock times: to a clock that is ahead all is warm at once.
         """
         context = self.context
-        if context.now >= self.serving_since + context.config.max_warming:
+        if context.now >= self.serving_since + context.config.max_warming_ms:
             self.enter(Phase.FULL, "the warm-up timed out")
             return
         if context.now < self.phase_ends_at():
--- a/balancer/recovery/phases.py
+++ b/balancer/recovery/phases.py
@@ -44,11 +44,11 @@
 
 
 def classify_recovery(
-    reported: Sequence[NodeStatus], node_count: int, present: int, established_after: float
+    reported: Sequence[NodeStatus], node_count: int, present: int, established_after_ms: float
 ) -> Classification:
     """Classify a recovery by what peers report of themselves.
 
-    Peers that report FULL, or an uptime above `established_after` (ms), did not restart with this node.
+    Peers that report FULL, or an uptime above `established_after_ms` (ms), did not restart with this node.
     Uptime alone is no evidence, as a rolling restart leaves only young nodes. It is a crash only if
     established peers are half of those heard and see half of the tier running: a power loss that a few
     nodes survive is not.
@@ -58,9 +58,9 @@
         node_count: Nodes of the tier.
         present: Nodes that seem to be present, this one included: a majority makes it a power loss, fewer may
             be one side of a partition, or the first nodes to restart.
-        established_after: Uptime (ms) from which a peer did not restart with this node.
+        established_after_ms: Uptime (ms) from which a peer did not restart with this node.
     """
-    running = [s for s in reported if s.phase >= Phase.FULL or s.uptime_ms >= established_after]
+    running = [s for s in reported if s.phase >= Phase.FULL or s.uptime_ms >= established_after_ms]
     recovering = len(reported) - len(running)
     peers = f"{len(reported)} of {node_count - 1} peers answered"
     reason = f"{peers}, {recovering} recovering, {len(running)} running"
--- a/balancer/recovery/shell.py
+++ b/balancer/recovery/shell.py
@@ -137,7 +137,7 @@
     async def wait_until_serving(self) -> None:
         """Return when the node may listen: its bans are known and in force, or enough has been waited."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout((self.config.max_survey + START_MARGIN_MS) / 1000):
+            async with asyncio.timeout((self.config.max_survey_ms + START_MARGIN_MS) / 1000):
                 await self.serving.wait()
                 if self._migrated:
                     await asyncio.wait([request.done for request in self._migrated])
--- a/balancer/recovery/survey.py
+++ b/balancer/recovery/survey.py
@@ -116,4 +116,6 @@
         if self._quorum_seen:
             present = max(present, len(self._members))
         config = self._context.config
-        return classify_recovery(self.statuses(), self._context.node_count, present, config.established_after)
+        return classify_recovery(
+            self.statuses(), self._context.node_count, present, config.established_after_ms
+        )
--- a/balancer/sim/recovery_faults.py
+++ b/balancer/sim/recovery_faults.py
@@ -149,7 +149,7 @@
         super().receive_list(event)
         context = self.context
         age = context.now - max(event.starts, default=0.0)
-        if self.phase is Phase.FULL and age < context.config.ramp_time:
+        if self.phase is Phase.FULL and age < context.config.ramp_time_ms:
             self.phases.enter(Phase.WARMING, "a backend is cold")
 
 
--- a/balancer/sim/recovery_observer.py
+++ b/balancer/sim/recovery_observer.py
@@ -2,17 +2,17 @@
 
 What it holds against a tier:
 
-- `ban`. A ban that was acknowledged, and that no lift since was requested for at a node that knew of it, is
-  kept by every node that serves and could have known. A node could have known if (a) it acknowledged the ban
-  itself and nothing that was synced has gone from its disk since, or its disk held the ban when it was read;
-  (b) it began to serve before `RecoveryConfig.max_survey` had passed, on a network that loses nothing, though
-  a live peer that had known for `SPREAD_MS` was in touch with it since it began to ask (not on the path of a
-  crash within `learn_ms` of a heal: two peers that went on may not have heard it either); (c) it has been in
-  touch with a live peer that knows for longer than `learn_ms`, or than `DIRECT_SPREAD_MS` on a network that
-  loses nothing where that peer itself acknowledged it when they had been in touch for `SETTLED_MS`. "In
-  touch": both processes run and no partition is between them. At other nodes a lift by a later incarnation of
-  the node that acknowledged, on a disk that was lost since, may cover its ban until it has heard of that and
-  issued it anew: as in (c).
+- `ban`. A ban that was acknowledged, and that no lift since was requested for at a node that knew of it,
+  is kept by every node that serves and could have known. A node could have known if (a) it acknowledged
+  the ban itself and nothing that was synced has gone from its disk since, or its disk held the ban when
+  it was read; (b) it began to serve before `RecoveryConfig.max_survey_ms` had passed, on a network that
+  loses nothing, though a live peer that had known for `SPREAD_MS` was in touch with it since it began to
+  ask (not on the path of a crash within `learn_ms` of a heal: two peers that went on may not have heard
+  it either); (c) it has been in touch with a live peer that knows for longer than `learn_ms`, or than
+  `DIRECT_SPREAD_MS` on a network that loses nothing where that peer itself acknowledged it when they had
+  been in touch for `SETTLED_MS`. "In touch": both processes run and no partition is between them. At
+  other nodes a lift by a later incarnation of the node that acknowledged, on a disk that was lost since,
+  may cover its ban until it has heard of that and issued it anew: as in (c).
 - `known`. What a process has known of an entry, or has read of it on a disk, it never knows less of: greater
   counter, and at the same one a lift over a ban. So a disk of a month ago undoes nothing.
 - `applied`. The backends that a serving node avoids are those with an active entry in its register.
@@ -187,7 +187,7 @@
         if late:
             self._breach("full", f"not full in time: {', '.join(late[:MAX_LISTED_NODES])}")
         calls = max(self.tier.discovery.requests_per_second.values(), default=0)
-        if calls > 2_000.0 / self.tier.recovery_config.poll_slot:
+        if calls > 2_000.0 / self.tier.recovery_config.poll_slot_ms:
             self._breach("turns", f"{calls} requests to discovery in one second")
         views = {
             frozenset((entry.key, entry.version) for entry in process.core.register.entries())
@@ -275,7 +275,7 @@
         if path is RecoveryPath.CRASH and is_healing:
             return
         asked_ms = tier.now - process.survey_began
-        if self.is_lossy or asked_ms >= tier.recovery_config.max_survey - SURVEY_MARGIN_MS:
+        if self.is_lossy or asked_ms >= tier.recovery_config.max_survey_ms - SURVEY_MARGIN_MS:
             return
         for ban in self._lasting():
             if ban.backend in process.banned or self._covers(node, ban):
--- a/balancer/sim/recovery_play.py
+++ b/balancer/sim/recovery_play.py
@@ -86,13 +86,13 @@
     """Return the bounds that hold for a schedule."""
     slow = 1.0 / (1.0 - schedule.loss) ** 2
     learn = 15_000.0 * slow if schedule.loss or schedule.late else 12_000.0
-    rounds = max(1_000.0, schedule.count * config.poll_slot) * 4 + 3 * schedule.count * schedule.serve_ms
-    return Bounds(learn, config.max_survey + rounds + config.max_warming + 2 * learn + 3_000.0)
+    rounds = max(1_000.0, schedule.count * config.poll_slot_ms) * 4 + 3 * schedule.count * schedule.serve_ms
+    return Bounds(learn, config.max_survey_ms + rounds + config.max_warming_ms + 2 * learn + 3_000.0)
 
 
 def play(schedule: Schedule, make: MakeCore = Recovery) -> Played:
     """Let a schedule happen; stop soon after the last fault where all is well."""
-    config = RecoveryConfig(established_after=schedule.window, poll_slot=schedule.slot)
+    config = RecoveryConfig(established_after_ms=schedule.window, poll_slot_ms=schedule.slot)
     limits = bounds(schedule, config)
     tier = _tier(schedule, config, make)
     observer = Observer(tier, limits.learn)
--- a/balancer/sim/recovery_schedule.py
+++ b/balancer/sim/recovery_schedule.py
@@ -75,7 +75,7 @@
     duplicate: float = 0.0
     late: float = 0.0
     max_wall_offset: float = 0.0  # by which wall clocks are off at most, drawn at each start
-    window: float = 60_000.0  # `RecoveryConfig.established_after`
+    window: float = 60_000.0  # `RecoveryConfig.established_after_ms`
     slot: float = 25.0  # of discovery, for each node
     sync_failure_rate: float = 0.0
     write_ms: tuple[float, float] = (1.0, 30.0)  # least and longest time of a write
--- a/tests/test_defects.py
+++ b/tests/test_defects.py
@@ -152,7 +152,9 @@
     """Guards the phases of a return: without its timer a node stays in the phase in which it is."""
     host = Host()
     host.failing = {failing}
-    config = RecoveryConfig(ramp_time=60.0, survey_interval=20.0, max_survey=100.0, isolation_timeout=50.0)
+    config = RecoveryConfig(
+        ramp_time_ms=60.0, survey_interval_ms=20.0, max_survey_ms=100.0, isolation_timeout_ms=50.0
+    )
     port = PeerSocket(ADDRESSES[0], ADDRESSES[:3], ("127.0.0.1", 9))
     shell = RecoveryShell(config, 0, 1, 1, port, cast(Any, host), None)
     shell.handle(SavedListLoaded(("a", "b")))
