--- a/tests/test_recovery_sim.py
+++ b/tests/test_recovery_sim.py
@@ -24,6 +24,13 @@
     assert found.yes > 100
 
 
+@pytest.mark.parametrize("seed", [1000])
+def test_crossing_seeds_that_broke_an_invariant_once(seed: int) -> None:
+    """Guards the time in which a ban is known to all after a partition has healed."""
+    played = play(draw_crossings(seed, (3, 4, 5, 7, 9)))
+    assert not played.breaches, str(shrink(played))
+
+
 def test_requests_that_cross_slow_writes_keep_the_invariants() -> None:
     """Guards against entries that move back where the disks of several nodes are slow and fail."""
     found = explore(range(40), SMALL, stop=1, draw_schedule=draw_crossings)
