Log how late requests are read and written, why attempts are not sent, who leaves when

Reason: in the report neither the age of a request when it is read nor anything between decision and write can be seen, and the lag of the event loop was sampled once a second, so that a pause of 0.4 s showed by chance only. The constant that a test of the counts line shortens has a new name. No decision changes.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -16,12 +16,16 @@
 
 @dataclass(slots=True)
 class AttemptResult:
-    """Outcome of an attempt; only a buffered response with status 200 has `body` and `content_type`."""
+    """Outcome of an attempt; only a buffered response with status 200 has `body` and `content_type`.
+
+    `reason` tells the log why an attempt was not started.
+    """
 
     status: AttemptStatus
     report: LoadReport | None = None
     body: bytes = b""
     content_type: bytes = b""
+    reason: str = ""
 
 
 class ResponseSink(Protocol):
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -74,7 +74,7 @@
             sock = self.socket = socket.socket(family, socket.SOCK_STREAM)
         except OSError as err:
             self.pool.warnings.log("no socket", f"no socket for a backend: the attempt is not started: {err}")
-            self._fail(AttemptStatus.NOT_STARTED)
+            self._fail(AttemptStatus.NOT_STARTED, detail="no socket for a new connection")
             return
         sock.setblocking(False)
         try:
@@ -106,12 +106,13 @@
             self.close(CloseReason.ABANDONED)
         elif not self.is_endpoint_current or not attempt.is_wanted():
             # The endpoint or the client may have disappeared while the attempt waited for this connection.
-            accepts = self.endpoint.accepts_requests
-            self._fail(
-                AttemptStatus.NOT_STARTED, CloseReason.ABANDONED if accepts else CloseReason.ENDPOINT_REMOVED
-            )
+            if self.endpoint.accepts_requests:
+                reason, detail = CloseReason.ABANDONED, "client has left or backend has moved"
+            else:
+                reason, detail = CloseReason.ENDPOINT_REMOVED, "backend accepts no more requests"
+            self._fail(AttemptStatus.NOT_STARTED, reason, detail)
         elif self._reuse_timer is not None and not self.is_usable:
-            self._fail(AttemptStatus.NOT_STARTED)
+            self._fail(AttemptStatus.NOT_STARTED, detail="connection ended before its reuse")
         else:
             self.send(attempt)
 
@@ -133,12 +134,14 @@
             return False
         return False  # The peek found unsolicited bytes or the end of the stream.
 
-    def _fail(self, status: AttemptStatus, reason: CloseReason = CloseReason.PEER_CLOSED) -> None:
+    def _fail(
+        self, status: AttemptStatus, reason: CloseReason = CloseReason.PEER_CLOSED, detail: str = ""
+    ) -> None:
         attempt = self.attempt
         self.attempt = None
         self.close(reason)
         if attempt is not None:
-            attempt.finish(AttemptResult(status))
+            attempt.finish(AttemptResult(status, reason=detail))
 
     def _warn(self, kind: str, text: str = "") -> None:
         self.pool.warnings.log(kind, "backend {}:{}: {:.300}".format(*self.address, text or kind))
@@ -191,7 +194,7 @@
         """Fail the attempt; if the request's last byte was not sent yet, the backend has not executed it."""
         # While an attempt waits for reuse nothing was sent, so the break is no fault of the backend.
         if self._reuse_timer is not None:
-            self._fail(AttemptStatus.NOT_STARTED)
+            self._fail(AttemptStatus.NOT_STARTED, detail="connection ended before its reuse")
             return
         self._fail(self._break_status)
 
@@ -213,7 +216,7 @@
         """Parse the response; unsolicited bytes make the connection unusable."""
         self._last_progress = self.pool.loop.time()
         if self.attempt is None or self._reuse_timer is not None:
-            self._fail(AttemptStatus.NOT_STARTED)
+            self._fail(AttemptStatus.NOT_STARTED, detail="unsolicited bytes before the connection's reuse")
             return
         if not self._is_request_started:
             self._warn("bytes received before the request was sent: the attempt fails")
--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -265,7 +265,11 @@
         body = bytes(self.body)
         framing = self._backend_framing(body)
         render = partial(render_request, parser.method, parser.target, parser.headers, framing, body)
-        node.requests.accept(event, self.responses, render, upload)
+        node.requests.accept(event, self.responses, render, upload, self._unread_ms())
+
+    def _unread_ms(self) -> float:
+        """Return how long the bytes read last had been received by the kernel."""
+        return 0.0 if self.transport is None else socket_state.ms_since_last_data(self.transport)
 
     def _backend_framing(self, body: bytes) -> bytes:
         """Return the framing header for the backend request; it is empty for a request without a body."""
--- a/balancer/net/connection_pool.py
+++ b/balancer/net/connection_pool.py
@@ -169,7 +169,7 @@
                 return attempt
             connection.close(CloseReason.PEER_CLOSED)
         if self.connection_count >= self.limit and not self.evict_longest_idle():
-            attempt.finish(AttemptResult(AttemptStatus.NOT_STARTED))
+            attempt.finish(AttemptResult(AttemptStatus.NOT_STARTED, reason="all connections are in use"))
             return attempt
         self._connect(endpoint, attempt)
         return attempt
--- a/balancer/net/counts_log.py
+++ b/balancer/net/counts_log.py
@@ -10,8 +10,8 @@
 
 log = logging.getLogger(__name__)
 
-LAG_SAMPLE_INTERVAL_S = 1.0
-SAMPLES_PER_LINE = 5
+STATE_SAVE_INTERVAL_S = 1.0
+SAVES_PER_LINE = 5
 
 
 class CountsLog:
@@ -20,28 +20,25 @@
     def __init__(self, node: Node) -> None:
         """Create the task for a node; it runs once started."""
         self._node = node
-        self._max_lag_s = 0.0  # Longest event loop lag since the last counts line.
-        self._sample_count = 0  # Number of lag samples since the last counts line.
+        self._save_count = 0  # Number of saves of the learned state since the last counts line.
         self._defects = DefectLog(log, "counts")
 
     def start(self) -> None:
-        """Start measuring and logging."""
-        self._sample(self._node.loop.time())
+        """Start logging."""
+        self._tick()
 
-    def _sample(self, due: float) -> None:
+    def _tick(self) -> None:
         node = self._node
-        now = node.loop.time()
-        self._max_lag_s = max(self._max_lag_s, now - due)
-        self._sample_count += 1
-        node.loop.call_at(now + LAG_SAMPLE_INTERVAL_S, self._sample, now + LAG_SAMPLE_INTERVAL_S)
+        self._save_count += 1
+        node.loop.call_later(STATE_SAVE_INTERVAL_S, self._tick)
         if node.fleet is not None:
             with self._defects.contain("saving the learned state"):
                 node.fleet.save_learned(node.balancer.learned_state, node.now())
-        if self._sample_count >= SAMPLES_PER_LINE and node.counts:
+        if self._save_count >= SAVES_PER_LINE and node.counts:
             with self._defects.contain("writing the counts line"):
-                self._write_line(now)
+                self._write_line()
 
-    def _write_line(self, now: float) -> None:
+    def _write_line(self) -> None:
         node = self._node
         node.counts += Counter(
             {f"closed_{reason.value}": count for reason, count in node.pool.close_counts.items()}
@@ -52,11 +49,10 @@
             " ".join(f"{name}={count}" for name, count in sorted(node.counts.items())),
             len(node.requests.open),
             node.pool.connection_count,
-            self._max_lag_s * 1000,
+            node.loop_monitor.take_max_lag_s() * 1000,
             node.endpoint_revision,
-            now - node.last_discovery_at,
+            node.loop.time() - node.last_discovery_at,
             node.balancer.gauge(),
         )
         node.counts.clear()
-        self._max_lag_s = 0.0
-        self._sample_count = 0
+        self._save_count = 0
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -17,6 +17,7 @@
 from balancer.net.cooperative import CooperativeScheduler
 from balancer.net.endpoint_updater import EndpointUpdater
 from balancer.net.endpoints import EndpointUpdate, Member
+from balancer.net.loop_monitor import LoopMonitor
 from balancer.net.maintenance_file import MaintenanceFile
 from balancer.net.node_ports import EndpointWatcher, FleetServices
 from balancer.net.request_lifecycle import RequestLifecycle
@@ -38,6 +39,7 @@
         self.loop = asyncio.get_running_loop()
         # The clock is monotonic but starts at Unix time, so `up_since_ms` values can be compared with it.
         self._clock_offset = time.time() * 1000 - time.monotonic() * 1000
+        self.loop_monitor = LoopMonitor(self.loop)
         self.statistics = RequestStatistics()
         self.counts: Counter[str] = Counter()  # Event counts since the last counts line.
         self.shared_path = shared_path(os.environ, "{}:{}".format(*config.listen))
--- a/balancer/net/node_process.py
+++ b/balancer/net/node_process.py
@@ -70,6 +70,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully. Raises SlotError, OSError."""
         self._handle_signals()
+        self.node.loop_monitor.start()
         has_peer = await self._open_console() if self.config.console is not None else False
         if self.fleet is not None:
             self.fleet.take_over()
@@ -157,6 +158,7 @@
             self.fleet.leave()
 
     def _close(self) -> None:
+        self.node.loop_monitor.stop()
         self.discovery.watch(False)
         self.node.pool.close()
         self.console.close()
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -63,6 +63,7 @@
     """A request that awaits its response or still has an attempt in progress."""
 
     __slots__ = (
+        "arrived_at",
         "attempts",
         "class_name",
         "client",
@@ -92,6 +93,7 @@
         self.deadline = deadline
         self.render = render
         self.upload = upload
+        self.arrived_at = 0.0  # Time in ms at which the request's last byte, or an upload's head, arrived.
         self.timeout_ms = 0.0  # Time that the client allows after its last byte has been received.
         self.is_streaming = False  # True once a streamed response has begun.
         self.attempts: list[RequestAttempt] = []
@@ -103,6 +105,16 @@
         """Whether the request body is still being received."""
         return self.upload is not None and not self.upload.is_complete
 
+    @property
+    def stage(self) -> str:
+        """How far the request has got, as written to the log."""
+        if self.is_streaming:
+            return "response begun"
+        attempt = self.attempts[-1] if self.attempts else None
+        if attempt is None or attempt.is_over:
+            return "no attempt in progress"
+        return "attempt sent" if attempt.is_sent else "attempt waits for its connection"
+
     @property
     def is_upload_prefix_dropped(self) -> bool:
         """Whether the start of the body is no longer buffered, which rules out a retry."""
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -23,6 +23,8 @@
 LONG_RESPONSE_CHECK_S = 0.25
 # Requests end 10 ms before the deadline, because the client counts from when it sent the request.
 DEADLINE_MARGIN_MS = 10.0
+# A request or attempt is logged as late if it was read or written at least 50 ms after the request arrived.
+LOGGED_DELAY_MS = 50.0
 
 
 class RequestLifecycle:
@@ -58,13 +60,25 @@
     # --- events from clients
 
     def accept(
-        self, event: api.RequestArrived, client: Client, render: Render, upload: Upload | None = None
+        self,
+        event: api.RequestArrived,
+        client: Client,
+        render: Render,
+        upload: Upload | None = None,
+        unread_ms: float = 0.0,
     ) -> None:
-        """Open a request; `render` omits the body of an `upload`, and `body_received` starts its deadline."""
+        """Open a request whose last bytes were received `unread_ms` before they were read.
+
+        `render` omits the body of an `upload`, and `body_received` starts its deadline.
+        """
         self._counts["taken"] += 1
         deadline = event.deadline - DEADLINE_MARGIN_MS
         request = OpenRequest(event.request, event.class_name, client, deadline, render, upload)
         self.open[event.request] = request
+        request.arrived_at = self._now() - unread_ms
+        if unread_ms >= LOGGED_DELAY_MS:
+            self._counts["read_late"] += 1
+            self._log.read_late(event.request, unread_ms)
         request.timeout_ms = request.deadline - self._now()
         if upload is None:
             self._start_deadline(request)
@@ -90,6 +104,8 @@
         if request is None or request.is_answered:
             return
         self._counts["left" if request.attempts else "left_unsent"] += 1
+        age_ms = self._now() - request.arrived_at
+        self._log.client_left(request_id, age_ms, request.stage, len(request.attempts))
         # No timeout ends the attempts of a request with a streamed response or an incomplete upload.
         is_unbounded = request.is_streaming or request.is_receiving
         self._close(request)
@@ -142,23 +158,18 @@
         number = len(request.attempts) if request else 0
         attempt = RequestAttempt(action.request, number, action.backend, now)
         if request is None:
-            self._end_attempt(attempt, AttemptResult(AttemptStatus.NOT_STARTED))
+            result = AttemptResult(AttemptStatus.NOT_STARTED, reason="request is closed")
+            self._end_attempt(attempt, result)
             return
         if request.attempts and (status := request.attempts[-1].status) is not None:
             self._log.retried(action.request, number, action.backend, status)
         request.attempts.append(attempt)
         attempt.timeout_ms = action.timeout_ms
         timeout_ms = self._start_timeout(attempt, request)
-        if (
-            request.is_upload_prefix_dropped
-            or action.backend not in self._pool.members
-            or timeout_ms <= 0
-            or 0 < action.latest_start <= now
-            or not self._is_wanted(request)
-        ):
-            # `_is_wanted` may have closed the request and ended this attempt with it.
+        if reason := self._obstacle(request, action, timeout_ms, now):
+            # The check whether the client is still there may have ended this attempt with its request.
             if not attempt.is_over:
-                self._end_attempt(attempt, AttemptResult(AttemptStatus.NOT_STARTED))
+                self._end_attempt(attempt, AttemptResult(AttemptStatus.NOT_STARTED, reason=reason))
             return
         attempt.attempt = self._pool.start_attempt(
             action.backend,
@@ -166,13 +177,27 @@
             partial(self._end_attempt, attempt),
             partial(self._begin_stream, attempt),
             request.upload,
-            partial(self._is_wanted, request),
+            partial(self._is_wanted_after_wait, attempt, request),
         )
+        if attempt.is_sent:
+            self._log_late_send(attempt, request)
         if attempt.is_over:
             attempt.attempt = None
         elif action.latest_start:
             self._loop.call_later((action.latest_start - now) / 1000, self._cancel_unsent, attempt)
 
+    def _obstacle(self, request: OpenRequest, action: api.StartAttempt, timeout_ms: float, now: float) -> str:
+        """Return why an attempt must not be sent any more, or an empty string."""
+        if request.is_upload_prefix_dropped:
+            return "the start of the upload is no longer buffered"
+        if action.backend not in self._pool.members:
+            return "backend is no longer listed"
+        if timeout_ms <= 0:
+            return "no time left"
+        if 0 < action.latest_start <= now:
+            return "deduplication window has passed"
+        return "" if self._is_wanted(request) else "client has left"
+
     def cancel_attempt(self, action: api.CancelAttempt) -> None:
         """Cancel an attempt if it is in progress."""
         request = self.open.get(action.request)
@@ -235,7 +260,8 @@
         """Cancel an unsent attempt, because a backend may no longer recognize the request as a duplicate."""
         if not attempt.is_over and not attempt.is_sent:
             attempt.cancel()
-            self._end_attempt(attempt, AttemptResult(AttemptStatus.NOT_STARTED))
+            result = AttemptResult(AttemptStatus.NOT_STARTED, reason="deduplication window has passed")
+            self._end_attempt(attempt, result)
 
     # --- progress and end of attempts
 
@@ -245,6 +271,20 @@
             self.client_disconnected(request.request_id)
         return not request.is_answered
 
+    def _is_wanted_after_wait(self, attempt: RequestAttempt, request: OpenRequest) -> bool:
+        """Return whether to send the request of an attempt that has waited for its connection."""
+        is_wanted = self._is_wanted(request)
+        if is_wanted:
+            self._log_late_send(attempt, request)
+        return is_wanted
+
+    def _log_late_send(self, attempt: RequestAttempt, request: OpenRequest) -> None:
+        now = self._now()
+        age_ms = now - request.arrived_at
+        if age_ms >= LOGGED_DELAY_MS and not request.is_receiving:
+            waited_ms = now - attempt.started_at
+            self._log.sent_late(request.request_id, attempt.number, attempt.endpoint, age_ms, waited_ms)
+
     def _begin_stream(
         self, attempt: RequestAttempt, backend: BackendConnection, size: int | None, content_type: bytes
     ) -> ResponseSink | None:
@@ -275,7 +315,9 @@
         self._counts[f"attempt_{status.value}"] += 1
         if status is not AttemptStatus.OK:
             elapsed_ms = self._now() - attempt.started_at
-            self._log.attempt_failed(attempt.request_id, attempt.number, attempt.endpoint, status, elapsed_ms)
+            self._log.attempt_failed(
+                attempt.request_id, attempt.number, attempt.endpoint, status, elapsed_ms, result.reason
+            )
         request = self.open.get(attempt.request_id)
         if request is not None:
             self._answer_with_result(request, result)
--- a/balancer/net/request_log.py
+++ b/balancer/net/request_log.py
@@ -22,17 +22,39 @@
         self._lines = RateLimitedLog(log, clock, level=logging.INFO)
 
     def attempt_failed(
-        self, request_id: str, number: int, backend: str, status: AttemptStatus, elapsed_ms: float
+        self,
+        request_id: str,
+        number: int,
+        backend: str,
+        status: AttemptStatus,
+        elapsed_ms: float,
+        reason: str = "",
     ) -> None:
         """Log an attempt that ended without a usable response; `number` counts from 0."""
         text = f"attempt {number + 1} at {backend}: {status.value} after {elapsed_ms:.0f} ms"
-        self._lines.log(f"attempt {status.value}", f"request {request_id}: {text}")
+        if reason:
+            text += f", {reason}"
+        self._lines.log(f"attempt {status.value} {reason}", f"request {request_id}: {text}")
 
     def retried(self, request_id: str, number: int, backend: str, previous: AttemptStatus) -> None:
         """Log a retry; `number` counts attempts from 0, `previous` is the status of the attempt before."""
         text = f"attempt {number + 1} at {backend}, after one that ended: {previous.value}"
         self._lines.log("retry", f"request {request_id}: {text}")
 
+    def read_late(self, request_id: str, unread_ms: float) -> None:
+        """Log a request whose last byte had been received by the kernel long before it was read."""
+        self._lines.log("read late", f"request {request_id}: read {unread_ms:.0f} ms after it arrived")
+
+    def sent_late(self, request_id: str, number: int, backend: str, age_ms: float, waited_ms: float) -> None:
+        """Log an attempt written long after its request arrived; `waited_ms` counts from the decision."""
+        text = f"attempt {number + 1} at {backend}: written {age_ms:.0f} ms after the request arrived"
+        self._lines.log("sent late", f"request {request_id}: {text}, {waited_ms:.0f} ms after its decision")
+
+    def client_left(self, request_id: str, age_ms: float, stage: str, attempts: int) -> None:
+        """Log a client that has disconnected before it had its response."""
+        text = f"client left {age_ms:.0f} ms after the request arrived, {stage}, attempts {attempts}"
+        self._lines.log(f"client left {stage}", f"request {request_id}: {text}")
+
     def unserved(self, request_id: str, response: str, reason: str, attempts: int) -> None:
         """Log a request that was rejected or has failed."""
         text = f"{response}, reason {reason}, attempts {attempts}"
--- a/tests/test_defects.py
+++ b/tests/test_defects.py
@@ -207,7 +207,7 @@
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     """Guards against a counts timer that stops, and with it the counts line, demand and learned state."""
-    monkeypatch.setattr(counts_log, "LAG_SAMPLE_INTERVAL_S", 0.01)
+    monkeypatch.setattr(counts_log, "STATE_SAVE_INTERVAL_S", 0.01)
     saved_at: list[float] = []
 
     def save_learned(export: object, now: float) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -95,3 +95,20 @@
         "rejected by discovery"
     ]  # fmt: skip
     assert lines[-1].endswith(": cancelled")
+
+
+def test_delays_of_a_request_and_the_leaving_of_its_client_are_logged_with_its_id(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    requests = RequestLog(lambda: 0.0)
+    requests.read_late("r1", 420.4)
+    requests.sent_late("r1", 0, "b0", 430.0, 3.0)
+    requests.client_left("r2", 75.0, "attempt sent", 1)
+    requests.attempt_failed("r3", 0, "b0", AttemptStatus.NOT_STARTED, 0.0, "client has left")
+    assert caplog.messages == [
+        "request r1: read 420 ms after it arrived",
+        "request r1: attempt 1 at b0: written 430 ms after the request arrived, 3 ms after its decision",
+        "request r2: client left 75 ms after the request arrived, attempt sent, attempts 1",
+        "request r3: attempt 1 at b0: moot after 0 ms, client has left",
+    ]
