Count a request's time from its arrival, not from the moment in which it is read

Reason: a held-up node gave each request its whole time anew when it read it: requests that would wait 0.3 s were sent on and served 0.4 s after they came, and servers were told 1,990 ms where 1,590 were left. Clients that leave without a close, or whose close is under way, can only be known by their time. Cause: ClientConnection took the clock at the end of parsing for the arrival. Change: the kernel's figure for the last bytes of a connection (TCP_INFO) dates the request; where the kernel does not fill it in, the loop monitor tells since when the process was held up, for what is read in the next turns.

--- a/balancer/net/loop_monitor.py
+++ b/balancer/net/loop_monitor.py
@@ -11,10 +11,13 @@
 
 BEAT_INTERVAL_S = 0.1
 LOGGED_LAG_S = 0.1
+HELD_UP_LAG_S = 0.05  # A timer that is 50 ms late shows that the process was held up or a turn was long.
+# A connection that waited to be accepted is read four turns after the process goes on.
+TURNS_TO_CATCH_UP = 4
 
 
 class LoopMonitor:
-    """Periodic timer that measures its own lateness."""
+    """Periodic timer that measures its own lateness, and with it how long events may have waited unread."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Create a stopped monitor."""
@@ -22,6 +25,9 @@
         self._lines = RateLimitedLog(log, loop.time)
         self._max_lag_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        # Loop time at which the latest hold-up began, until what came meanwhile has been read.
+        self._held_up_since: float | None = None
+        self._turns_to_catch_up = 0
 
     def start(self) -> None:
         """Start measuring."""
@@ -45,15 +51,37 @@
             return 0.0
         return max(0.0, self._loop.time() - self._timer.when())
 
+    def held_up_s(self) -> float:
+        """Return for how many seconds an event that is read now may have waited for a held-up process.
+
+        It is 0 unless a timer has shown such a delay. The event may have come later than at its beginning.
+        """
+        if self._held_up_since is not None:
+            return self._loop.time() - self._held_up_since
+        overdue_s = self.overdue_s()
+        return overdue_s if overdue_s >= HELD_UP_LAG_S else 0.0
+
     def _schedule(self) -> None:
         self._timer = self._loop.call_at(self._loop.time() + BEAT_INTERVAL_S, self._beat)
 
     def _beat(self) -> None:
         lag_s = self.overdue_s()
         self._max_lag_s = max(self._max_lag_s, lag_s)
+        if lag_s >= HELD_UP_LAG_S:
+            self._turns_to_catch_up = TURNS_TO_CATCH_UP
+            if self._held_up_since is None:
+                self._held_up_since = self._loop.time() - lag_s
+                self._loop.call_soon(self._count_turn)
         if lag_s >= LOGGED_LAG_S:
             self._lines.log(
                 "lag",
                 f"event loop: no turn for {lag_s * 1000:.0f} ms, the process was held up or a turn was long",
             )
         self._schedule()
+
+    def _count_turn(self) -> None:
+        self._turns_to_catch_up -= 1
+        if self._turns_to_catch_up > 0:
+            self._loop.call_soon(self._count_turn)
+        else:
+            self._held_up_since = None
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -12,8 +12,8 @@
 
 # Poll reports these events after the peer has sent a FIN or RST.
 PEER_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-# Position of `tcpi_last_data_recv` in Linux's `struct tcp_info`: the ms since the last data bytes arrived.
-LAST_DATA_RECEIVED = struct.Struct("52xI")
+# The fields `tcpi_rto` and `tcpi_last_data_recv`, the ms since the last bytes arrived, of Linux's `tcp_info`.
+TCP_INFO_TIMES = struct.Struct("8xI40xI")
 LINGER_ZERO = struct.pack("ii", 1, 0)  # With SO_LINGER on and a timeout of 0, a close sends a reset.
 
 
@@ -41,15 +41,16 @@
         return False
 
 
-def ms_since_last_data(transport: asyncio.Transport) -> float:
-    """Return how many ms ago the peer's last bytes arrived, or 0 if the kernel does not tell."""
+def ms_since_last_data(transport: asyncio.Transport) -> float | None:
+    """Return how many ms ago the peer's last bytes arrived, or None if the kernel does not tell."""
     sock = transport.get_extra_info("socket")
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
-        (elapsed_ms,) = LAST_DATA_RECEIVED.unpack(info)
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_TIMES.size)
+        retransmission_timeout, elapsed_ms = TCP_INFO_TIMES.unpack(info)
     except (OSError, struct.error):  # This side has closed the socket, or the kernel has a shorter structure.
-        return 0.0
-    return float(elapsed_ms)
+        return None
+    # Every connection has a retransmission timeout, so without one the structure was not filled in.
+    return float(elapsed_ms) if retransmission_timeout else None
 
 
 def reset(transport: asyncio.Transport) -> None:
