Check client, time and window again when a connection is there, and tell the time left then

Change: ConnectionPool.start_attempt takes a callback that renders the request when the connection is there, or says that it must not be sent: client, time, deduplication window, upload and list are looked at as at the start.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -43,13 +43,11 @@
 
 OnResult = Callable[[AttemptResult], None]
 
-IsWanted = Callable[[], bool]
-"""Callback once a connection is available: returns whether the request should still be sent."""
+Refresh = Callable[[], bytes | None]
+"""Callback after a wait for a connection: returns the request to send now, or None not to send it.
 
-
-def always_wanted() -> bool:
-    """Return True, as the default for attempts that are wanted until they are cancelled."""
-    return True
+The request states the time left to its client, which has become less.
+"""
 
 
 def reject_stream(
@@ -63,10 +61,11 @@
     """One request sent, or to be sent, to one backend.
 
     `on_result` is called exactly once unless the attempt is cancelled. `request` holds the bytes of the
-    complete request, or only of its head if its body is an upload.
+    complete request, or only of its head if its body is an upload. An attempt without `refresh` sends it
+    unchanged after a wait.
     """
 
-    __slots__ = ("connection", "is_wanted", "on_result", "on_stream", "request", "upload")
+    __slots__ = ("connection", "on_result", "on_stream", "refresh", "request", "upload")
 
     def __init__(
         self,
@@ -74,14 +73,14 @@
         on_result: OnResult,
         on_stream: OnStream,
         upload: Upload | None,
-        is_wanted: IsWanted,
+        refresh: Refresh | None,
     ) -> None:
         """Create an attempt that has no connection yet."""
         self.request = request
         self.on_result = on_result
         self.on_stream = on_stream
         self.upload = upload
-        self.is_wanted = is_wanted
+        self.refresh = refresh
         self.connection: BackendConnection | None = None
 
     @property
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -100,20 +100,19 @@
         self._reuse_timer = self.pool.loop.call_at(self.idle_since + REUSE_DELAY_S, self._send_waiting)
 
     def _send_waiting(self) -> None:
-        """Send the request of the waiting attempt if it is still wanted."""
+        """Send the request of the waiting attempt, unless its endpoint, client or time is gone meanwhile."""
         attempt = self.attempt
         if attempt is None or self.is_closed:
             self.close(CloseReason.ABANDONED)
-        elif not self.is_endpoint_current or not attempt.is_wanted():
-            # The endpoint or the client may have disappeared while the attempt waited for this connection.
-            if self.endpoint.accepts_requests:
-                reason, detail = CloseReason.ABANDONED, "client has left or backend has moved"
-            else:
-                reason, detail = CloseReason.ENDPOINT_REMOVED, "backend accepts no more requests"
-            self._fail(AttemptStatus.NOT_STARTED, reason, detail)
+        elif not self.is_endpoint_current:
+            self._fail(AttemptStatus.NOT_STARTED, CloseReason.ENDPOINT_REMOVED, "backend has left or moved")
         elif self._reuse_timer is not None and not self.is_usable:
             self._fail(AttemptStatus.NOT_STARTED, detail="connection ended before its reuse")
+        elif (request := attempt.refresh() if attempt.refresh is not None else attempt.request) is None:
+            detail = "client or its time is gone"
+            self._fail(AttemptStatus.NOT_STARTED, CloseReason.ABANDONED, detail)
         else:
+            attempt.request = request
             self.send(attempt)
 
     @property
--- a/balancer/net/connection_pool.py
+++ b/balancer/net/connection_pool.py
@@ -13,10 +13,9 @@
 from balancer.net.attempt import (
     Attempt,
     AttemptResult,
-    IsWanted,
     OnResult,
     OnStream,
-    always_wanted,
+    Refresh,
     reject_stream,
 )
 from balancer.net.backend_connection import REUSE_DELAY_S, BackendConnection
@@ -150,14 +149,14 @@
         on_result: OnResult,
         on_stream: OnStream = reject_stream,
         upload: Upload | None = None,
-        is_wanted: IsWanted = always_wanted,
+        refresh: Refresh | None = None,
     ) -> Attempt:
         """Start an attempt on an idle connection or a new one; `on_result` may be called before it returns.
 
         If all idle connections were used less than `REUSE_DELAY_S` ago, the attempt waits for one of them.
         """
         endpoint = self.endpoint(name)
-        attempt = Attempt(request, on_result, on_stream, upload, is_wanted)
+        attempt = Attempt(request, on_result, on_stream, upload, refresh)
         if (connection := self._take_reusable(endpoint)) is not None:
             connection.send(attempt)
             return attempt
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -166,7 +167,7 @@
         request.attempts.append(attempt)
         attempt.timeout_ms = action.timeout_ms
         timeout_ms = self._start_timeout(attempt, request)
-        if reason := self._obstacle(request, action, timeout_ms, now):
+        if reason := self._obstacle(request, action.backend, timeout_ms, action.latest_start):
             # The check whether the client is still there may have ended this attempt with its request.
             if not attempt.is_over:
                 self._end_attempt(attempt, AttemptResult(AttemptStatus.NOT_STARTED, reason=reason))
@@ -177,7 +178,7 @@
             partial(self._end_attempt, attempt),
             partial(self._begin_stream, attempt),
             request.upload,
-            partial(self._is_wanted_after_wait, attempt, request),
+            partial(self._refresh, attempt, request, action.latest_start),
         )
         if attempt.is_sent:
             self._log_late_send(attempt, request)
@@ -186,15 +187,15 @@
         elif action.latest_start:
             self._loop.call_later((action.latest_start - now) / 1000, self._cancel_unsent, attempt)
 
-    def _obstacle(self, request: OpenRequest, action: api.StartAttempt, timeout_ms: float, now: float) -> str:
+    def _obstacle(self, request: OpenRequest, backend: str, timeout_ms: float, latest_start: float) -> str:
         """Return why an attempt must not be sent any more, or an empty string."""
         if request.is_upload_prefix_dropped:
             return "the start of the upload is no longer buffered"
-        if action.backend not in self._pool.members:
+        if backend not in self._pool.members:
             return "backend is no longer listed"
         if timeout_ms <= 0:
             return "no time left"
-        if 0 < action.latest_start <= now:
+        if 0 < latest_start <= self._now():
             return "deduplication window has passed"
         return "" if self._is_wanted(request) else "client has left"
 
@@ -240,12 +241,19 @@
 
     def _start_timeout(self, attempt: RequestAttempt, request: OpenRequest) -> float:
         """Start the timeout timer of an attempt and return the timeout in ms."""
-        remaining = request.timeout_ms if request.is_receiving else request.deadline - self._now()
-        timeout_ms = min(attempt.timeout_ms, remaining) if attempt.timeout_ms else remaining
+        timeout_ms = self._time_left_ms(attempt, request)
         if timeout_ms > 0 and not request.is_receiving:
             attempt.timer = self._loop.call_later(timeout_ms / 1000, self.expire_attempt, attempt)
         return timeout_ms
 
+    def _time_left_ms(self, attempt: RequestAttempt, request: OpenRequest) -> float:
+        """Return the time in ms until an attempt times out; it does not pass while a body is received."""
+        if request.is_receiving:
+            return min(attempt.timeout_ms or math.inf, request.timeout_ms)
+        now = self._now()
+        left_ms = request.deadline - now
+        return min(attempt.started_at + attempt.timeout_ms - now, left_ms) if attempt.timeout_ms else left_ms
+
     def expire_attempt(self, attempt: RequestAttempt) -> None:
         """End an attempt whose timeout has passed."""
         if attempt.is_over:
@@ -271,12 +279,16 @@
             self.client_disconnected(request.request_id)
         return not request.is_answered
 
-    def _is_wanted_after_wait(self, attempt: RequestAttempt, request: OpenRequest) -> bool:
-        """Return whether to send the request of an attempt that has waited for its connection."""
-        is_wanted = self._is_wanted(request)
-        if is_wanted:
-            self._log_late_send(attempt, request)
-        return is_wanted
+    def _refresh(self, attempt: RequestAttempt, request: OpenRequest, latest_start: float) -> bytes | None:
+        """Render the request of an attempt that has waited for its connection, or None if it is too late.
+
+        The timers that end attempts may be late themselves, so the clock is read once more.
+        """
+        timeout_ms = self._time_left_ms(attempt, request)
+        if self._obstacle(request, attempt.endpoint, timeout_ms, latest_start):
+            return None
+        self._log_late_send(attempt, request)
+        return request.render(timeout_ms)
 
     def _log_late_send(self, attempt: RequestAttempt, request: OpenRequest) -> None:
         now = self._now()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,7 +21,17 @@
 from balancer.net.listener import Listener
 from balancer.net.node import Node
 from balancer.net.stream import MAX_BUFFERED_BODY_BYTES, MAX_REPLAY_BYTES
-from tests.sockets import HOUR_MS, WAIT_TIMEOUT_S, Backend, Client, Message, echo, http_response, node_config
+from tests.sockets import (
+    CLASSES,
+    HOUR_MS,
+    WAIT_TIMEOUT_S,
+    Backend,
+    Client,
+    Message,
+    echo,
+    http_response,
+    node_config,
+)
 
 NOT_STARTED_RESPONSE = http_response(b"", "503 Service Unavailable", "Not-Started: 1")
 
@@ -433,6 +444,44 @@
         assert len((await backend.requests.get()).body) == 2 * MAX_BUFFERED_BODY_BYTES
 
 
+# --- attempts that wait for their connection
+
+
+async def test_backend_is_told_the_time_left_to_the_client_after_a_wait_for_its_connection(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wait_s = 0.5
+    backend = Backend("b0")
+    async with node_harness(tmp_path, monkeypatch, backend) as harness:
+        client = await harness.connect_client()
+        client.send("/read", "Request-Timeout: 3000m")
+        gate = await harness.next_pending_connect()
+        await asyncio.sleep(wait_s)
+        gate.set()
+        assert (await client.read_response()).status == 200
+        told = (await backend.requests.get()).headers["request-timeout"]
+        assert int(told.removesuffix("u")) / 1000 <= 3000 - wait_s * 1000
+
+
+async def test_request_whose_time_passed_during_the_wait_for_its_connection_is_not_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The event loop is blocked, and the timer that ends the wait is due before the deadline's."""
+    backend = Backend("b0")
+    classes = [request_class | {"give-up": 200, "objective": 100} for request_class in CLASSES]
+    settings = {"request-classes": classes}
+    async with node_harness(tmp_path, monkeypatch, backend, **settings) as harness:
+        harness.immediate_connects = 1
+        clients = [await harness.connect_client() for _ in range(2)]
+        assert (await clients[0].request("/read")).status == 200
+        send_request(clients[1], "/once")
+        await harness.run_until(lambda: bool(harness.node.requests.open))
+        assert backend.requests.qsize() == 1
+        time.sleep(0.3)
+        assert (await clients[1].read_response()).status in (502, 503)
+        assert backend.requests.qsize() == 1 and harness.has_no_open_request()
+
+
 # --- the same request id in two requests
 
 
