Read a received list update before a decision that may send a request

Reason: a request went to a server whose drain had been written to the node 0.4 s before, past a grace of 0.1 s: the node was held up, and the event loop read the requests before the update. Evidence: the log has the line of the list behind those of the requests. Longer lists are read one slice an event.

--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -101,6 +101,7 @@
 
     def _send_waiting(self) -> None:
         """Send the request of the waiting attempt, unless its endpoint, client or time is gone meanwhile."""
+        self.pool.read_list_updates()
         attempt = self.attempt
         if attempt is None or self.is_closed:
             self.close(CloseReason.ABANDONED)
--- a/balancer/net/connection_pool.py
+++ b/balancer/net/connection_pool.py
@@ -6,6 +6,7 @@
 import bisect
 import logging
 from collections import Counter
+from collections.abc import Callable
 from itertools import takewhile
 
 from balancer import interface as api
@@ -33,6 +34,10 @@
 MIN_SWEEP_INTERVAL_S = 0.05
 
 
+def _read_nothing() -> None:
+    """Read no updates, as the default for a pool without discovery."""
+
+
 class EndpointConnections:
     """Connection state of one endpoint: its address, whether it accepts requests, its idle connections.
 
@@ -70,6 +75,8 @@
         self.connection_count = 0
         self.members = ShardedDict[Member]()  # The endpoint list, as a map from backend ids.
         self.in_service_count = 0  # Number of listed backends in phase IN_SERVICE.
+        # Applies updates of the list that have been received but not read, before a decision or a send.
+        self.read_list_updates: Callable[[], None] = _read_nothing
         # Connection states of the listed backends that have had an attempt, by backend id.
         self.endpoints: dict[str, EndpointConnections] = {}
         # Idle connections to all endpoints; the one idle longest comes first.
--- a/balancer/net/discovery.py
+++ b/balancer/net/discovery.py
@@ -75,6 +75,12 @@
         """Request the complete list once."""
         self._dialer.dial_list(self.address, self.receiver.revision, CallReason.REQUESTED)
 
+    def read_unread(self) -> None:
+        """Apply what discovery has sent and the event loop has not read yet."""
+        for call in (self.watch_call, self.slow_call, *self.old_address_calls):
+            if call is not None:
+                call.read_unread()
+
     def change_address(self, address: Address) -> None:
         """Switch to another address; the old one accepts no new calls and soon closes the open ones."""
         self.address = address
--- a/balancer/net/discovery_call.py
+++ b/balancer/net/discovery_call.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from balancer.net import socket_state
 from balancer.net.cooperative import CooperativeScheduler
 from balancer.net.discovery_log import DiscoveryLog
 from balancer.net.endpoints import Address
@@ -155,6 +156,7 @@
         self._duration_s = 0.0
         self._unparsed = bytearray()
         self._is_parsing_in_slices = False
+        self._is_parsing = False
         self._is_paused = False
         # How the connection ended, if it ended while received data was still being parsed.
         self._end_after_parsing: CallEnd | None = None
@@ -243,6 +245,14 @@
             self._scheduler.add(self._parse_in_slices())
         self.update_flow_control()
 
+    def read_unread(self) -> None:
+        """Process what the kernel has received and the event loop has not read yet, one slice at most."""
+        is_busy = self._is_parsing or self._is_parsing_in_slices or self._is_paused or self.is_ended
+        if self.transport is None or is_busy or self.transport.is_closing():
+            return
+        if data := socket_state.read_available(self.transport, MAX_SLICE_BYTES):
+            self.data_received(data)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the call because its connection was closed."""
         self._end_received(CallEnd.CLOSED)
@@ -291,12 +301,15 @@
     # --- internal
 
     def _parse(self, data: bytes) -> None:
+        self._is_parsing = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             self._log.warn("discovery: malformed response", str(err))
             self._unparsed.clear()
             self._end_received(CallEnd.MALFORMED)
+        finally:
+            self._is_parsing = False
 
     def _parse_in_slices(self) -> Iterator[None]:
         while self._unparsed and not self.is_ended:
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -28,6 +28,9 @@
 
 log = logging.getLogger(__name__)
 
+# Events behind which the balancer starts attempts, also for requests that have waited.
+ATTEMPT_EVENTS = (api.RequestArrived, api.AttemptEnded, api.HealthCheckEnded, api.TimerFired)
+
 
 class Node:
     """A load-balancing node: it executes the decisions of its `Balancer` and makes none itself."""
@@ -87,7 +90,12 @@
     # --- events and actions
 
     def handle_event(self, event: api.Event) -> None:
-        """Pass an event to the balancer and execute its actions; events raised during this are queued."""
+        """Pass an event to the balancer and execute its actions; events raised during this are queued.
+
+        An event that may start attempts is decided by the newest list that has been received.
+        """
+        if isinstance(event, ATTEMPT_EVENTS) and not self._is_handling:
+            self.pool.read_list_updates()
         self._events.append(event)
         if self._is_handling:
             return
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import os
 import select
 import socket
 import struct
@@ -28,6 +29,16 @@
     return int.from_bytes(count, sys.byteorder) > 0
 
 
+def read_available(transport: asyncio.Transport, max_bytes: int) -> bytes:
+    """Return up to `max_bytes` received bytes that the event loop has not read; empty without any."""
+    if not has_unread_data(transport):
+        return b""
+    try:
+        return os.read(transport.get_extra_info("socket").fileno(), max_bytes)
+    except OSError:  # The connection was reset, which the event loop will report.
+        return b""
+
+
 def has_peer_ended(transport: asyncio.Transport) -> bool:
     """Return whether the peer has closed or reset the connection.
 
