Let a receive timeout wait for bytes that came in time but are still unread

Reason: behind a hold-up timers run before sockets are read. The header timeout of a connection that had rested for 2.3 s closed it over its unread first request, which a client does not send again, and answered 408 to a request whose last bytes had come in time. Cause: ReceiveTimer ends by its clock alone. Evidence: the client's connection ends with nothing, the log has the pause and no request.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -50,7 +50,9 @@
         self.body = bytearray()  # Body of the current request while it is small enough to be buffered.
         self.parser = RequestParser(self)
         self.responses = ResponseWriter(self)
-        self.receive_timer = ReceiveTimer(listener.loop, self.parser, self.on_receive_timeout)
+        self.receive_timer = ReceiveTimer(
+            listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
+        )
         self._upload: Upload | None = None
         self._head: RequestHead | None = None  # None for a health check of the node itself.
         self._keeps_alive = True
