Let a timeout of an attempt wait for a response that came in time but is still unread

Reason: behind a hold-up timers run before sockets are read. Requests failed, or went to a second server, though the answer of the first lay in the kernel; the first server was ejected for it. Cause: expire_attempt and expire_deadline end by the clock alone. Evidence: a server answers within 0.2 s, the node stands still for 0.4 s, the attempt's time is 0.3 s, the client's 4 s: the client gets 502. Change: a timeout that finds bytes of its response unread ends 10 ms later, behind a read, and once only.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -88,6 +88,11 @@
         """Whether the last byte of the request may have left this node."""
         return self.connection is not None and self.connection.is_request_sent
 
+    @property
+    def has_unread_response(self) -> bool:
+        """Whether bytes of the response have been received that the event loop has not read yet."""
+        return self.connection is not None and self.connection.has_unread_data
+
     @property
     def has_long_response(self) -> bool:
         """Whether a long response is being received, judged by its length or its rate so far."""
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, cast
 
 from balancer.interface import AttemptStatus
+from balancer.net import socket_state
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.load_report import LoadReportError
 from balancer.net.response_parser import MAX_HEADER_BYTES, ResponseParser
@@ -134,6 +135,11 @@
             return False
         return False  # The peek found unsolicited bytes or the end of the stream.
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the kernel holds bytes of the response that the event loop has not read yet."""
+        return self.transport is not None and socket_state.has_unread_data(self.transport)
+
     def _fail(
         self, status: AttemptStatus, reason: CloseReason = CloseReason.PEER_CLOSED, detail: str = ""
     ) -> None:
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -19,6 +19,7 @@
 
     __slots__ = (
         "attempt",
+        "awaits_unread_response",
         "endpoint",
         "is_over",
         "number",
@@ -38,6 +39,8 @@
         self.attempt: Attempt | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.timeout_ms = 0.0  # An attempt with a timeout of 0 may run until the client's deadline.
+        # True once the timeout has been put off because its response was received but not read.
+        self.awaits_unread_response = False
         self.is_over = False
         self.status: AttemptStatus | None = None  # Final status; None while the attempt is in progress.
 
@@ -46,6 +49,13 @@
         """Whether the last byte of the request may have left this node."""
         return self.attempt is not None and self.attempt.is_sent
 
+    def puts_off_timeout(self) -> bool:
+        """Return whether the timeout has to wait for a response that is received but not read; True once."""
+        if self.awaits_unread_response or self.attempt is None or not self.attempt.has_unread_response:
+            return False
+        self.awaits_unread_response = True
+        return True
+
     def cancel_timer(self) -> None:
         """Stop the timeout timer."""
         if self.timer is not None:
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -22,6 +22,8 @@
 
 # Interval between two checks whether a long response past its deadline is still being received.
 LONG_RESPONSE_CHECK_S = 0.25
+# A response that has been received when its time is over, but not read, is read within 10 ms.
+UNREAD_RESPONSE_DELAY_S = 0.01
 # Requests end 10 ms before the deadline, because the client counts from when it sent the request.
 DEADLINE_MARGIN_MS = 10.0
 # A request or attempt is logged as late if it was read or written at least 50 ms after the request arrived.
@@ -232,8 +234,13 @@
                 LONG_RESPONSE_CHECK_S, self.expire_deadline, request
             )
             return
+        if any([not attempt.is_over and attempt.puts_off_timeout() for attempt in request.attempts]):
+            request.deadline_timer = self._loop.call_later(
+                UNREAD_RESPONSE_DELAY_S, self.expire_deadline, request
+            )
+            return
         for attempt in request.attempts:
-            self.expire_attempt(attempt)
+            self._time_out(attempt)
         if not request.is_answered:
             self._counts["overdue"] += 1
             self._answer(request, RequestOutcome.FAILED, lambda client: client.fail())
@@ -255,7 +262,13 @@
         return min(attempt.started_at + attempt.timeout_ms - now, left_ms) if attempt.timeout_ms else left_ms
 
     def expire_attempt(self, attempt: RequestAttempt) -> None:
-        """End an attempt whose timeout has passed."""
+        """End an attempt whose timeout has passed, but first let its response be read if there is one."""
+        if not attempt.is_over and attempt.puts_off_timeout():
+            attempt.timer = self._loop.call_later(UNREAD_RESPONSE_DELAY_S, self.expire_attempt, attempt)
+        else:
+            self._time_out(attempt)
+
+    def _time_out(self, attempt: RequestAttempt) -> None:
         if attempt.is_over:
             return
         is_sent = attempt.is_sent
