Count the shutdown's time from the signal, not from the moment in which it is handled

Reason: SIGTERM that reached a node in a hold-up of 0.4 s was handled at its end. The plan of the shutdown counted from there, so its last answers came 0.3 s after SIGKILL was due: requests lost. Cause: shut_down took its own start for the time of the signal. Change: the loop monitor tells how long the signal can have waited at most; SIGKILL is expected from then on. Without a hold-up nothing changes.

--- a/balancer/net/loop_monitor.py
+++ b/balancer/net/loop_monitor.py
@@ -61,6 +61,14 @@
         overdue_s = self.overdue_s()
         return overdue_s if overdue_s >= HELD_UP_LAG_S else 0.0
 
+    def max_wait_s(self) -> float:
+        """Return the longest time in seconds that an event that is handled now can have waited.
+
+        The process may have stood still since just after the measurement before the late one.
+        """
+        held_up_s = self.held_up_s()
+        return held_up_s + BEAT_INTERVAL_S if held_up_s else 0.0
+
     def _schedule(self) -> None:
         self._timer = self._loop.call_at(self._loop.time() + BEAT_INTERVAL_S, self._beat)
 
--- a/balancer/net/node_process.py
+++ b/balancer/net/node_process.py
@@ -67,6 +67,7 @@
         self.shares = DescriptorShares(self.node, self.listener, self.slots)
         self.slots.on_refresh = self.shares.apply
         self._stop = asyncio.Event()
+        self._stop_signalled_at = 0.0  # Earliest loop time of the first signal to stop.
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully. Raises SlotError, OSError."""
@@ -79,7 +80,9 @@
         if await self._become_ready(has_peer):
             await self._listen()
             await self._stop.wait()
-            await shut_down(self.node, self.listener, self.slots, self.shares, self.fleet)
+            await shut_down(
+                self.node, self.listener, self.slots, self.shares, self.fleet, self._stop_signalled_at
+            )
         else:
             self._abandon_start()
         self._close()
@@ -88,9 +91,15 @@
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, reload, self.node, self.discovery, self.fleet)
 
+    def _request_stop(self) -> None:
+        """Stop the process; its time runs from the signal, which may have waited for a held-up process."""
+        if not self._stop.is_set():
+            self._stop_signalled_at = self.node.loop.time() - self.node.loop_monitor.max_wait_s()
+            self._stop.set()
+
     async def _open_console(self) -> bool:
         """Open the console, slot and maintenance file; return whether another process of the node runs."""
         assert self.config.console is not None
--- a/balancer/net/shutdown.py
+++ b/balancer/net/shutdown.py
@@ -31,11 +31,19 @@
 
 
 async def shut_down(
-    node: Node, listener: Listener, slots: ProcessSlots, shares: DescriptorShares, fleet: Fleet | None
+    node: Node,
+    listener: Listener,
+    slots: ProcessSlots,
+    shares: DescriptorShares,
+    fleet: Fleet | None,
+    signalled_at: float,
 ) -> None:
-    """Answer all accepted requests, then close all client connections."""
+    """Answer all accepted requests, then close all client connections.
+
+    SIGKILL follows the signal of loop time `signalled_at`, however late it was handled.
+    """
     loop = asyncio.get_running_loop()
-    killed_at = loop.time() + seconds_until_kill(node.settings)
+    killed_at = signalled_at + seconds_until_kill(node.settings)
     last_response_at = killed_at - LAST_RESPONSE_MARGIN_S
     slots.refresh()
     node.has_successor = slots.has_peer
@@ -48,7 +56,7 @@
         # Until idle connections are closed, a request may still arrive on any of them.
         await asyncio.sleep(idle_close_at - loop.time())
     else:
-        await asyncio.sleep(min(ACCEPT_AFTER_SIGTERM_S, idle_close_at - loop.time()))
+        await asyncio.sleep(min(signalled_at + ACCEPT_AFTER_SIGTERM_S, idle_close_at) - loop.time())
     listener.stop()
     await listener.wait_until_drained(max(0.0, last_response_at - loop.time()))
     await node.requests.finish(max(0.0, last_response_at - loop.time()))
