Lab: judge attempts after a client has left; the soak holds nodes up

Reason: the judge had no rule on attempts behind a client's close, and the soak stopped backends but never a node, so neither could find the reported break. Why the tests did not find it: all of them let the event loop read the close first. The soak draws series of pauses of one or all nodes, with drains, SIGTERM and surges in their middle, and clients of which up to three in ten leave early.

--- a/balancer/lab/judge.py
+++ b/balancer/lab/judge.py
@@ -29,6 +29,7 @@
 
 SOCKET_SLACK_MS = 50.0  # Sockets extend every time limit of a rule by 50 ms.
 ASSUMED_DELIVERY_MS = 6000.0  # Events of discovery count as delivered to all nodes after 6 s.
+MAX_START_AFTER_LEAVING_MS = 100.0  # No attempt begins more than 100 ms after its client has left.
 SIGKILL_LOSS_WINDOW_MS = 700.0  # A request sent up to 700 ms after SIGTERM may be lost to SIGKILL.
 MAX_UNANSWERED_SHARE = 1 / 200  # One request in 200 may lose its connection before any attempt.
 MIN_INFORMED_SHARE = 2 / 3  # A collapse is a violation if informed nodes sent 2/3 of the work.
@@ -38,6 +39,7 @@
     "answer": "each accepted request gets one final response in time",
     "twice": "a request that may have run is resent or rejected as not started only if its class allows it",
     "one-out": "a request has at most one attempt in flight",
+    "left": "no attempt begins more than 0.1 s after the client has closed its connection",
     "drain": "no attempt goes to a draining or removed backend after the grace period",
     "banned": "no attempt goes to a backend under a maintenance ban",
     "topple": "no cold backend is overloaded until it collapses",
@@ -125,6 +127,7 @@
             if request is not None:
                 self._check_repeats(request, attempts)
                 self._check_one_in_flight(attempts)
+                self._check_client_present(request, attempts)
         self._check_drains()
         self._check_bans()
         self._check_collapses()
@@ -285,6 +288,22 @@
                     f"{later.ident} went to s{later.backend} while in flight at s{earlier.backend}",
                 )
 
+    def _check_client_present(
+        self, request: records.ClientAttemptRecord, attempts: list[records.BackendAttemptRecord]
+    ) -> None:
+        left_at = _left_at(request)
+        if left_at is None:
+            return
+        for attempt in attempts:
+            late = attempt.first_byte_at - left_at
+            if late > MAX_START_AFTER_LEAVING_MS + SOCKET_SLACK_MS:
+                self.out.add(
+                    "left",
+                    attempt.first_byte_at,
+                    attempt.node,
+                    f"{attempt.ident} went to s{attempt.backend} {late:.0f} ms after its client had left",
+                )
+
     # --- rules about the choice of backends
 
     def _check_drains(self) -> None:
@@ -391,3 +410,14 @@
                     f"s{collapse.backend} collapsed, {share:.0%} of its work came from nodes "
                     f"that knew it was cold",
                 )
+
+
+def _left_at(request: records.ClientAttemptRecord) -> float | None:
+    """Return the time (ms) at which a client has reset the connection of a request, or None if it did not."""
+    if not request.sent_at or request.answered_at:
+        return None
+    if request.outcome == Outcome.ABANDONED.value:
+        return request.ended_at
+    if request.outcome == Outcome.TIMED_OUT.value:
+        return request.ended_at + LOST_AFTER_DEADLINE_MS
+    return None
--- a/balancer/lab/soak/draws.py
+++ b/balancer/lab/soak/draws.py
@@ -41,6 +41,10 @@
 TIER_SETTLE_S = 10.5
 RATE_PER_NODE = (15.0, 30.0)  # Each node gets between 15 and 30 requests per second.
 SOCKETS = 256
+MAX_HOLD_UPS = 4
+HOLD_UP_S = (0.1, 0.8)  # A node stands still for 0.1 to 0.8 s, with pauses of 0.1 to 0.6 s between.
+HOLD_UP_PAUSE_S = (0.1, 0.6)
+SURGE_FACTOR = 4.0
 CROWD_SIZE = (100, 240)  # The crowd holds 100 to 240 idle connections to each node.
 Signals = Literal["once", "twice", "reload-first", "reload-behind", "while-starting"]
 SIGNALS: tuple[Signals, ...] = ("once", "twice", "reload-first", "reload-behind", "while-starting")
@@ -103,7 +107,7 @@
             load=Load(rate=self.nodes * rng.uniform(*RATE_PER_NODE), classes=self.classes),
             clients=Clients(
                 retries=rng.choice((0, 2, 3)),
-                impatient_share=rng.choice((0.0, 0.0, 0.05)),
+                impatient_share=rng.choice((0.0, 0.05, 0.3)),
                 requests_per_connection=rng.choice((20, 200)),
             ),
             faults=tuple(faults),
@@ -146,6 +150,8 @@
             self._network,
             self._faulty_backends,
             self._ban,
+            self._hold_ups,
+            self._hold_ups,
         ]
 
     def _families_with_tier(self) -> list[Callable[[], list[AnyFault]]]:
@@ -159,6 +165,7 @@
             self._disk,
             self._peer_list_change,
             self._drain,
+            self._hold_ups,
         ]
 
     def _end_of(self, fault: AnyFault) -> float:
@@ -296,6 +303,25 @@
             )
         ]
 
+    def _hold_ups(self) -> list[AnyFault]:
+        """Draw a series of pauses of nodes, some with a drain, a signal or more load in the middle."""
+        rng = self.rng
+        targets = rng.choice((self._node(), "nodes"))
+        faults: list[AnyFault] = []
+        at = self._start_time()
+        for _ in range(rng.randint(1, MAX_HOLD_UPS)):
+            duration_s = round(rng.uniform(*HOLD_UP_S), 2)
+            middle = round(at + duration_s / 2, 2)
+            faults.append(Stall(at=at, duration_s=duration_s, targets=targets))
+            if self._chance(0.3):
+                faults.append(Drain(at=middle, targets=self._backend(), duration_s=2.0))
+            if self._chance(0.3) and (node := self._untouched_node()) is not None:
+                faults.append(Terminate(at=middle, targets=node, signals=rng.choice(SIGNALS)))
+            if self._chance(0.3):
+                faults.append(Surge(at=at, duration_s=duration_s, factor=SURGE_FACTOR))
+            at = round(at + duration_s + rng.uniform(*HOLD_UP_PAUSE_S), 2)
+        return faults
+
     def _ban(self) -> list[AnyFault]:
         return [Maintenance(at=self._start_time(), duration_s=self._duration(), targets=self._backend())]
 
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -93,13 +93,17 @@
             writer.close()
         return int(status.split(" ")[1]), "not-started" in back, text
 
-    async def serve(self, start: str, headers: Headers, body: bytes) -> bytes | None:
-        """Return the response to one request, or None to send none."""
+    async def serve(
+        self, start: str, headers: Headers, body: bytes, has_left: Callable[[], bool]
+    ) -> bytes | None:
+        """Return the response to one request, or None to send none; `has_left` tells of its client."""
         defect, hit, method = self.defect, self.random.random() < 0.1, start.split(" ")[0]
         if defect == "answer" and hit:
             return None
         if defect == "made-up" and hit:
             return http_response(200, b"all is well")
+        if defect == "left" and hit:
+            await asyncio.sleep(float(headers["request-timeout"][:-1]) / 1000 - 0.06)
         if defect == "changed" and method == "POST":
             body = body.replace(b"wish", b"fish")
         if defect == "one-out" and method == "GET" and hit:
@@ -107,7 +111,7 @@
             status, never, text = results[0]
         else:
             status, never, text = await self.attempt(start, headers, body)
-        if defect == "twice" and "place-order" in start:
+        if defect == "twice" and "place-order" in start and not has_left():
             status, never, text = await self.attempt(start, headers, body)
         if defect == "refuse" and "place-order" in start:
             return http_response(503)
@@ -127,7 +131,9 @@
                 out: bytes | None = http_response(500)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(float(headers["request-timeout"][:-1]) / 1000 - 0.03):
-                        out = await self.serve(start, headers, body)
+                        out = await self.serve(
+                            start, headers, body, lambda: reader.exception() is not None or reader.at_eof()
+                        )
                 if out is None:
                     await asyncio.sleep(3600)
                 else:
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -40,6 +40,8 @@
 [load]
 rate = 100.0
 work-ms = 8.0
+[clients]
+impatient-share = 0.2
 [rules]
 fall-ms = 500.0
 ramp-time-ms = 20000.0
