Count the duration of an attempt to the arrival of its response, not to its reading

Reason: related to the report: a node blamed servers for its own pause. A response that lay unread for 0.4 s counted as 0.4 s long, so success rate, concurrency limit and slowness of the server were learned from it; panic and shedding follow such a pause in the report. Cause: AttemptEnded.duration_ms was taken when the response was read. Change: what the response waited, by the kernel's figure or the loop monitor's, is taken off; both ways serve requests and responses. Whether panic and shedding in the report came from this is not known.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -18,7 +18,7 @@
 class AttemptResult:
     """Outcome of an attempt; only a buffered response with status 200 has `body` and `content_type`.
 
-    `reason` tells the log why an attempt was not started.
+    `reason` tells the log why an attempt was not started. A response was read `unread_ms` after it arrived.
     """
 
     status: AttemptStatus
@@ -26,6 +26,7 @@
     body: bytes = b""
     content_type: bytes = b""
     reason: str = ""
+    unread_ms: float = 0.0
 
 
 class ResponseSink(Protocol):
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -394,5 +394,7 @@
         if self._is_reading_paused:
             self.resume_reading()
         result = self.response.result(report)
+        if self.transport is not None:
+            result.unread_ms = self.pool.unread_ms(self.transport)
         self.pool.release(self, is_clean and self.response.keep_alive and self.is_request_sent)
         attempt.finish(result)
--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -19,8 +19,6 @@
 if TYPE_CHECKING:
     from balancer.net.listener import Listener
 
-# The kernel counts the age of received bytes in ticks of up to 10 ms.
-MIN_UNREAD_MS = 10.0
 LINGER_TIMEOUT_S = 1.0  # A client has 1 s to read its last response and close its side.
 
 
@@ -199,7 +197,8 @@
             return
         self._upload.complete()
         if self.request_id is not None and self._head is not None:
-            arrived_at = self.node.now() - self._unread_ms()
+            assert self.transport is not None
+            arrived_at = self.node.now() - self.node.loop_monitor.unread_ms(self.transport)
             self.node.requests.body_received(self.request_id, arrived_at + self._head.timeout_ms)
 
     def _set_reading(self, is_reading: bool) -> None:
@@ -261,7 +260,8 @@
             if upload is not None:
                 upload.discard()
             return
-        unread_ms = self._unread_ms()
+        assert self.transport is not None
+        unread_ms = node.loop_monitor.unread_ms(self.transport)
         event.deadline = node.now() - unread_ms + self._head.timeout_ms
         event.body_pending = upload is not None
         self.request_id = event.request
@@ -271,17 +271,6 @@
         render = partial(render_request, parser.method, parser.target, parser.headers, framing, body)
         node.requests.accept(event, self.responses, render, upload, unread_ms)
 
-    def _unread_ms(self) -> float:
-        """Return how long the bytes read last had been received by the kernel before they were read.
-
-        The client counts its time from their arrival, however late the event loop reads them.
-        """
-        assert self.transport is not None
-        unread_ms = socket_state.ms_since_last_data(self.transport)
-        if unread_ms is None:
-            return self.node.loop_monitor.held_up_s() * 1000
-        return unread_ms if unread_ms >= MIN_UNREAD_MS else 0.0
-
     def _backend_framing(self, body: bytes) -> bytes:
         """Return the framing header for the backend request; it is empty for a request without a body."""
         if self._upload is None:
--- a/balancer/net/connection_pool.py
+++ b/balancer/net/connection_pool.py
@@ -38,6 +38,11 @@
     """Read no updates, as the default for a pool without discovery."""
 
 
+def _read_at_once(transport: asyncio.Transport) -> float:
+    """Return 0, as the default for a pool that does not measure how late it reads."""
+    return 0.0
+
+
 class EndpointConnections:
     """Connection state of one endpoint: its address, whether it accepts requests, its idle connections.
 
@@ -77,6 +82,8 @@
         self.in_service_count = 0  # Number of listed backends in phase IN_SERVICE.
         # Applies updates of the list that have been received but not read, before a decision or a send.
         self.read_list_updates: Callable[[], None] = _read_nothing
+        # Returns for how many ms the bytes that were last read from a connection had been received.
+        self.unread_ms: Callable[[asyncio.Transport], float] = _read_at_once
         # Connection states of the listed backends that have had an attempt, by backend id.
         self.endpoints: dict[str, EndpointConnections] = {}
         # Idle connections to all endpoints; the one idle longest comes first.
--- a/balancer/net/loop_monitor.py
+++ b/balancer/net/loop_monitor.py
@@ -5,12 +5,15 @@
 import asyncio
 import logging
 
+from balancer.net import socket_state
 from balancer.net.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger(__name__)
 
 BEAT_INTERVAL_S = 0.1
 LOGGED_LAG_S = 0.1
+# The kernel counts the age of received bytes in ticks of up to 10 ms.
+MIN_UNREAD_MS = 10.0
 HELD_UP_LAG_S = 0.05  # A timer that is 50 ms late shows that the process was held up or a turn was long.
 # A connection that waited to be accepted is read four turns after the process goes on.
 TURNS_TO_CATCH_UP = 4
@@ -69,6 +72,16 @@
         held_up_s = self.held_up_s()
         return held_up_s + BEAT_INTERVAL_S if held_up_s else 0.0
 
+    def unread_ms(self, transport: asyncio.Transport) -> float:
+        """Return for how many ms the bytes that were last read from a connection had been received.
+
+        Times of requests and responses count from their arrival, however late the event loop reads them.
+        """
+        unread_ms = socket_state.ms_since_last_data(transport)
+        if unread_ms is None:
+            return self.held_up_s() * 1000
+        return unread_ms if unread_ms >= MIN_UNREAD_MS else 0.0
+
     def _schedule(self) -> None:
         self._timer = self._loop.call_at(self._loop.time() + BEAT_INTERVAL_S, self._beat)
 
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -51,6 +51,7 @@
         self.pool = ConnectionPool(
             config.settings, config.limits_per_process(1)[1], self.statistics, self.memory
         )
+        self.pool.unread_ms = self.loop_monitor.unread_ms
         self.requests = RequestLifecycle(self.pool, self.statistics, self.counts, self.now, self.handle_event)
         self.scheduler = CooperativeScheduler(self.loop)
         self.endpoint_updater = EndpointUpdater(
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -350,7 +350,8 @@
         is_prefix_dropped = request is not None and request.is_upload_prefix_dropped
         if request is not None and is_closed:
             self._remove_if_done(request)
-        elapsed_ms = self._now() - attempt.started_at
+        # What the response waited for this node says nothing about its backend.
+        elapsed_ms = max(0.0, self._now() - attempt.started_at - result.unread_ms)
         self._handle_event(
             api.AttemptEnded(
                 attempt.request_id,
