Ask for unread bytes only where they can be late, and stop asking a kernel that does not tell

Change: list updates are looked for where the loop monitor shows that the loop is late (from 50 ms on; the grace of a drain covers less); a kernel that leaves its figure empty is asked once. There the age of a request is estimated half of the hold-up back, at most 0.1 s too young, because the whole of it refused requests that could have been served. The look at the client stays with each attempt.

--- a/balancer/net/loop_monitor.py
+++ b/balancer/net/loop_monitor.py
@@ -15,6 +15,8 @@
 # The kernel counts the age of received bytes in ticks of up to 10 ms.
 MIN_UNREAD_MS = 10.0
 HELD_UP_LAG_S = 0.05  # A timer that is 50 ms late shows that the process was held up or a turn was long.
+# Servers may be told 0.15 s more than is left to a client, so an age is 0.1 s too low at the most.
+MAX_AGE_ERROR_S = 0.1
 # A connection that waited to be accepted is read four turns after the process goes on.
 TURNS_TO_CATCH_UP = 4
 
@@ -28,6 +30,7 @@
         self._lines = RateLimitedLog(log, loop.time)
         self._max_lag_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
+        self._kernel_dates_bytes = True  # False once the kernel has not told when bytes arrived.
         # Loop time at which the latest hold-up began, until what came meanwhile has been read.
         self._held_up_since: float | None = None
         self._turns_to_catch_up = 0
@@ -77,10 +80,13 @@
 
         Times of requests and responses count from their arrival, however late the event loop reads them.
         """
-        unread_ms = socket_state.ms_since_last_data(transport)
-        if unread_ms is None:
-            return self.held_up_s() * 1000
-        return unread_ms if unread_ms >= MIN_UNREAD_MS else 0.0
+        unread_ms = socket_state.ms_since_last_data(transport) if self._kernel_dates_bytes else None
+        if unread_ms is not None:
+            return unread_ms if unread_ms >= MIN_UNREAD_MS else 0.0
+        self._kernel_dates_bytes = False
+        # The bytes have come some time between the beginning of the hold-up and now.
+        held_up_s = self.held_up_s()
+        return max(held_up_s / 2, held_up_s - MAX_AGE_ERROR_S) * 1000
 
     def _schedule(self) -> None:
         self._timer = self._loop.call_at(self._loop.time() + BEAT_INTERVAL_S, self._beat)
--- a/balancer/net/node.py
+++ b/balancer/net/node.py
@@ -51,6 +51,7 @@
         self.pool = ConnectionPool(
             config.settings, config.limits_per_process(1)[1], self.statistics, self.memory
         )
+        self.pool.read_list_updates = self._read_late_updates
         self.pool.unread_ms = self.loop_monitor.unread_ms
         self.requests = RequestLifecycle(self.pool, self.statistics, self.counts, self.now, self.handle_event)
         self.scheduler = CooperativeScheduler(self.loop)
@@ -96,7 +97,7 @@
         An event that may start attempts is decided by the newest list that has been received.
         """
         if isinstance(event, ATTEMPT_EVENTS) and not self._is_handling:
-            self.pool.read_list_updates()
+            self._read_late_updates()
         self._events.append(event)
         if self._is_handling:
             return
@@ -107,6 +108,11 @@
         finally:
             self._is_handling = False
 
+    def _read_late_updates(self) -> None:
+        """Read the list updates that the event loop, if it is late, has still to read."""
+        if self.discovery is not None and self.loop_monitor.held_up_s():
+            self.discovery.read_unread()
+
     def _dispatch(self, event: api.Event) -> None:
         """Execute the decision on an event; an exception fails its request only, not the whole node."""
         try:
--- a/balancer/net/node_ports.py
+++ b/balancer/net/node_ports.py
@@ -75,3 +75,6 @@
 
     def fetch(self) -> None:
         """Fetch the complete endpoint list once."""
+
+    def read_unread(self) -> None:
+        """Apply updates that have been received but not read yet."""
--- a/balancer/net/node_process.py
+++ b/balancer/net/node_process.py
@@ -58,7 +58,6 @@
             self.recovered_learned = self.fleet.recovered_learned()
         self.discovery = DiscoveryClient(self.node, config.discovery, self.initial_list.revision)
         self.node.discovery = self.discovery
-        self.node.pool.read_list_updates = self.discovery.read_unread
         if self.fleet is not None:
             self.node.discovery = self.fleet.wrap_watcher(self.node, self.discovery, self.initial_list)
         self.listener = Listener(self.node, config.limits_per_process(1)[0])
--- a/balancer/net/recovery_adapter.py
+++ b/balancer/net/recovery_adapter.py
@@ -195,6 +195,10 @@
         else:
             self._is_fetch_pending = True
 
+    def read_unread(self) -> None:
+        """Apply updates that have been received but not read yet."""
+        self.watcher.read_unread()
+
     # --- events from discovery
 
     def list_request_failed(self) -> None:
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -53,12 +53,17 @@
 
 
 def ms_since_last_data(transport: asyncio.Transport) -> float | None:
-    """Return how many ms ago the peer's last bytes arrived, or None if the kernel does not tell."""
+    """Return how many ms ago the peer's last bytes arrived, or None if the kernel does not tell.
+
+    A connection that this side has closed has an age of 0.
+    """
     sock = transport.get_extra_info("socket")
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_TIMES.size)
         retransmission_timeout, elapsed_ms = TCP_INFO_TIMES.unpack(info)
-    except (OSError, struct.error):  # This side has closed the socket, or the kernel has a shorter structure.
+    except OSError:
+        return 0.0
+    except struct.error:  # The kernel's structure is shorter.
         return None
     # Every connection has a retransmission timeout, so without one the structure was not filled in.
     return float(elapsed_ms) if retransmission_timeout else None
--- a/tests/test_recovery_adapter.py
+++ b/tests/test_recovery_adapter.py
@@ -36,6 +36,10 @@
         """Record a request for the complete list."""
         self.calls.append("fetch")
 
+    def read_unread(self) -> None:
+        """Record that unread updates are read."""
+        self.calls.append("read")
+
 
 @dataclass
 class SentList:
