One recheck for timeouts beside unread bytes, held by the deadline's timer too

Reason: an answer that came in time was lost where the attempt's timeout and the request's deadline fall together: the first of the two timers put the attempt off, the second ended it before the read. The logic stood twice, in ReceiveTimer and RequestAttempt. A response that ends with its connection had the wait for that end taken off its duration. Change: net/unread_recheck.py serves both, and lasts 10 ms whoever asks; the unread time is taken where bytes are read, not at an end.

--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -207,7 +207,7 @@
     def eof_received(self) -> bool:
         """Complete a response delimited by connection close; any other end of file breaks the attempt."""
         if self.attempt is not None and self.response.finish_at_eof():
-            self._finish(is_clean=True)
+            self._finish(is_clean=True, unread_ms=0.0)
         return False
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -233,7 +233,9 @@
         if self.attempt is None:  # A callback found that the streamed response is no longer wanted.
             return
         if response.is_complete:
-            self._finish(is_clean=not fault and not response.has_excess)
+            assert self.transport is not None
+            unread_ms = self.pool.unread_ms(self.transport)
+            self._finish(not fault and not response.has_excess, unread_ms)
         elif fault or response.has_excessive_headers:
             self._warn(
                 "malformed response"
@@ -381,7 +383,8 @@
             self._last_progress = self.pool.loop.time()
             self.transport.resume_reading()
 
-    def _finish(self, is_clean: bool) -> None:
+    def _finish(self, is_clean: bool, unread_ms: float) -> None:
+        """Report a response whose end was received `unread_ms` before it was read."""
         attempt = self.attempt
         assert attempt is not None
         self.attempt = None
@@ -394,7 +397,6 @@
         if self._is_reading_paused:
             self.resume_reading()
         result = self.response.result(report)
-        if self.transport is not None:
-            result.unread_ms = self.pool.unread_ms(self.transport)
+        result.unread_ms = unread_ms
         self.pool.release(self, is_clean and self.response.keep_alive and self.is_request_sent)
         attempt.finish(result)
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -9,6 +9,7 @@
 from balancer.net.attempt import Attempt
 from balancer.net.node_ports import Client
 from balancer.net.stream import Upload
+from balancer.net.unread_recheck import UnreadRecheck
 
 Render = Callable[[float], bytes]
 """Function that renders a request to a backend; its argument is the `Request-Timeout` to send, in ms."""
@@ -19,10 +20,10 @@
 
     __slots__ = (
         "attempt",
-        "awaits_unread_response",
         "endpoint",
         "is_over",
         "number",
+        "recheck",
         "request_id",
         "started_at",
         "status",
@@ -30,7 +31,14 @@
         "timer",
     )
 
-    def __init__(self, request_id: str, number: int, endpoint: str, started_at: float) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        number: int,
+        endpoint: str,
+        started_at: float,
+        loop_time: Callable[[], float],
+    ) -> None:
         """Record attempt `number`, counted from 0, as started at `started_at` (ms)."""
         self.request_id = request_id
         self.number = number
@@ -39,8 +47,7 @@
         self.attempt: Attempt | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.timeout_ms = 0.0  # An attempt with a timeout of 0 may run until the client's deadline.
-        # True once the timeout has been put off because its response was received but not read.
-        self.awaits_unread_response = False
+        self.recheck = UnreadRecheck(loop_time, self._has_unread_response)
         self.is_over = False
         self.status: AttemptStatus | None = None  # Final status; None while the attempt is in progress.
 
@@ -49,12 +56,8 @@
         """Whether the last byte of the request may have left this node."""
         return self.attempt is not None and self.attempt.is_sent
 
-    def puts_off_timeout(self) -> bool:
-        """Return whether the timeout has to wait for a response that is received but not read; True once."""
-        if self.awaits_unread_response or self.attempt is None or not self.attempt.has_unread_response:
-            return False
-        self.awaits_unread_response = True
-        return True
+    def _has_unread_response(self) -> bool:
+        return self.attempt is not None and self.attempt.has_unread_response
 
     def cancel_timer(self) -> None:
         """Stop the timeout timer."""
--- a/balancer/net/receive_timer.py
+++ b/balancer/net/receive_timer.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 
 from balancer.net.request_parser import RequestParser
+from balancer.net.unread_recheck import RECHECK_DELAY_S, UnreadRecheck
 
 HEADER_TIMEOUT_S = 2.5  # Time to receive a complete head, counted from the accept for the first request.
-# Received bytes that the event loop has not read when the time is over are read within 10 ms.
-UNREAD_DELAY_S = 0.01
 MIN_BODY_BYTES_PER_S = 32_000  # Half the rate of the slowest client that has to be served.
 
 
@@ -29,9 +28,8 @@
         """
         self._loop = loop
         self._parser = parser
-        self._has_unread_data = has_unread_data
+        self._recheck = UnreadRecheck(loop.time, has_unread_data)
         self._on_timeout = on_timeout
-        self._is_recheck = False
         self._timer: asyncio.TimerHandle | None = None
         # Loop time in seconds at which the body began, shifted forward by the length of each pause.
         self._body_started_at = 0.0
@@ -49,7 +47,7 @@
 
     def start(self) -> None:
         """Start the timeout for a head."""
-        self._is_recheck = False
+        self._recheck.reset()
         self._timer = self._loop.call_later(HEADER_TIMEOUT_S, self._expire)
 
     def cancel(self) -> None:
@@ -78,14 +76,13 @@
 
     def _expire(self) -> None:
         self._timer = None
-        if not self._is_recheck and self._has_unread_data():
-            self._is_recheck = True
-            self._timer = self._loop.call_later(UNREAD_DELAY_S, self._expire)
+        if self._recheck.is_due():
+            self._timer = self._loop.call_later(RECHECK_DELAY_S, self._expire)
             return
         if self._parser.is_receiving:
             remaining = self._deadline() - self._loop.time()
             if remaining > 0:
-                self._is_recheck = False
+                self._recheck.reset()
                 self._timer = self._loop.call_later(remaining, self._expire)
                 return
         self._on_timeout()
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -19,11 +19,10 @@
 from balancer.net.request_log import RequestLog
 from balancer.net.statistics import RequestOutcome, RequestStatistics
 from balancer.net.stream import Upload
+from balancer.net.unread_recheck import RECHECK_DELAY_S
 
 # Interval between two checks whether a long response past its deadline is still being received.
 LONG_RESPONSE_CHECK_S = 0.25
-# A response that has been received when its time is over, but not read, is read within 10 ms.
-UNREAD_RESPONSE_DELAY_S = 0.01
 # Requests end 10 ms before the deadline, because the client counts from when it sent the request.
 DEADLINE_MARGIN_MS = 10.0
 # A request or attempt is logged as late if it was read or written at least 50 ms after the request arrived.
@@ -159,7 +158,7 @@
         request = self.open.get(action.request)
         now = self._now()
         number = len(request.attempts) if request else 0
-        attempt = RequestAttempt(action.request, number, action.backend, now)
+        attempt = RequestAttempt(action.request, number, action.backend, now, self._loop.time)
         if request is None:
             result = AttemptResult(AttemptStatus.NOT_STARTED, reason="request is closed")
             self._end_attempt(attempt, result)
@@ -234,10 +233,8 @@
                 LONG_RESPONSE_CHECK_S, self.expire_deadline, request
             )
             return
-        if any([not attempt.is_over and attempt.puts_off_timeout() for attempt in request.attempts]):
-            request.deadline_timer = self._loop.call_later(
-                UNREAD_RESPONSE_DELAY_S, self.expire_deadline, request
-            )
+        if any([not attempt.is_over and attempt.recheck.is_due() for attempt in request.attempts]):
+            request.deadline_timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_deadline, request)
             return
         for attempt in request.attempts:
             self._time_out(attempt)
@@ -263,8 +260,8 @@
 
     def expire_attempt(self, attempt: RequestAttempt) -> None:
         """End an attempt whose timeout has passed, but first let its response be read if there is one."""
-        if not attempt.is_over and attempt.puts_off_timeout():
-            attempt.timer = self._loop.call_later(UNREAD_RESPONSE_DELAY_S, self.expire_attempt, attempt)
+        if not attempt.is_over and attempt.recheck.is_due():
+            attempt.timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_attempt, attempt)
         else:
             self._time_out(attempt)
 
--- a/tests/test_held_up_node.py
+++ b/tests/test_held_up_node.py
@@ -227,13 +227,16 @@
         assert (await client.read_response()).status == 200
 
 
-async def test_response_that_crosses_the_attempt_timeout_in_a_hold_up_is_passed_on(tmp_path: Path) -> None:
+@pytest.mark.parametrize("limits", [{"objective": 300}, {"objective": 200, "give-up": 300}])
+async def test_response_that_crosses_the_attempt_timeout_in_a_hold_up_is_passed_on(
+    tmp_path: Path, limits: dict[str, float]
+) -> None:
     async def slow(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(HOLD_S / 2)
         writer.write(http_response(b"made in time"))
 
     backend = Backend("b0", slow)
-    async with running_node(tmp_path, backend, **short_classes(objective=HOLD_S * 750)) as rig:
+    async with running_node(tmp_path, backend, **short_classes(**limits)) as rig:
         client = await rig.connect()
         send_request(client, "/once")
         await wait_for_requests(backend)
