Lab: bytes that a stub reads late count from their arrival

The node's log shows that the attempt was sent at once and that its client left 116 ms later, so the stub read its first byte 271 ms late. The rig's own lateness was 2.6 ms at p99 and hid it. Change: the records of backends date a request by the kernel's figure for its bytes, as the node does. No bound changes.

--- a/balancer/lab/impaired_sockets.py
+++ b/balancer/lab/impaired_sockets.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple, cast
 
 from balancer.models.network import NetworkConditions
+from balancer.net import socket_state
 
 LISTEN_BACKLOG = 1024
 TIMER_TOLERANCE_MS = 0.5
@@ -37,10 +38,10 @@
 
 
 class Segment(NamedTuple):
-    """Bytes in transit: times in ms at which they arrive, and were written to or read from the socket."""
+    """Bytes in transit: times in ms at which they are delivered, and were written or received."""
 
     arrives_at: float
-    at: float
+    at: float  # Bytes that were read late count from their arrival in the kernel.
     data: bytes | None  # None as data marks the end of the stream.
 
 
@@ -55,7 +56,7 @@
         self.inward: deque[Segment] = deque()
         self.outward: deque[Segment] = deque()
         self.timers: dict[bool, asyncio.TimerHandle] = {}
-        self.read_at = 0.0  # The bytes now being delivered were read from the socket at this time.
+        self.read_at = 0.0  # The bytes now being delivered arrived at the socket at this time.
         self.closed_at = 0.0  # The socket reported the peer's close at this time; 0 before that.
 
     # --- methods that subclasses override or call
@@ -101,7 +102,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Deliver received bytes after the delay of the network."""
-        self._transmit(self.inward, data, True)
+        self._transmit(self.inward, data, True, self._unread_ms())
 
     def eof_received(self) -> bool:
         """Deliver the end of the peer's stream after the delay of the network."""
@@ -132,18 +133,27 @@
         self.closed_at = self.closed_at or self.clock.now()
         self.peer_closed()
 
+    def _unread_ms(self) -> float:
+        """Return for how many ms the bytes that were just read had lain unread in the kernel."""
+        if self.transport is None or self.transport.get_extra_info("socket") is None:
+            return 0.0  # The event loop closed the socket and has yet to call connection_lost.
+        return socket_state.ms_since_last_data(self.transport) or 0.0
+
     # --- delays and cuts of the simulated network
 
-    def _transmit(self, queue: deque[Segment], data: bytes | None, inward: bool) -> None:
+    def _transmit(
+        self, queue: deque[Segment], data: bytes | None, inward: bool, unread_ms: float = 0.0
+    ) -> None:
         if not self.open:
             return
         sender, receiver = (self.peer, self.me) if inward else (self.me, self.peer)
         link, now = self.network.conditions(sender, receiver), self.clock.now()
         if link.is_unimpaired and not queue:
-            self._deliver(Segment(now, now, data), inward)
+            self._deliver(Segment(now, now - unread_ms, data), inward)
             return
         arrives_at = now + self.network.tcp_delay_ms(link, len(data or b""))
-        queue.append(Segment(max(arrives_at, queue[-1].arrives_at) if queue else arrives_at, now, data))
+        delivered_at = max(arrives_at, queue[-1].arrives_at) if queue else arrives_at
+        queue.append(Segment(delivered_at, now - unread_ms, data))
         if len(queue) == 1:
             self._arm(inward)
 
--- a/balancer/lab/records.py
+++ b/balancer/lab/records.py
@@ -42,8 +42,8 @@
     method: str
     path: str
     key: str
-    first_byte_at: float  # The backend read the first byte of the request at this time.
-    complete_at: float  # The backend read the last byte of the request at this time.
+    first_byte_at: float  # The first byte of the request arrived at the backend's socket at this time.
+    complete_at: float  # The last byte of the request arrived at the backend's socket at this time.
     verdict: str  # It is a `balancer.models.backend.Verdict`, or "lost" if the backend died.
     ended_at: float  # The response was written or the connection broke at this time; 0 if neither.
     closed_at: float  # The node closed its connection or its sending side at this time; 0 if not.
--- a/tests/virtual_run.py
+++ b/tests/virtual_run.py
@@ -49,6 +49,10 @@
     def setsockopt(self, *_: Any) -> None:
         """Ignore the option: `abort` of an in-memory transport always resets the connection."""
 
+    def getsockopt(self, *_: Any) -> bytes:
+        """Return an empty structure, as in-memory bytes are read when they arrive."""
+        return b""
+
 
 class InMemoryTransport(asyncio.Transport):
     """One end of an in-memory connection; `peer` is the other end."""
