--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -416,8 +416,12 @@
         self.record, self.port = record, port
         self.answers: list[Answer] = []
 
-    async def send_steadily(self, every_s: float, stop: asyncio.Event) -> None:
-        """Send a `place-order` every `every_s` on one connection, which is opened anew when it has ended."""
+    async def send_steadily(self, every_s: float | Callable[[], float], stop: asyncio.Event) -> None:
+        """Send a `place-order` on one connection, which is opened anew when it has ended.
+
+        `every_s` is the pause between an answer and the next request, or returns it.
+        """
+        pause = every_s if callable(every_s) else lambda: every_s
         reader, writer = None, None
         while not stop.is_set():
             if writer is None or reader is None or reader.at_eof() or writer.is_closing():
@@ -426,13 +430,13 @@
                 try:
                     reader, writer = await asyncio.open_connection(HOST, self.port)
                 except OSError:
-                    await asyncio.sleep(every_s)
+                    await asyncio.sleep(pause())
                     continue
             answer = await self.exchange(reader, writer)
             if not answer.status:
                 writer.close()
                 writer = None
-            await asyncio.sleep(every_s)
+            await asyncio.sleep(pause())
         if writer is not None:
             writer.close()
 
