--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -23,7 +23,8 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
+# A loopback address of this run alone: two runs, and outgoing connections, take no port from one another.
+HOST = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 START_TIMEOUT_S = 20.0
 HEARTBEAT_S = 2.0
@@ -366,7 +367,7 @@
 
 
 class Network:
-    """The network between the nodes of a tier: it loses nothing and delays nothing.
+    """The network between the nodes of a tier: nothing is lost or late, but to and from those cut off.
 
     A node sends to `peers[j]` what node j gets from the sender's address in its own `peers`; what it sends to
     `peers_all` all others get.
@@ -374,7 +375,7 @@
 
     def __init__(self, nodes: int) -> None:
         """Bind a socket for each pair of nodes; `listen` has the ports of the nodes themselves."""
-        self.listen = free_ports(nodes, socket.SOCK_DGRAM)
+        self.cut_off: set[int] = set()
         self._socks: dict[tuple[int, int], socket.socket] = {}
         for sender in range(nodes):
             for receiver in range(nodes):
@@ -383,6 +384,7 @@
                 sock.bind((HOST, 0))
                 self._socks[sender, receiver] = sock
                 asyncio.get_running_loop().add_reader(sock, self._relay, sender, receiver)
+        self.listen = free_ports(nodes, socket.SOCK_DGRAM)  # After the others, so that none of them has it.
 
     def addresses(self, node: int) -> dict[str, Any]:
         """Return the fields of a node's configuration that describe its peers."""
@@ -399,6 +401,8 @@
             data = self._socks[sender, receiver].recv(512)
             others = [node for node in range(len(self.listen)) if node != sender]
             for target in others if receiver == sender else [receiver]:
+                if (sender in self.cut_off) != (target in self.cut_off):
+                    continue
                 self._socks[target, sender].sendto(data, (HOST, self.listen[target]))
 
     def close(self) -> None:
@@ -475,7 +479,7 @@
             code = HELD if held else BROKEN
         except NotRunError as err:
             record.add("case", f"could not run: {err}")
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             record.add("case", f"could not run: {traceback.format_exc()}")
     verdict = {BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[code]
     record.add("verdict", f"{verdict} (trouble: {'yes' if trouble else 'no'})")
@@ -485,5 +489,9 @@
 
 
 async def _play(case: Case, record: Record, folder: Path, trouble: bool) -> bool:
+    playing = asyncio.current_task()
+    assert playing is not None
+    for number in (signal.SIGTERM, signal.SIGINT):  # The processes that were started end with the case.
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
     async with asyncio.timeout(MAX_RUN_S):
         return await case(record, folder, trouble)
