Count and log client connections closed with a part of their response unsent

Change: each close that discards bytes of a response is counted (client_answer_cut_off) and logged with its reason, the bytes not sent and the bytes that the client's kernel has not acknowledged (SIOCOUTQ).

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -13,7 +13,8 @@
 from balancer.net.receive_timer import ReceiveTimer
 from balancer.net.request_head import RequestHead, read_head, render_request
 from balancer.net.request_parser import BadRequestError, RequestParser
-from balancer.net.response_writer import WRITE_STALL_TIMEOUT_S, ResponseWriter
+from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S, CutReason
+from balancer.net.response_writer import ResponseWriter
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload
 
 if TYPE_CHECKING:
@@ -359,14 +360,34 @@
         if self.transport.get_write_buffer_size() and loop.time() < deadline:
             self._linger_timer = loop.call_later(LINGER_TIMEOUT_S, self._end_linger, deadline)
         else:
-            self.close()
+            self.close(CutReason.LINGER_TIMEOUT)
 
-    def close(self) -> None:
-        """Close at once and discard unsent bytes."""
+    def close(self, reason: CutReason) -> None:
+        """Close at once and discard unsent bytes; `reason` tells the log why if there are any."""
         if self.transport is not None:
+            self._report_cut(reason)
             self.transport.abort()
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
         if self.transport is not None:
             socket_state.reset(self.transport)
+
+    def on_write_stall(self) -> None:
+        """Disconnect a client that does not read its response."""
+        self._report_cut(CutReason.NOT_READ)
+        self.reset()
+
+    def _report_cut(self, reason: CutReason) -> None:
+        """Count and log a close that cuts off a response, of which this process still holds a part."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        buffered = self.transport.get_write_buffer_size()
+        if not buffered:
+            return
+        self.node.counts["client_answer_cut_off"] += 1
+        unacknowledged = socket_state.unacknowledged_bytes(self.transport)
+        self.listener.warnings.log(
+            reason.value,
+            f"response cut off: {reason.value}; {buffered} bytes not sent, {unacknowledged} not acknowledged",
+        )
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 
 from balancer.net.client_connection import ClientConnection
 from balancer.net.connection_limits import overflow_limit
 from balancer.net.endpoints import Address
 from balancer.net.node import Node
+from balancer.net.rate_limited_log import RateLimitedLog
+from balancer.net.response_delivery import CutReason
+
+log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
 
@@ -22,6 +27,7 @@
         self.node = node
         self.limit = limit
         self.loop = asyncio.get_running_loop()
+        self.warnings = RateLimitedLog(log, self.loop.time)
         self.socket: socket.socket | None = None
         self.connections: set[ClientConnection] = set()
         # Idle client connections; the one that has been idle longest comes first.
@@ -70,7 +76,7 @@
         if len(self.connections) + len(self.lingering) > self.limit + overflow_limit(self.limit):
             first = next(iter(self.lingering), connection)
             self.lingering.pop(first, None)
-            first.close()
+            first.close(CutReason.MADE_ROOM)
 
     def enforce_limit(self) -> None:
         """Close the longest idle connections until the limit holds; those with a request stay and count."""
--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from balancer.net.backend_connection import BackendConnection
+from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S
 
 if TYPE_CHECKING:
     from balancer.net.client_connection import ClientConnection
 
-WRITE_STALL_TIMEOUT_S = 20.0  # A client that reads none of its response for 20 s is disconnected.
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -148,7 +148,9 @@
             # Responses to a client that keeps sending requests and reads nothing would fill the memory.
             self.is_reading_paused = True
             transport.pause_reading()
-        self._stall_timer = connection.listener.loop.call_later(WRITE_STALL_TIMEOUT_S, connection.reset)
+        self._stall_timer = connection.listener.loop.call_later(
+            WRITE_STALL_TIMEOUT_S, connection.on_write_stall
+        )
 
     def resume_writing(self) -> None:
         """Resume reading from the backend or the client."""
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -15,18 +15,31 @@
 PEER_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # The fields `tcpi_rto` and `tcpi_last_data_recv`, the ms since the last bytes arrived, of Linux's `tcp_info`.
 TCP_INFO_TIMES = struct.Struct("8xI40xI")
+QUEUE_LENGTH_BYTES = 4  # Size of the integer that the ioctls on socket queues fill in.
 LINGER_ZERO = struct.pack("ii", 1, 0)  # With SO_LINGER on and a timeout of 0, a close sends a reset.
 
 
 def has_unread_data(transport: asyncio.Transport) -> bool:
     """Return whether the kernel holds received bytes that the event loop has not read."""
-    sock = transport.get_extra_info("socket")
-    count = bytearray(4)
+    return _queued_bytes(transport, termios.FIONREAD) > 0
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return how many sent bytes the peer's kernel has not acknowledged; an unacknowledged FIN counts as one.
+
+    Bytes in the transport's own buffer are not included.
+    """
+    return _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def _queued_bytes(transport: asyncio.Transport, request: int) -> int:
+    """Return the length of a kernel queue; 0 if the socket is closed or the kernel does not tell."""
+    count = bytearray(QUEUE_LENGTH_BYTES)
     try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
-    except (OSError, ValueError):  # The socket has been closed, so it has no unread data.
-        return False
-    return int.from_bytes(count, sys.byteorder) > 0
+        fcntl.ioctl(transport.get_extra_info("socket").fileno(), request, count)
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(count, sys.byteorder)
 
 
 def read_available(transport: asyncio.Transport, max_bytes: int) -> bytes:
