Never cut off a response that is still being sent to let a new client in

Answers without a length (HTTP/1.0) looked complete: their end is the close.

Cause: a connection counts as idle as soon as its backend's answer is over, while the rest of it still waits in the transport. A new connection over the limit half-closes it, and the next one over limit and overflow closes the connection that has lingered longest with abort(), which discards that rest. Nothing on this way looked whether bytes were unsent.

Change: ResponseDelivery knows what a client has not received. Room for a new connection is made by the longest lingering connection that has delivered everything, then by one whose rest the kernel completes, then by an idle one; connections that still send are displaced last and never closed.

Why it works: the one place that closed with unsent bytes now chooses only connections without any; the number of descriptors stays bounded as before.

Tests changed: two of test_descriptors.py asserted the fault (connections with unsent bytes aborted for new ones), by a stand-in that called a half-closed transport closing. They hold the same bounds with a true stand-in, and that no response is cut off; a third holds the order.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -13,7 +13,7 @@
 from balancer.net.receive_timer import ReceiveTimer
 from balancer.net.request_head import RequestHead, read_head, render_request
 from balancer.net.request_parser import BadRequestError, RequestParser
-from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S, CutReason
+from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S, CutReason, ResponseDelivery
 from balancer.net.response_writer import ResponseWriter
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload
 
@@ -49,6 +49,7 @@
         self.body = bytearray()  # Body of the current request while it is small enough to be buffered.
         self.parser = RequestParser(self)
         self.responses = ResponseWriter(self)
+        self.delivery = ResponseDelivery()
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
@@ -100,6 +101,7 @@
         """Register the connection; one over the limit gets a response and is closed."""
         # uvloop's transports do not subclass `asyncio.Transport`, so this needs a cast.
         self.transport = cast(asyncio.Transport, transport)
+        self.delivery.start(self.transport)
         self.receive_timer.start()
         self.listener.add(self)
 
@@ -357,15 +359,21 @@
     def _end_linger(self, deadline: float) -> None:
         assert self.transport is not None
         loop = self.listener.loop
-        if self.transport.get_write_buffer_size() and loop.time() < deadline:
+        if self.delivery.unsent_bytes and loop.time() < deadline:
             self._linger_timer = loop.call_later(LINGER_TIMEOUT_S, self._end_linger, deadline)
         else:
-            self.close(CutReason.LINGER_TIMEOUT)
+            self._report_cut(CutReason.LINGER_TIMEOUT)
+            self.close()
 
-    def close(self, reason: CutReason) -> None:
-        """Close at once and discard unsent bytes; `reason` tells the log why if there are any."""
+    @property
+    def closes_cleanly(self) -> bool:
+        """Whether closing at once cuts nothing off: the kernel has all bytes, and none that make it reset."""
+        delivery = self.delivery
+        return delivery.is_complete or not (delivery.unsent_bytes or self.has_unread_data)
+
+    def close(self) -> None:
+        """Close at once and discard unsent bytes."""
         if self.transport is not None:
-            self._report_cut(reason)
             self.transport.abort()
 
     def reset(self) -> None:
@@ -380,14 +388,12 @@
 
     def _report_cut(self, reason: CutReason) -> None:
         """Count and log a close that cuts off a response, of which this process still holds a part."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        buffered = self.transport.get_write_buffer_size()
-        if not buffered:
+        unsent = self.delivery.unsent_bytes
+        if not unsent:
             return
         self.node.counts["client_answer_cut_off"] += 1
-        unacknowledged = socket_state.unacknowledged_bytes(self.transport)
         self.listener.warnings.log(
             reason.value,
-            f"response cut off: {reason.value}; {buffered} bytes not sent, {unacknowledged} not acknowledged",
+            f"response cut off: {reason.value}; {unsent} bytes not sent, "
+            f"{self.delivery.unacknowledged_bytes} not acknowledged",
         )
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -12,7 +12,6 @@
 from balancer.net.endpoints import Address
 from balancer.net.node import Node
 from balancer.net.rate_limited_log import RateLimitedLog
-from balancer.net.response_delivery import CutReason
 
 log = logging.getLogger(__name__)
 
@@ -67,16 +66,36 @@
     # --- open, idle and lingering connections
 
     def add(self, connection: ClientConnection) -> None:
-        """Register a connection; over the limit, close the longest idle one, then the longest lingering."""
+        """Register a connection; over the limit, end the longest idle one, then make room for it."""
         self.connections.add(connection)
         self.node.counts["connected"] += 1
         self.idle[connection] = None
         if self.is_over_limit and (oldest := self._longest_idle(connection)) is not None:
             self._displace(oldest)
         if len(self.connections) + len(self.lingering) > self.limit + overflow_limit(self.limit):
-            first = next(iter(self.lingering), connection)
-            self.lingering.pop(first, None)
-            first.close(CutReason.MADE_ROOM)
+            self._make_room(connection)
+
+    def _make_room(self, newest: ClientConnection) -> None:
+        """Close the longest lingering or idle connection with nothing left to send, or else the newest."""
+        closable = self._longest_closable()
+        if closable is None and (oldest := self._longest_idle(newest)) is not None and oldest.closes_cleanly:
+            self._displace(oldest)
+            closable = oldest
+        if closable is None:
+            self.node.counts["client_turned_away"] += 1
+            closable = newest
+        self.remove(closable)
+        closable.close()
+
+    def _longest_closable(self) -> ClientConnection | None:
+        """Return the longest lingering connection that has delivered everything, or else one that will."""
+        first = None
+        for connection in self.lingering:
+            if connection.delivery.is_complete:
+                return connection
+            if first is None and connection.closes_cleanly:
+                first = connection
+        return first
 
     def enforce_limit(self) -> None:
         """Close the longest idle connections until the limit holds; those with a request stay and count."""
@@ -88,11 +107,18 @@
         connection.linger()
 
     def _longest_idle(self, newest: ClientConnection | None = None) -> ClientConnection | None:
-        """Return the connection that has been idle longest and has no unread data."""
+        """Return the longest idle connection without unread data, if possible one that has sent everything.
+
+        One that is still sending goes on after its displacement, so its descriptor is not free soon.
+        """
+        first_sending = None
         for connection in self.idle:
-            if connection is not newest and not connection.has_unread_data:
+            if connection is newest or connection.has_unread_data:
+                continue
+            if not connection.delivery.unsent_bytes:
                 return connection
-        return None
+            first_sending = first_sending or connection
+        return first_sending
 
     def move_to_lingering(self, connection: ClientConnection) -> None:
         """Move a connection that this side has half-closed to the lingering ones, outside the limit."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -283,7 +283,8 @@
     def __init__(self, unsent: int = 0) -> None:
         super().__init__()
         self.sock, self.client = socket.socketpair()
-        self.unsent, self.closed, self.aborted = unsent, False, False
+        # After `write_eof` the connection is half-closed and lingers.
+        self.unsent, self.half_closed, self.aborted = unsent, False, False
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return self.sock
@@ -291,14 +292,19 @@
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
+    @property
+    def closed(self) -> bool:
+        """Whether the node has closed the connection or its own side of it."""
+        return self.half_closed or self.aborted
+
     def is_closing(self) -> bool:
-        return self.closed
+        return self.aborted
 
     def write_eof(self) -> None:
-        self.closed = True  # After `write_eof` the connection is half-closed and lingers.
+        self.half_closed = True
 
     def abort(self) -> None:
-        self.closed = self.aborted = True
+        self.aborted = True
 
 
 def create_listener(tmp: Path, limit: int) -> Listener:
@@ -324,7 +330,10 @@
 
 
 async def test_clients_that_read_nothing_do_not_exhaust_the_descriptors(tmp_path: Path) -> None:
-    """Guards against more descriptors than allowed for lingering connections of clients that read nothing."""
+    """Guards against more descriptors than allowed for lingering connections of clients that read nothing.
+
+    New clients are turned away then: closing one of the others would cut off its response.
+    """
     listener = create_listener(tmp_path, 16)
     slow = [add_connection(listener, unsent=1) for _ in range(16)]
     late = [add_connection(listener, unsent=1) for _ in range(overflow_limit(16))]
@@ -332,26 +341,41 @@
         16 - overflow_limit(16)
     )
     assert not listener.is_over_limit and not any(transport.closed for transport in late)
-    assert not any(transport.aborted for transport in slow)  # Lingering connections still fit the limit.
     for _ in range(64):
         last = add_connection(listener, unsent=1)
-        slow.append(last)
-        open_transports = [transport for transport in slow + late if not transport.aborted]
-        assert (
-            len(open_transports) == 16 + overflow_limit(16) and not last.closed and not listener.is_over_limit
-        )
+        assert last.aborted and not listener.is_over_limit
+        assert len(listener.connections) + len(listener.lingering) == 16 + overflow_limit(16)
+    assert not any(transport.aborted for transport in slow + late)  # No response is cut off.
+    slow[1].unsent = 0
+    assert not add_connection(listener).closed and slow[1].aborted
+    assert len(listener.connections) + len(listener.lingering) == 16 + overflow_limit(16)
+    assert not any(transport.aborted for transport in [slow[0], *slow[2:], *late])
 
 
 async def test_connection_lingering_longest_is_aborted_at_the_limit(tmp_path: Path) -> None:
     listener = create_listener(tmp_path, 16)
-    slow = [add_connection(listener, unsent=1) for _ in range(15)]
+    idle = [add_connection(listener) for _ in range(15)]
     rest = [add_connection(listener) for _ in range(overflow_limit(16) + 1)]
     last = add_connection(listener)
     assert not any(transport.closed for transport in (*rest, last))
-    assert [transport.closed for transport in slow] == [True] * (overflow_limit(16) + 1) + [False] * (
+    assert [transport.closed for transport in idle] == [True] * (overflow_limit(16) + 1) + [False] * (
         14 - overflow_limit(16)
     )
-    assert [transport.aborted for transport in slow] == [True] + [False] * 14
+    assert [transport.aborted for transport in idle] == [True] + [False] * 14
+
+
+async def test_connection_that_still_sends_is_neither_displaced_nor_aborted_before_others(
+    tmp_path: Path,
+) -> None:
+    """Guards against ending the connection of a slow client because its last request is the oldest."""
+    listener = create_listener(tmp_path, 16)
+    slow = [add_connection(listener, unsent=1) for _ in range(15)]
+    rest = [add_connection(listener) for _ in range(overflow_limit(16) + 2)]
+    for _ in range(64):
+        rest.append(add_connection(listener))
+        assert len(listener.connections) == 16 and not rest[-1].closed
+        assert len(listener.connections) + len(listener.lingering) == 16 + overflow_limit(16)
+    assert not any(transport.closed for transport in slow)
 
 
 async def test_connections_over_the_limit_do_not_raise_the_limit_beside_a_successor(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/test_response_delivery.py
@@ -0,0 +1,137 @@
+"""Test that responses reach clients that read slowly, whatever else wants their connections closed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from balancer.net.client_connection import ClientConnection
+from balancer.net.connection_limits import overflow_limit
+from balancer.net.listener import Listener
+from tests.sockets import Backend, Message, http_response
+from tests.test_closing import READ, UP, UP_RESPONSE, Peer, on_uvloop, running_listener
+
+LIMIT = 4
+BODY = bytes(range(256)) * 1200  # More than the buffers of the kernel and the transport hold here.
+SMALL_BUFFER_BYTES = 8192
+HTTP_1_0 = b"GET /read HTTP/1.0\r\nRequest-Id: %d\r\n\r\n"
+CLOSE = READ.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+
+
+async def send_body(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+    """Respond with `BODY`."""
+    writer.write(http_response(BODY))
+
+
+async def send_body_without_length(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+    """Respond with `BODY` and mark its end by closing the connection."""
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + BODY)
+    writer.close()
+
+
+@dataclass
+class SlowReader:
+    """A client that has been sent a response and has read only a part of it."""
+
+    peer: Peer
+    connection: ClientConnection
+    received: bytes = b""
+
+    async def read_some(self, size: int) -> bool:
+        """Read up to `size` bytes; return False at the end of the connection."""
+        data = await asyncio.get_running_loop().sock_recv(self.peer.sock, size)
+        self.received += data
+        return bool(data)
+
+    async def read_until_backend_is_done(self) -> None:
+        """Read until the node has received the whole response from the backend."""
+        while self.connection.request_id is not None:
+            await self.read_some(1000)
+        assert self.connection.transport is not None
+        assert self.connection.transport.get_write_buffer_size() > 0
+
+    async def read_rest(self) -> bytes:
+        """Read the rest of the response and return its body."""
+        while not self.received.endswith(BODY) and await self.read_some(4096):
+            pass
+        return self.received.partition(b"\r\n\r\n")[2]
+
+
+async def slow_reader(
+    listener: Listener, request: bytes, send_buffer_bytes: int = SMALL_BUFFER_BYTES
+) -> SlowReader:
+    """Connect a client with small buffers, and send its request."""
+    peer = Peer(window=SMALL_BUFFER_BYTES)
+    connection = await peer.connect(listener)
+    assert connection.transport is not None
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+    peer.sock.send(request)
+    while connection.request_id is None:
+        await asyncio.sleep(0)
+    return SlowReader(peer, connection)
+
+
+async def crowd(listener: Listener, count: int) -> list[Peer]:
+    """Connect idle clients; the node may close any of them."""
+    peers = [Peer() for _ in range(count)]
+    for peer in peers:
+        before = listener.node.counts["connected"]
+        await asyncio.get_running_loop().sock_connect(peer.sock, listener.address)
+        while listener.node.counts["connected"] == before:
+            await asyncio.sleep(0)
+        open_count = len(listener.connections) + len(listener.lingering)
+        assert open_count <= LIMIT + overflow_limit(LIMIT)
+    return peers
+
+
+@pytest.mark.parametrize("reader_count", [1, LIMIT])
+@pytest.mark.parametrize("request_text", [READ, CLOSE, HTTP_1_0], ids=["kept", "last", "no length"])
+def test_crowd_of_idle_clients_does_not_cut_off_responses(
+    tmp_path: Path, request_text: bytes, reader_count: int
+) -> None:
+    """Guards against closing a connection with unsent bytes of a response to make room for new ones."""
+
+    async def check(tmp: Path) -> None:
+        respond = send_body_without_length if request_text is HTTP_1_0 else send_body
+        async with running_listener(tmp, Backend("b0", respond), limit=LIMIT) as listener:
+            readers = [await slow_reader(listener, request_text % i) for i in range(reader_count)]
+            for reader in readers:
+                await reader.read_until_backend_is_done()
+            peers = await crowd(listener, 3 * LIMIT)
+            for reader in readers:
+                assert await reader.read_rest() == BODY
+            for peer in peers + [reader.peer for reader in readers]:
+                peer.sock.close()
+
+    on_uvloop(check)(tmp_path)
+
+
+async def _newcomers_are_served_again(tmp: Path) -> None:
+    """New clients are refused while all connections still send responses, and served once these are read."""
+    async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+        count = LIMIT + overflow_limit(LIMIT)
+        readers = []
+        for number in range(count):
+            readers.append(await slow_reader(listener, READ % number))
+            await readers[-1].read_until_backend_is_done()
+        (refused,) = await crowd(listener, 1)
+        with contextlib.suppress(ConnectionResetError):
+            assert await refused.read(1) == b""
+        assert listener.node.counts["client_turned_away"] == 1
+        for reader in readers:
+            assert await reader.read_rest() == BODY
+        newcomer = Peer()
+        await newcomer.connect(listener)
+        newcomer.sock.send(UP)
+        assert await newcomer.read(len(UP_RESPONSE)) == UP_RESPONSE
+        for peer in [refused, newcomer] + [reader.peer for reader in readers]:
+            peer.sock.close()
+
+
+test_new_clients_are_served_once_responses_are_read = on_uvloop(_newcomers_are_served_again)
