Count a client as stalled only if its machine acknowledges nothing for 20 s

And a last answer that takes longer than the linger time is lost if the client sends anything meanwhile.

The stall timer ended when the transport could send again, which the kernel tells only once a third of its buffer (up to 4 MB) is free; a lingering connection had 20 s in all, however much the client read; it was closed once the transport was empty, with up to megabytes in the kernel which a further byte of the client's resets; and a finished response on a kept connection had no limit at all.

Change: ResponseDelivery.watch counts what is unsent or not acknowledged by the client's machine each second. While the number changes the client reads; unchanged for 20 s it is reset, on every path: streaming, finished, lingering. A lingering connection is closed once everything is acknowledged.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -13,7 +13,7 @@
 from balancer.net.receive_timer import ReceiveTimer
 from balancer.net.request_head import RequestHead, read_head, render_request
 from balancer.net.request_parser import BadRequestError, RequestParser
-from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S, CutReason, ResponseDelivery
+from balancer.net.response_delivery import CutReason, ResponseDelivery
 from balancer.net.response_writer import ResponseWriter
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload
 
@@ -49,7 +49,7 @@
         self.body = bytearray()  # Body of the current request while it is small enough to be buffered.
         self.parser = RequestParser(self)
         self.responses = ResponseWriter(self)
-        self.delivery = ResponseDelivery()
+        self.delivery = ResponseDelivery(listener.loop, self._on_delivery_stall)
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
@@ -108,6 +108,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Abandon the open request because its client has disconnected."""
         self.stage = Stage.CLOSED
+        self.delivery.stop()
         self.listener.remove(self)
         self._abandon_request()
 
@@ -352,18 +353,18 @@
         self.listener.move_to_lingering(self)
         if not self.transport.is_closing():
             self.transport.write_eof()
-        loop = self.listener.loop
-        deadline = loop.time() + WRITE_STALL_TIMEOUT_S
-        self._linger_timer = loop.call_later(LINGER_TIMEOUT_S, self._end_linger, deadline)
+        self.delivery.watch()
+        self._schedule_linger_end()
 
-    def _end_linger(self, deadline: float) -> None:
-        assert self.transport is not None
-        loop = self.listener.loop
-        if self.delivery.unsent_bytes and loop.time() < deadline:
-            self._linger_timer = loop.call_later(LINGER_TIMEOUT_S, self._end_linger, deadline)
-        else:
-            self._report_cut(CutReason.LINGER_TIMEOUT)
+    def _schedule_linger_end(self) -> None:
+        self._linger_timer = self.listener.loop.call_later(LINGER_TIMEOUT_S, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close once the client has received everything: after the close, bytes from it cause a reset."""
+        if self.delivery.is_complete:
             self.close()
+        else:
+            self._schedule_linger_end()
 
     @property
     def closes_cleanly(self) -> bool:
@@ -381,19 +382,16 @@
         if self.transport is not None:
             socket_state.reset(self.transport)
 
-    def on_write_stall(self) -> None:
-        """Disconnect a client that does not read its response."""
-        self._report_cut(CutReason.NOT_READ)
-        self.reset()
-
-    def _report_cut(self, reason: CutReason) -> None:
-        """Count and log a close that cuts off a response, of which this process still holds a part."""
-        unsent = self.delivery.unsent_bytes
-        if not unsent:
+    def _on_delivery_stall(self) -> None:
+        """Disconnect a client that does not read its response; count and log the cut."""
+        if self.transport is None or self.transport.is_closing():
             return
         self.node.counts["client_answer_cut_off"] += 1
+        reason = CutReason.NOT_READ
+        unsent = self.delivery.unsent_bytes
+        unacknowledged = self.delivery.unacknowledged_bytes
         self.listener.warnings.log(
             reason.value,
-            f"response cut off: {reason.value}; {unsent} bytes not sent, "
-            f"{self.delivery.unacknowledged_bytes} not acknowledged",
+            f"response cut off: {reason.value}; {unsent} bytes not sent, {unacknowledged} not acknowledged",
         )
+        self.reset()
--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from balancer.net.backend_connection import BackendConnection
-from balancer.net.response_delivery import WRITE_STALL_TIMEOUT_S
 
 if TYPE_CHECKING:
     from balancer.net.client_connection import ClientConnection
@@ -38,7 +36,6 @@
         self._is_chunked = False
         self._is_framed = False  # The streamed response has a length or is chunked, so truncation is visible.
         self._is_kept_alive = False  # The head of the streamed response announced keep-alive.
-        self._stall_timer: asyncio.TimerHandle | None = None
 
     # --- methods of the `Client` protocol
 
@@ -127,6 +124,8 @@
     def _complete(self) -> None:
         is_kept_alive = self._is_kept_alive
         self._is_kept_alive = False
+        if self.connection.delivery.unsent_bytes:
+            self.connection.delivery.watch()
         self.connection.response_sent(is_kept_alive)
 
     # --- flow control
@@ -148,20 +147,15 @@
             # Responses to a client that keeps sending requests and reads nothing would fill the memory.
             self.is_reading_paused = True
             transport.pause_reading()
-        self._stall_timer = connection.listener.loop.call_later(
-            WRITE_STALL_TIMEOUT_S, connection.on_write_stall
-        )
+        connection.delivery.watch()
 
     def resume_writing(self) -> None:
         """Resume reading from the backend or the client."""
-        self._end_stall()
+        self._resume_requests()
         if self._backend is not None:
             self._backend.resume_reading()
 
-    def _end_stall(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
+    def _resume_requests(self) -> None:
         transport = self.connection.transport
         if self.is_reading_paused and transport is not None and not transport.is_closing():
             transport.resume_reading()
@@ -169,7 +163,7 @@
 
     def end_stream(self) -> None:
         """Stop flow control of the streamed response and release its share of the stream memory."""
-        self._end_stall()
+        self._resume_requests()
         if self._backend is not None:
             self._backend = None
             self.connection.node.memory.stream_count -= 1
--- a/tests/test_response_delivery.py
+++ b/tests/test_response_delivery.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
+from balancer.net import client_connection, response_delivery
 from balancer.net.client_connection import ClientConnection
 from balancer.net.connection_limits import overflow_limit
 from balancer.net.listener import Listener
@@ -135,3 +137,78 @@
 
 
 test_new_clients_are_served_once_responses_are_read = on_uvloop(_newcomers_are_served_again)
+
+
+# --- clients that read slowly or nothing
+
+
+@contextlib.asynccontextmanager
+async def client_past_its_response(tmp: Path, request: bytes) -> AsyncIterator[tuple[Listener, SlowReader]]:
+    """Run a node with a client whose backend has sent its whole response."""
+    async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+        reader = await slow_reader(listener, request)
+        await reader.read_until_backend_is_done()
+        yield listener, reader
+        reader.peer.sock.close()
+
+
+@pytest.fixture
+def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the times after which a client that reads nothing is disconnected."""
+    monkeypatch.setattr(response_delivery, "WRITE_STALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(response_delivery, "DELIVERY_CHECK_INTERVAL_S", 0.02)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 0.02)
+
+
+@pytest.mark.usefixtures("short_timeouts")
+@pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
+def test_client_that_reads_nothing_of_a_finished_response_is_disconnected(
+    tmp_path: Path, request_text: bytes
+) -> None:
+    """Guards against connections that stay forever because their client does not read."""
+
+    async def check(tmp: Path) -> None:
+        async with client_past_its_response(tmp, request_text % 1) as (listener, _):
+            while listener.connections or listener.lingering:
+                await asyncio.sleep(0.01)
+            assert listener.node.counts["client_answer_cut_off"] == 1
+
+    on_uvloop(check)(tmp_path)
+
+
+@pytest.mark.usefixtures("short_timeouts")
+@pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
+def test_client_that_reads_slowly_gets_its_whole_response(tmp_path: Path, request_text: bytes) -> None:
+    """Guards against a time limit on the rest of a response that is being read."""
+
+    async def check(tmp: Path) -> None:
+        async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+            reader = await slow_reader(listener, request_text % 1)
+            while len(reader.received) < len(BODY):  # Takes several times as long as the time limit.
+                await reader.read_some(4096)
+                await asyncio.sleep(0.03)
+            assert await reader.read_rest() == BODY
+            reader.peer.sock.close()
+
+    on_uvloop(check)(tmp_path)
+
+
+async def _client_sends_while_it_reads(tmp: Path) -> None:
+    """The last response is complete for a client that reads it slowly and sends more meanwhile."""
+    async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+        reader = await slow_reader(listener, CLOSE % 1, send_buffer_bytes=2 * len(BODY))
+        while not reader.connection.is_closing:
+            await asyncio.sleep(0)
+        while len(reader.received) < len(BODY):
+            with contextlib.suppress(OSError):
+                reader.peer.sock.send(b"x" * 100)
+            assert await reader.read_some(4096)
+            await asyncio.sleep(0.005)
+        assert await reader.read_rest() == BODY
+        reader.peer.sock.close()
+
+
+@pytest.mark.usefixtures("short_timeouts")
+def test_last_response_is_complete_for_a_slow_client_that_keeps_sending(tmp_path: Path) -> None:
+    """Guards against a close while the client still receives: its next bytes would reset the connection."""
+    on_uvloop(_client_sends_while_it_reads)(tmp_path)
