Read no requests behind a streamed response that the client has not read

What callers would see: the node's memory grows without a bound. A client that has not read a streamed response whose backend is done, and sends requests on its connection, got all of them answered into the transport: 921,400 bytes unsent after 20,000 short requests where 109,592 were the most before.

The transport reports only once that it is full, so nothing paused the client any more; the same holds for a streamed response that begins behind unread ones.

Change: ResponseWriter remembers that the transport is full until it reports otherwise. A finished stream hands the pause on from the backend to the client's requests; a stream that begins meanwhile begins paused.

Evidence: test_requests_behind_an_unread_streamed_response_are_not_read failed before (921400 <= 109592) and passes now. The second half, a stream that begins paused, was found by reading and has no test.

--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -32,6 +32,7 @@
         """Create the writer of a connection, which may not have a transport yet."""
         self.connection = connection
         self.is_reading_paused = False  # No requests are read until the client reads its responses.
+        self._is_writing_paused = False  # The transport has as much to send as it may hold.
         self._backend: BackendConnection | None = None  # Backend connection whose response is being streamed.
         self._is_chunked = False
         self._is_framed = False  # The streamed response has a length or is chunked, so truncation is visible.
@@ -73,6 +74,8 @@
         self._backend = backend
         memory.stream_count += 1
         transport.set_write_buffer_limits(high=memory.window_bytes)
+        if self._is_writing_paused:  # The client has not read its earlier responses.
+            backend.pause_reading()
         self._is_chunked = size is None and connection.parser.is_http_1_1
         self._is_framed = self._is_chunked or size is not None
         if not self._is_framed:
@@ -138,35 +141,47 @@
     def pause_writing(self) -> None:
         """Stop reading from the streamed response's backend, or the client's requests if there is none."""
         connection = self.connection
-        transport = connection.transport
-        if connection.is_closing or transport is None:
+        if connection.is_closing or connection.transport is None:
             return
+        self._is_writing_paused = True
         if self._backend is not None:
             self._backend.pause_reading()
-        elif connection.accepts_requests and not connection.receive_timer.is_paused:
-            # Responses to a client that keeps sending requests and reads nothing would fill the memory.
-            self.is_reading_paused = True
-            transport.pause_reading()
+        self._update_reading()
         connection.delivery.watch()
 
     def resume_writing(self) -> None:
         """Resume reading from the backend or the client."""
-        self._resume_requests()
+        self._is_writing_paused = False
         if self._backend is not None:
             self._backend.resume_reading()
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause or resume reading requests.
 
-    def _resume_requests(self) -> None:
-        transport = self.connection.transport
-        if self.is_reading_paused and transport is not None and not transport.is_closing():
+        Responses to a client that keeps sending requests and reads nothing would fill the memory.
+        """
+        connection = self.connection
+        transport = connection.transport
+        if transport is None or transport.is_closing():
+            self.is_reading_paused = False
+            return
+        is_waiting = self._is_writing_paused and not self.is_streaming
+        must_pause = is_waiting and connection.accepts_requests and not connection.receive_timer.is_paused
+        if must_pause == self.is_reading_paused:
+            return
+        self.is_reading_paused = must_pause
+        if must_pause:
+            transport.pause_reading()
+        else:
             transport.resume_reading()
-        self.is_reading_paused = False
 
     def end_stream(self) -> None:
         """Stop flow control of the streamed response and release its share of the stream memory."""
-        self._resume_requests()
         if self._backend is not None:
             self._backend = None
             self.connection.node.memory.stream_count -= 1
+        self._update_reading()
 
     def abort_stream(self) -> None:
         """Close the connection so that the client notices that its streamed response is truncated.
--- a/tests/test_response_delivery.py
+++ b/tests/test_response_delivery.py
@@ -15,6 +15,7 @@
 from balancer.net.client_connection import ClientConnection
 from balancer.net.connection_limits import overflow_limit
 from balancer.net.listener import Listener
+from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
 from tests.sockets import Backend, Message, http_response
 from tests.test_closing import READ, UP, UP_RESPONSE, Peer, on_uvloop, running_listener
 
@@ -193,6 +194,31 @@
     on_uvloop(check)(tmp_path)
 
 
+async def _requests_follow_a_finished_stream(tmp: Path) -> None:
+    """No requests are read from a client that has not read its streamed response, although that is over."""
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        # The second read of the node fills the buffer over its limit and completes the response.
+        writer.write(http_response(bytes(2 * MAX_BUFFERED_BODY_BYTES - 1000)))
+
+    async with running_listener(tmp, Backend("b0", respond), limit=LIMIT) as listener:
+        reader = await slow_reader(listener, READ % 1)
+        transport = reader.connection.transport
+        assert transport is not None
+        while reader.connection.request_id is not None:
+            await asyncio.sleep(0)
+        unsent_bytes = transport.get_write_buffer_size()
+        for _ in range(20):
+            with contextlib.suppress(BlockingIOError):
+                reader.peer.sock.send(UP * 1000)
+            await asyncio.sleep(0.005)
+        assert transport.get_write_buffer_size() <= unsent_bytes
+        reader.peer.sock.close()
+
+
+test_requests_behind_an_unread_streamed_response_are_not_read = on_uvloop(_requests_follow_a_finished_stream)
+
+
 async def _client_sends_while_it_reads(tmp: Path) -> None:
     """The last response is complete for a client that reads it slowly and sends more meanwhile."""
     async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
