Let responses that have begun go on until SIGKILL instead of ending them before

What callers see: a long answer that is on its way at SIGTERM is cut off by the node itself 0.2 s before the earliest SIGKILL, however much later that comes; one that the backend has given whole loses up to a window of it when the process exits. An answer without a length, whose rest is lost at the exit, looks complete.

Change: after its time is over the process fails only requests without a response, half-closes the other connections, and stays until the kernel has every response that has begun. A client or a backend that stands still ends the wait (20 s, 10 s), SIGKILL does earlier. A response that ends with its connection is reset instead, counted and logged: a kill would make its truncation invisible.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -49,7 +49,7 @@
         self.body = bytearray()  # Body of the current request while it is small enough to be buffered.
         self.parser = RequestParser(self)
         self.responses = ResponseWriter(self)
-        self.delivery = ResponseDelivery(listener.loop, self._on_delivery_stall)
+        self.delivery = ResponseDelivery(listener.loop, partial(self.cut_off, CutReason.NOT_READ))
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
@@ -75,6 +75,11 @@
         """Whether a response is being sent before its request's body has been received completely."""
         return self.stage is Stage.DRAINING
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a response has begun and not all of it has been handed to the kernel."""
+        return self.responses.is_streaming or self.delivery.unsent_bytes > 0
+
     @property
     def is_last_response(self) -> bool:
         """Whether the connection closes after the current or next response."""
@@ -382,12 +387,11 @@
         if self.transport is not None:
             socket_state.reset(self.transport)
 
-    def _on_delivery_stall(self) -> None:
-        """Disconnect a client that does not read its response; count and log the cut."""
+    def cut_off(self, reason: CutReason) -> None:
+        """Reset the connection below a response that its client has not received; count and log that."""
         if self.transport is None or self.transport.is_closing():
             return
         self.node.counts["client_answer_cut_off"] += 1
-        reason = CutReason.NOT_READ
         unsent = self.delivery.unsent_bytes
         unacknowledged = self.delivery.unacknowledged_bytes
         self.listener.warnings.log(
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -12,10 +12,12 @@
 from balancer.net.endpoints import Address
 from balancer.net.node import Node
 from balancer.net.rate_limited_log import RateLimitedLog
+from balancer.net.response_delivery import CutReason
 
 log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
+DELIVERY_POLL_INTERVAL_S = 0.05
 
 
 class Listener:
@@ -171,10 +173,28 @@
                 await asyncio.wait_for(self._drained.wait(), timeout_s)
 
     async def close(self, timeout_s: float) -> None:
-        """Half-close every connection and wait up to `timeout_s` for the clients to close theirs."""
+        """Half-close connections, except below a streamed response; wait for the clients to close theirs.
+
+        Args:
+            timeout_s: Maximum time to wait, in seconds.
+        """
         for connection in list(self.connections):
-            connection.linger()
+            if not connection.responses.is_streaming:
+                connection.linger()
         if self.lingering:
             self._all_closed.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._all_closed.wait(), timeout_s)
+
+    async def wait_until_delivered(self) -> None:
+        """Wait until the kernel has every response that has begun; call `close` first.
+
+        A response that ends with its connection is reset, as the client would take the end of the process for
+        the end of the response. The limits on a client that reads nothing and on a backend that sends nothing
+        end the wait.
+        """
+        for connection in (*self.connections, *self.lingering):
+            if connection.is_sending and connection.responses.ends_with_connection:
+                connection.cut_off(CutReason.PROCESS_ENDS)
+        while any(connection.is_sending for connection in (*self.connections, *self.lingering)):
+            await asyncio.sleep(DELIVERY_POLL_INTERVAL_S)
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -124,16 +124,17 @@
         self._cancel_attempts(request, include_sent=True)
 
     async def finish(self, timeout_s: float) -> None:
-        """Wait up to `timeout_s` for all requests to be answered, then fail the rest.
+        """Wait up to `timeout_s` for all requests to be answered, then fail those without a response.
 
-        A streamed response still in progress is aborted, because SIGKILL would cut it off anyway.
+        A streamed response that has begun goes on: its client may receive all of it before SIGKILL.
         """
         self._drained = asyncio.Event()
         if self.open:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._drained.wait(), timeout_s)
-        for request_id in list(self.open):
-            self.abandon(request_id)
+        for request in list(self.open.values()):
+            if request.is_answered or not request.is_streaming:
+                self.abandon(request.request_id)
 
     # --- decisions of the balancer
 
--- a/balancer/net/response_delivery.py
+++ b/balancer/net/response_delivery.py
@@ -17,6 +17,7 @@
     """Why the node cut off a response that its client had not received; the values are log texts."""
 
     NOT_READ = f"the client read nothing for {WRITE_STALL_TIMEOUT_S:g} s"
+    PROCESS_ENDS = "the process ends, and only a reset shows the client that the response is truncated"
 
 
 class ResponseDelivery:
--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -35,7 +35,8 @@
         self._is_writing_paused = False  # The transport has as much to send as it may hold.
         self._backend: BackendConnection | None = None  # Backend connection whose response is being streamed.
         self._is_chunked = False
-        self._is_framed = False  # The streamed response has a length or is chunked, so truncation is visible.
+        # The end of the connection is the end of the streamed response, so only a reset shows a truncation.
+        self.ends_with_connection = False
         self._is_kept_alive = False  # The head of the streamed response announced keep-alive.
 
     # --- methods of the `Client` protocol
@@ -77,9 +78,9 @@
         if self._is_writing_paused:  # The client has not read its earlier responses.
             backend.pause_reading()
         self._is_chunked = size is None and connection.parser.is_http_1_1
-        self._is_framed = self._is_chunked or size is not None
-        if not self._is_framed:
-            connection.close_after_response()  # Without framing only the close marks the end of the response.
+        self.ends_with_connection = size is None and not self._is_chunked
+        if self.ends_with_connection:
+            connection.close_after_response()
         connection.drain_request_body()
         head = b"HTTP/1.1 200 OK\r\n"
         if content_type:
@@ -191,7 +192,7 @@
         a reset shows that the response is truncated.
         """
         self.connection.node.counts["client_answer_broken_off"] += 1
-        if self._is_framed or not self.is_streaming:
-            self.connection.linger()
-        else:
+        if self.is_streaming and self.ends_with_connection:
             self.connection.reset()
+        else:
+            self.connection.linger()
--- a/balancer/net/shutdown.py
+++ b/balancer/net/shutdown.py
@@ -1,4 +1,4 @@
-"""Graceful shutdown: answer every accepted request before SIGKILL arrives."""
+"""Graceful shutdown: answer every accepted request before SIGKILL, finish what has begun until then."""
 
 from __future__ import annotations
 
@@ -40,7 +40,8 @@
 ) -> None:
     """Answer all accepted requests, then close all client connections.
 
-    SIGKILL follows the signal of loop time `signalled_at`, however late it was handled.
+    SIGKILL follows the signal of loop time `signalled_at`, however late it was handled. A response that has
+    begun is not cut off for it, so this waits for its end: SIGKILL may come later, or never.
     """
     loop = asyncio.get_running_loop()
     killed_at = signalled_at + seconds_until_kill(node.settings)
@@ -61,3 +62,4 @@
     await listener.wait_until_drained(max(0.0, last_response_at - loop.time()))
     await node.requests.finish(max(0.0, last_response_at - loop.time()))
     await listener.close(max(0.0, killed_at - EXIT_MARGIN_S - loop.time()))
+    await listener.wait_until_delivered()
--- a/tests/test_response_delivery.py
+++ b/tests/test_response_delivery.py
@@ -14,9 +14,9 @@
 from balancer.net import client_connection, response_delivery
 from balancer.net.client_connection import ClientConnection
 from balancer.net.connection_limits import overflow_limit
-from balancer.net.listener import Listener
+from balancer.net.listener import DELIVERY_POLL_INTERVAL_S, Listener
 from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
-from tests.sockets import Backend, Message, http_response
+from tests.sockets import Backend, Message, Respond, http_response
 from tests.test_closing import READ, UP, UP_RESPONSE, Peer, on_uvloop, running_listener
 
 LIMIT = 4
@@ -144,9 +144,11 @@
 
 
 @contextlib.asynccontextmanager
-async def client_past_its_response(tmp: Path, request: bytes) -> AsyncIterator[tuple[Listener, SlowReader]]:
+async def client_past_its_response(
+    tmp: Path, request: bytes, respond: Respond = send_body
+) -> AsyncIterator[tuple[Listener, SlowReader]]:
     """Run a node with a client whose backend has sent its whole response."""
-    async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+    async with running_listener(tmp, Backend("b0", respond), limit=LIMIT) as listener:
         reader = await slow_reader(listener, request)
         await reader.read_until_backend_is_done()
         yield listener, reader
@@ -177,6 +179,36 @@
     on_uvloop(check)(tmp_path)
 
 
+async def _process_ends(tmp: Path) -> None:
+    """The process stays until a finished response is sent, even past its time, and no longer."""
+    async with client_past_its_response(tmp, READ % 1) as (listener, reader):
+        listener.stop()
+        await listener.close(0.0)
+        waiting = asyncio.ensure_future(listener.wait_until_delivered())
+        await asyncio.sleep(2 * DELIVERY_POLL_INTERVAL_S)
+        assert not waiting.done()
+        assert await reader.read_rest() == BODY
+        await waiting
+
+
+test_process_stays_until_a_finished_response_is_sent = on_uvloop(_process_ends)
+
+
+async def _process_ends_below_a_response_without_length(tmp: Path) -> None:
+    """A client sees at the end of the process that its response without length is not whole."""
+    async with client_past_its_response(tmp, HTTP_1_0 % 1, send_body_without_length) as (listener, reader):
+        listener.stop()
+        await listener.close(0.0)
+        await listener.wait_until_delivered()
+        with pytest.raises(ConnectionResetError):
+            await reader.read_rest()
+
+
+test_unsent_response_without_length_is_reset_at_the_end_of_the_process = on_uvloop(
+    _process_ends_below_a_response_without_length
+)
+
+
 @pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
 def test_client_that_reads_slowly_gets_its_whole_response(tmp_path: Path, request_text: bytes) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -168,6 +168,60 @@
         assert await rig.wait_for_exit() == 0
 
 
+# SIGKILL comes 1.0 s after SIGTERM at the earliest: after the longest deadline and 0.7 s.
+SHORT_DEADLINES = {
+    "request-classes": [{"name": "read", "effect": "retryable", "give-up": 300, "objective": 200}]
+}
+SECONDS_UNTIL_KILL = 1.0
+
+
+async def test_response_that_the_backend_is_still_sending_goes_on_until_sigkill(tmp_path: Path) -> None:
+    """Guards against cutting off a long response before SIGKILL does, which may come later or never."""
+    piece, count = bytes(20_000), 10
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(piece) * count))
+        for _ in range(count):
+            writer.write(piece)
+            await asyncio.sleep(2 * SECONDS_UNTIL_KILL / count)
+
+    async with running_node(tmp_path, Backend("b0", respond), **SHORT_DEADLINES) as rig:
+        client, idle = await rig.connect(), await rig.connect()
+        await idle.request("/up")
+        client.send("/read")
+        await client.reader.readuntil(b"\r\n\r\n")
+        rig.terminate()
+        assert await idle.read_until_closed() == b""
+        is_whole = await client.read_until_closed() == piece * count
+        assert is_whole
+        client.writer.close()
+        assert await rig.wait_for_exit() == 0
+
+
+async def test_response_that_the_client_is_still_reading_goes_on_until_sigkill(tmp_path: Path) -> None:
+    """Guards against an exit that discards the rest of a response while its client reads."""
+    size = 8_000_000  # More than the kernel's buffers hold.
+    loop = asyncio.get_running_loop()
+
+    async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(http_response(bytes(size)))
+
+    async with running_node(tmp_path, Backend("b0", respond), **SHORT_DEADLINES) as rig:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", rig.port))
+            await loop.sock_sendall(sock, b"GET /read HTTP/1.1\r\nHost: n\r\nRequest-Id: 1\r\n\r\n")
+            got = bytearray(await loop.sock_recv(sock, 1000))
+            rig.terminate()
+            await asyncio.sleep(1.5 * SECONDS_UNTIL_KILL)
+            while data := await loop.sock_recv(sock, 10_000):
+                got += data
+            is_whole = got.endswith(b"\r\n\r\n" + bytes(size))
+            assert is_whole
+        assert await rig.wait_for_exit() == 0
+
+
 async def test_client_that_never_closes_does_not_block_the_exit(tmp_path: Path) -> None:
     """Guards against a process that waits for a client which never closes its side until SIGKILL."""
     async with running_node(tmp_path, Backend("b0"), **LONG_DEADLINES) as rig:
