Count a backend as stalled in an upload only if it acknowledges nothing for 10 s

What callers see: a long request body to a backend that reads it at 80 kB/s without a pause is refused after 11 s (trial, real process, 6 MB body: 503, logged as "connection stalled: no byte sent or received for 10 s").

Cause, that of the slow clients: progress was taken from the moments in which the transport could write, and the kernel lets it do so only once a third of its buffer is free, which at that rate takes longer than 10 s.

Change: SendQueue, what is unsent or unacknowledged on a connection, is a class of its own now, used by the delivery of responses and by the stall detection of backend connections, which looks each second.

Evidence: test_backend_that_reads_an_upload_slowly_gets_all_of_it failed on the commit before (503) and passes now.

--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -12,6 +12,7 @@
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.load_report import LoadReportError
 from balancer.net.response_parser import MAX_HEADER_BYTES, ResponseParser
+from balancer.net.send_queue import SendQueue
 from balancer.net.statistics import CloseReason
 from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
 
@@ -22,9 +23,9 @@
 STREAMING_DELAY_S = 0.025
 # A response of unknown length counts as a long response while it arrives at 16 KiB/s or more.
 MIN_LONG_RESPONSE_BYTES_PER_S = 16 * 1024
-# An attempt with a streamed body fails if no byte is sent or received for 10 s.
+# An attempt with a streamed body fails if the backend receives and sends no byte for 10 s.
 STALL_TIMEOUT_S = 10.0
-STALL_CHECK_MIN_S = STALL_TIMEOUT_S / 10
+STALL_CHECK_INTERVAL_S = 1.0
 # A connection is not reused until 6 ms after a response, because a faulty second response may follow.
 REUSE_DELAY_S = 0.006
 
@@ -59,6 +60,7 @@
         # The timer runs while an attempt waits until the connection has been idle for `REUSE_DELAY_S`.
         self._reuse_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
+        self._send_queue = SendQueue()
         self.response = ResponseParser(self._begin_streaming)
 
     # --- connecting and closing
@@ -183,6 +185,7 @@
         # uvloop's transports do not subclass `asyncio.Transport`, so this needs a cast.
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        self._send_queue.attach(self.transport)
 
     def pause_writing(self) -> None:
         """Record that bytes of the request are still buffered."""
@@ -309,22 +312,28 @@
         """Start stall detection, because a streamed body has no other time limit."""
         if self._stall_timer is None:
             self._last_progress = self.pool.loop.time()
-            self._stall_timer = self.pool.loop.call_later(STALL_TIMEOUT_S, self._check_stall)
+            self._send_queue.has_moved()  # Later calls compare with the length that the queue has now.
+            self._schedule_stall_check()
+
+    def _schedule_stall_check(self) -> None:
+        self._stall_timer = self.pool.loop.call_later(STALL_CHECK_INTERVAL_S, self._check_stall)
 
     def _check_stall(self) -> None:
         self._stall_timer = None
         if self.attempt is None:
             return
+        now = self.pool.loop.time()
+        if self._send_queue.has_moved():
+            self._last_progress = now
         is_receiving = self.response.sink is not None and not self._is_reading_paused
-        remaining = self._last_progress + STALL_TIMEOUT_S - self.pool.loop.time()
-        if (self.is_write_blocked or is_receiving) and remaining <= 0:
+        is_stalled = now - self._last_progress >= STALL_TIMEOUT_S
+        if (self.is_write_blocked or is_receiving) and is_stalled:
             self._warn(
                 f"connection stalled: no byte sent or received for {STALL_TIMEOUT_S:g} s, the attempt fails"
             )
             self._fail(self._break_status)
             return
-        delay = max(remaining, STALL_CHECK_MIN_S)
-        self._stall_timer = self.pool.loop.call_later(delay, self._check_stall)
+        self._schedule_stall_check()
 
     def _cancel_timers(self) -> None:
         for timer in (self._stall_timer, self.streaming_timer, self._reuse_timer):
--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -78,7 +78,7 @@
     @property
     def is_sending(self) -> bool:
         """Whether a response has begun and not all of it has been handed to the kernel."""
-        return self.responses.is_streaming or self.delivery.unsent_bytes > 0
+        return self.responses.is_streaming or self.delivery.queue.unsent_bytes > 0
 
     @property
     def is_last_response(self) -> bool:
@@ -106,7 +106,7 @@
         """Register the connection; one over the limit gets a response and is closed."""
         # uvloop's transports do not subclass `asyncio.Transport`, so this needs a cast.
         self.transport = cast(asyncio.Transport, transport)
-        self.delivery.start(self.transport)
+        self.delivery.queue.attach(self.transport)
         self.receive_timer.start()
         self.listener.add(self)
 
@@ -366,7 +366,7 @@
 
     def _end_linger(self) -> None:
         """Close once the client has received everything: after the close, bytes from it cause a reset."""
-        if self.delivery.is_complete:
+        if self.delivery.queue.is_delivered:
             self.close()
         else:
             self._schedule_linger_end()
@@ -374,8 +374,8 @@
     @property
     def closes_cleanly(self) -> bool:
         """Whether closing at once cuts nothing off: the kernel has all bytes, and none that make it reset."""
-        delivery = self.delivery
-        return delivery.is_complete or not (delivery.unsent_bytes or self.has_unread_data)
+        queue = self.delivery.queue
+        return queue.is_delivered or not (queue.unsent_bytes or self.has_unread_data)
 
     def close(self) -> None:
         """Close at once and discard unsent bytes."""
@@ -392,8 +392,8 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.node.counts["client_answer_cut_off"] += 1
-        unsent = self.delivery.unsent_bytes
-        unacknowledged = self.delivery.unacknowledged_bytes
+        unsent = self.delivery.queue.unsent_bytes
+        unacknowledged = self.delivery.queue.unacknowledged_bytes
         self.listener.warnings.log(
             reason.value,
             f"response cut off: {reason.value}; {unsent} bytes not sent, {unacknowledged} not acknowledged",
--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -93,7 +93,7 @@
         """Return the longest lingering connection that has delivered everything, or else one that will."""
         first = None
         for connection in self.lingering:
-            if connection.delivery.is_complete:
+            if connection.delivery.queue.is_delivered:
                 return connection
             if first is None and connection.closes_cleanly:
                 first = connection
@@ -117,7 +117,7 @@
         for connection in self.idle:
             if connection is newest or connection.has_unread_data:
                 continue
-            if not connection.delivery.unsent_bytes:
+            if not connection.delivery.queue.unsent_bytes:
                 return connection
             first_sending = first_sending or connection
         return first_sending
--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -128,7 +128,7 @@
     def _complete(self) -> None:
         is_kept_alive = self._is_kept_alive
         self._is_kept_alive = False
-        if self.connection.delivery.unsent_bytes:
+        if self.connection.delivery.queue.unsent_bytes:
             self.connection.delivery.watch()
         self.connection.response_sent(is_kept_alive)
 
--- a/tests/test_response_delivery.py
+++ b/tests/test_slow_peers.py
@@ -1,4 +1,4 @@
-"""Test that responses reach clients that read slowly, whatever else wants their connections closed."""
+"""Test that long bodies reach peers that read slowly, whatever else wants their connections closed."""
 
 from __future__ import annotations
 
@@ -11,7 +11,8 @@
 
 import pytest
 
-from balancer.net import client_connection, response_delivery
+from balancer.net import backend_connection, client_connection, response_delivery
+from balancer.net.attempt import Attempt
 from balancer.net.client_connection import ClientConnection
 from balancer.net.connection_limits import overflow_limit
 from balancer.net.listener import DELIVERY_POLL_INTERVAL_S, Listener
@@ -20,8 +21,13 @@
 from tests.test_closing import READ, UP, UP_RESPONSE, Peer, on_uvloop, running_listener
 
 LIMIT = 4
-BODY = bytes(range(256)) * 1200  # More than the buffers of the kernel and the transport hold here.
+BODY = bytes(range(256)) * 800  # More than the buffers of the kernel and the transport hold here.
 SMALL_BUFFER_BYTES = 8192
+STALL_TIMEOUT_S = 0.8
+CHECK_INTERVAL_S = 0.02
+# A peer that reads at this rate empties the buffer of a connection in more than STALL_TIMEOUT_S.
+SLOW_READ_BYTES = 4096
+SLOW_READ_INTERVAL_S = 0.08
 HTTP_1_0 = b"GET /read HTTP/1.0\r\nRequest-Id: %d\r\n\r\n"
 CLOSE = READ.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 
@@ -157,10 +163,12 @@
 
 @pytest.fixture
 def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Shorten the times after which a client that reads nothing is disconnected."""
-    monkeypatch.setattr(response_delivery, "WRITE_STALL_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(response_delivery, "DELIVERY_CHECK_INTERVAL_S", 0.02)
-    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", 0.02)
+    """Shorten the times after which a peer that reads nothing is disconnected."""
+    monkeypatch.setattr(response_delivery, "WRITE_STALL_TIMEOUT_S", STALL_TIMEOUT_S)
+    monkeypatch.setattr(response_delivery, "DELIVERY_CHECK_INTERVAL_S", CHECK_INTERVAL_S)
+    monkeypatch.setattr(client_connection, "LINGER_TIMEOUT_S", CHECK_INTERVAL_S)
+    monkeypatch.setattr(backend_connection, "STALL_TIMEOUT_S", STALL_TIMEOUT_S)
+    monkeypatch.setattr(backend_connection, "STALL_CHECK_INTERVAL_S", CHECK_INTERVAL_S)
 
 
 @pytest.mark.usefixtures("short_timeouts")
@@ -218,8 +226,8 @@
         async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
             reader = await slow_reader(listener, request_text % 1)
             while len(reader.received) < len(BODY):  # Takes several times as long as the time limit.
-                await reader.read_some(4096)
-                await asyncio.sleep(0.03)
+                await reader.read_some(SLOW_READ_BYTES)
+                await asyncio.sleep(SLOW_READ_INTERVAL_S)
             assert await reader.read_rest() == BODY
             reader.peer.sock.close()
 
@@ -270,3 +278,73 @@
 def test_last_response_is_complete_for_a_slow_client_that_keeps_sending(tmp_path: Path) -> None:
     """Guards against a close while the client still receives: its next bytes would reset the connection."""
     on_uvloop(_client_sends_while_it_reads)(tmp_path)
+
+
+# --- backends that read slowly
+
+
+class SlowBackend(Backend):
+    """A backend with a small receive buffer that reads a long request body slowly, then responds."""
+
+    async def start(self) -> None:
+        """Start listening."""
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen()
+        self.sock.setblocking(False)
+        self.port = self.sock.getsockname()[1]
+        self.serving = asyncio.ensure_future(self._serve_one())
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.serving.cancel()
+        self.sock.close()
+
+    async def _serve_one(self) -> None:
+        loop = asyncio.get_running_loop()
+        sock, _ = await loop.sock_accept(self.sock)
+        with sock:
+            received = b""
+            while not received.endswith(BODY) and (data := await loop.sock_recv(sock, SLOW_READ_BYTES)):
+                received += data
+                await asyncio.sleep(SLOW_READ_INTERVAL_S)
+            if received.endswith(BODY):
+                await loop.sock_sendall(sock, http_response(b"done"))
+
+
+async def _backend_reads_an_upload_slowly(tmp: Path) -> None:
+    """An attempt whose backend reads a long body slowly, but without a pause, does not fail."""
+    async with running_listener(tmp, SlowBackend("b0")) as listener:
+        loop, peer = asyncio.get_running_loop(), Peer()
+        connection = await peer.connect(listener)
+        await loop.sock_sendall(peer.sock, UPLOAD_HEAD)
+        sending = asyncio.ensure_future(loop.sock_sendall(peer.sock, BODY))
+        while (attempt := started_attempt(listener)) is None or attempt.connection is None:
+            await asyncio.sleep(0)
+        while (sock := attempt.connection.socket) is None:
+            await asyncio.sleep(0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        response = await peer.read(1)
+        assert connection.request_id is None
+        response += await peer.read(len(b"HTTP/1.1 200 OK") - 1)
+        assert response == b"HTTP/1.1 200 OK"
+        await sending
+        peer.sock.close()
+
+
+UPLOAD_HEAD = b"POST /once HTTP/1.1\r\nHost: n\r\nRequest-Id: 1\r\nContent-Length: %d\r\n\r\n" % len(BODY)
+
+
+def started_attempt(listener: Listener) -> Attempt | None:
+    """Return the attempt of the only open request, or None before it has begun."""
+    for request in listener.node.requests.open.values():
+        for attempt in request.attempts:
+            return attempt.attempt
+    return None
+
+
+@pytest.mark.usefixtures("short_timeouts")
+def test_backend_that_reads_an_upload_slowly_gets_all_of_it(tmp_path: Path) -> None:
+    """Guards against an attempt that fails as stalled because the kernel takes no more bytes for a while."""
+    on_uvloop(_backend_reads_an_upload_slowly)(tmp_path)
