Console: do not drop a call in execution for callers that send nothing

What callers would see: an operator's call that is being carried out (a ban that waits for the disk) gets no answer though it takes effect, if eight more callers connect meanwhile, also such that send nothing.

Change: the oldest connection that awaits no response goes; a dropped one no longer counts, so that a burst does not drop the same one twice.

Evidence: the new test failed before (idle callers stayed, the calls had been dropped) and passes now, with seven calls in execution and sixteen idle callers. The limit of eight connections holds as before.

--- a/balancer/net/console.py
+++ b/balancer/net/console.py
@@ -22,7 +22,7 @@
 CALL_TIMEOUT_S = 2.5  # A caller of the console has 2.5 s to send its complete request.
 # A caller that is still sending has 1 s to read its response before the connection is aborted.
 LINGER_TIMEOUT_S = 1.0
-MAX_CONNECTIONS = 8  # If more than 8 connections to the console are open, the oldest one is closed.
+MAX_CONNECTIONS = 8  # If more than 8 connections are open, the oldest one that awaits no response is closed.
 BACKLOG = 32
 TEXT = "text/plain"
 JSON = "application/json"
@@ -141,9 +141,17 @@
     def _expire(self) -> None:
         self._reject(CallError(408, f"call was not received within {CALL_TIMEOUT_S:g} s"))
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether the call is being executed, or its response is not sent completely."""
+        if not self._is_answered:
+            return self._is_executing
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def drop(self) -> None:
         """Abort the connection without a response."""
         self._is_answered = True
+        self._console.connections.pop(self, None)
         if self._transport is not None:
             self._transport.abort()
 
@@ -237,10 +245,11 @@
         )
 
     def add(self, connection: ConsoleConnection) -> None:
-        """Register a connection; beyond the limit, close the oldest, which has not completed its call."""
+        """Register a connection; beyond the limit, close the oldest one that awaits no response."""
         self.connections[connection] = None
         if len(self.connections) > MAX_CONNECTIONS:
-            next(iter(self.connections)).drop()
+            # The newest has not sent its call yet, so there is always one to close.
+            next(other for other in self.connections if not other.awaits_response).drop()
 
     def start(self, call: Coroutine[None, None, None]) -> None:
         """Execute a call in the background."""
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from balancer.net.console import MAX_CONNECTIONS, Console
 from tests.sockets import LONG_DEADLINES, WAIT_TIMEOUT_S, Backend, read_message, running_node
 from tests.test_node import never_respond, respond_with
 
@@ -111,3 +112,46 @@
         assert (await (await rig.connect()).request("/stats")).status == 404
         assert json.loads(rig.config.read_text()).get("console") is None
         assert not any("console on" in line for line in rig.log)
+
+
+class BlockingTarget:
+    """A console target whose maintenance calls are executed until the test ends them."""
+
+    def __init__(self) -> None:
+        self.call_count = 0
+        self.may_end = asyncio.Event()
+
+    def unready_reason(self) -> str:
+        """Return that the node is ready."""
+        return ""
+
+    def stats(self) -> dict[str, object]:
+        """Return no statistics."""
+        return {}
+
+    async def set_maintenance(self, backend: str, is_banned: bool) -> bool:
+        """Wait until the test ends the call."""
+        self.call_count += 1
+        await self.may_end.wait()
+        return True
+
+
+async def test_call_in_execution_is_answered_whoever_connects_meanwhile() -> None:
+    """Guards against dropping a call that has an effect, and its answer, for callers that send nothing."""
+    target = BlockingTarget()
+    console = Console(target)
+    await console.listen(("127.0.0.1", 0))
+    calls = [await asyncio.open_connection(*console.address) for _ in range(MAX_CONNECTIONS - 1)]
+    for number, (_, writer) in enumerate(calls, start=1):
+        writer.write(b"POST /backends/b0/maint " + REQUEST_HEAD.encode() + b"\r\n")
+        while target.call_count < number:
+            await asyncio.sleep(0)
+    idle = [await asyncio.open_connection(*console.address) for _ in range(2 * MAX_CONNECTIONS)]
+    assert await asyncio.wait_for(idle[-2][0].read(), WAIT_TIMEOUT_S) == b""
+    assert len(console.connections) == MAX_CONNECTIONS
+    target.may_end.set()
+    for reader, _ in calls:
+        assert (await asyncio.wait_for(read_message(reader), WAIT_TIMEOUT_S)).status == 200
+    for _, writer in calls + idle:
+        writer.close()
+    console.close()
