Count a finished response in the memory of streams until it is sent

What callers would see: a node over its memory limit under many slow clients. The budget of streamed bodies counted a response only until its backend was done, though up to two windows of it were still buffered for the client.

How far a node can get over its plan this way is only reckoned, not shown: 134 clients of a node with 256 descriptors could hold some 13 MB that nothing counted.

Change: the connection keeps its share until the kernel has everything or the connection is gone.

Evidence: test_finished_response_counts_in_the_memory_budget_until_it_is_sent failed before (0 streams beside unsent bytes) and passes now; two more hold that the share is released by a reset of the client and of the node.

Measured: 344 tests of slow peers, size, closing, shutdown, spoilt answers, node and upgrade pass.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -49,7 +49,9 @@
         self.body = bytearray()  # Body of the current request while it is small enough to be buffered.
         self.parser = RequestParser(self)
         self.responses = ResponseWriter(self)
-        self.delivery = ResponseDelivery(listener.loop, partial(self.cut_off, CutReason.NOT_READ))
+        self.delivery = ResponseDelivery(
+            listener.loop, self.responses.release_memory, partial(self.cut_off, CutReason.NOT_READ)
+        )
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
@@ -78,7 +80,8 @@
     @property
     def is_sending(self) -> bool:
         """Whether a response has begun and not all of it has been handed to the kernel."""
-        return self.responses.is_streaming or self.delivery.queue.unsent_bytes > 0
+        is_sending = self.responses.is_streaming or self.delivery.queue.unsent_bytes > 0
+        return is_sending and self.stage is not Stage.CLOSED
 
     @property
     def is_last_response(self) -> bool:
--- a/balancer/net/response_delivery.py
+++ b/balancer/net/response_delivery.py
@@ -22,10 +22,17 @@
 class ResponseDelivery:
     """The responses of one connection that its client has not received yet."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_stall: Callable[[], None]) -> None:
-        """Create the state of a connection; `on_stall` is called if a watched client reads nothing."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_sent: Callable[[], None], on_stall: Callable[[], None]
+    ) -> None:
+        """Create the state of a connection.
+
+        While it is watched, `on_sent` is called once the kernel has everything, and `on_stall` if the client
+        reads nothing.
+        """
         self.queue = SendQueue()
         self._loop = loop
+        self._on_sent = on_sent
         self._on_stall = on_stall
         self._timer: asyncio.TimerHandle | None = None
         self._progress_at = 0.0  # Loop time in seconds of the last check at which the queue had moved.
@@ -51,6 +58,8 @@
 
     def _check(self) -> None:
         self._timer = None
+        if not self.queue.unsent_bytes:
+            self._on_sent()
         if self.queue.is_delivered:
             return
         if self.queue.has_moved():
--- a/balancer/net/response_writer.py
+++ b/balancer/net/response_writer.py
@@ -34,6 +34,7 @@
         self.is_reading_paused = False  # No requests are read until the client reads its responses.
         self._is_writing_paused = False  # The transport has as much to send as it may hold.
         self._backend: BackendConnection | None = None  # Backend connection whose response is being streamed.
+        self._has_memory_share = False  # The stream memory counts this connection.
         self._is_chunked = False
         # The end of the connection is the end of the streamed response, so only a reset shows a truncation.
         self.ends_with_connection = False
@@ -73,7 +74,9 @@
             return
         memory = connection.node.memory
         self._backend = backend
-        memory.stream_count += 1
+        if not self._has_memory_share:
+            self._has_memory_share = True
+            memory.stream_count += 1
         transport.set_write_buffer_limits(high=memory.window_bytes)
         if self._is_writing_paused:  # The client has not read its earlier responses.
             backend.pause_reading()
@@ -178,12 +181,17 @@
             transport.resume_reading()
 
     def end_stream(self) -> None:
-        """Stop flow control of the streamed response and release its share of the stream memory."""
-        if self._backend is not None:
-            self._backend = None
-            self.connection.node.memory.stream_count -= 1
+        """Stop flow control of the streamed response."""
+        self._backend = None
+        self.release_memory()
         self._update_reading()
 
+    def release_memory(self) -> None:
+        """Release the share of the stream memory, unless the streamed response is still buffered."""
+        if self._has_memory_share and not self.connection.is_sending:
+            self._has_memory_share = False
+            self.connection.node.memory.stream_count -= 1
+
     def abort_stream(self) -> None:
         """Close the connection so that the client notices that its streamed response is truncated.
 
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -183,10 +183,45 @@
             while listener.connections or listener.lingering:
                 await asyncio.sleep(0.01)
             assert listener.node.counts["client_answer_cut_off"] == 1
+            assert listener.node.memory.stream_count == 0
 
     on_uvloop(check)(tmp_path)
 
 
+async def _client_resets(tmp: Path) -> None:
+    """A client that resets its connection below a finished response leaves nothing behind."""
+    async with client_past_its_response(tmp, READ % 1) as (listener, reader):
+        reader.peer.reset()
+        while listener.connections or listener.lingering:
+            await asyncio.sleep(0.01)
+        assert listener.node.memory.stream_count == 0
+        assert listener.node.counts["client_answer_cut_off"] == 0
+
+
+test_client_that_resets_below_a_finished_response_releases_its_memory = on_uvloop(_client_resets)
+
+
+async def _memory_is_held(tmp: Path) -> None:
+    """A finished response counts in the budget of the streams as long as a part of it is buffered."""
+    async with client_past_its_response(tmp, READ % 1) as (listener, reader):
+        memory = listener.node.memory
+        assert memory.stream_count == 1
+        assert await reader.read_rest() == BODY
+        while memory.stream_count:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        reader.received = b""
+        reader.peer.sock.send(READ % 2)
+        await asyncio.sleep(0)
+        assert await reader.read_rest() == BODY
+        assert memory.stream_count <= 1
+
+
+@pytest.mark.usefixtures("short_timeouts")
+def test_finished_response_counts_in_the_memory_budget_until_it_is_sent(tmp_path: Path) -> None:
+    """Guards against buffers of slow clients that add up beyond the memory planned for streams."""
+    on_uvloop(_memory_is_held)(tmp_path)
+
+
 async def _process_ends(tmp: Path) -> None:
     """The process stays until a finished response is sent, even past its time, and no longer."""
     async with client_past_its_response(tmp, READ % 1) as (listener, reader):
