End idle connections with nothing to deliver before those still in the kernel

Need: the order in which idle connections make room looked at the transport only. One whose answer the kernel still sends frees its descriptor no sooner than one that the transport still sends.

Change: the choice goes by SendQueue.is_delivered.

Evidence: the new test failed before (the slow reader's connection was half-closed beside idle ones).

--- a/balancer/net/listener.py
+++ b/balancer/net/listener.py
@@ -109,7 +109,7 @@
         connection.linger()
 
     def _longest_idle(self, newest: ClientConnection | None = None) -> ClientConnection | None:
-        """Return the longest idle connection without unread data, if possible one that has sent everything.
+        """Return the longest idle connection without unread data, if possible one without undelivered data.
 
         One that is still sending goes on after its displacement, so its descriptor is not free soon.
         """
@@ -117,7 +117,7 @@
         for connection in self.idle:
             if connection is newest or connection.has_unread_data:
                 continue
-            if not connection.delivery.queue.unsent_bytes:
+            if connection.delivery.queue.is_delivered:
                 return connection
             first_sending = first_sending or connection
         return first_sending
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -121,6 +121,22 @@
     on_uvloop(check)(tmp_path)
 
 
+async def _kernel_still_sends(tmp: Path) -> None:
+    """A connection whose response is still in the kernel is ended after those that have nothing to send."""
+    async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
+        reader = await slow_reader(listener, READ % 1, send_buffer_bytes=2 * len(BODY))
+        while reader.connection.request_id is not None or reader.connection.is_sending:
+            await asyncio.sleep(0)
+        peers = await crowd(listener, 3 * LIMIT)
+        assert not reader.connection.is_closing
+        assert await reader.read_rest() == BODY
+        for peer in [reader.peer, *peers]:
+            peer.sock.close()
+
+
+test_connection_whose_response_is_in_the_kernel_is_ended_last = on_uvloop(_kernel_still_sends)
+
+
 async def _newcomers_are_served_again(tmp: Path) -> None:
     """New clients are refused while all connections still send responses, and served once these are read."""
     async with running_listener(tmp, Backend("b0", send_body), limit=LIMIT) as listener:
