Deliver finished responses also to clients that have ended their side

Cause: a transport whose peer has ended its side is closing and goes on to send. SendQueue took a closing transport for an empty one, and the reset of a stalled client did nothing on it.

Change: SendQueue asks the transport and the kernel in any state; a reset is made in any state, too. A transport that is gone has no bytes in either.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -392,7 +392,7 @@
 
     def cut_off(self, reason: CutReason) -> None:
         """Reset the connection below a response that its client has not received; count and log that."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.stage is Stage.CLOSED:
             return
         self.node.counts["client_answer_cut_off"] += 1
         unsent = self.delivery.queue.unsent_bytes
--- a/balancer/net/send_queue.py
+++ b/balancer/net/send_queue.py
@@ -29,17 +29,16 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Number of bytes that the kernel has not taken yet; closing the connection discards them."""
-        transport = self._transport
-        return 0 if transport is None or transport.is_closing() else transport.get_write_buffer_size()
+        """Number of bytes that the kernel has not taken yet; aborting the connection discards them.
+
+        A transport whose peer has ended its side is closing, but goes on to send.
+        """
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     @property
     def unacknowledged_bytes(self) -> int:
         """Number of bytes that the kernel has taken and the peer's kernel has not acknowledged."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return 0
-        return socket_state.unacknowledged_bytes(transport)
+        return 0 if self._transport is None else socket_state.unacknowledged_bytes(self._transport)
 
     @property
     def is_delivered(self) -> bool:
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import os
 import select
@@ -83,8 +84,8 @@
 
 
 def reset(transport: asyncio.Transport) -> None:
-    """Close a connection with a reset, unless it is closing already."""
-    if transport.is_closing():
-        return
-    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    """Close a connection with a reset, also one that is closing and still sends."""
+    with contextlib.suppress(OSError):  # The socket has been closed.
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
     transport.abort()
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -99,10 +99,11 @@
     return peers
 
 
+@pytest.mark.parametrize("half_closes", [False, True], ids=["", "half-closed"])
 @pytest.mark.parametrize("reader_count", [1, LIMIT])
 @pytest.mark.parametrize("request_text", [READ, CLOSE, HTTP_1_0], ids=["kept", "last", "no length"])
 def test_crowd_of_idle_clients_does_not_cut_off_responses(
-    tmp_path: Path, request_text: bytes, reader_count: int
+    tmp_path: Path, request_text: bytes, reader_count: int, half_closes: bool
 ) -> None:
     """Guards against closing a connection with unsent bytes of a response to make room for new ones."""
 
@@ -112,6 +113,8 @@
             readers = [await slow_reader(listener, request_text % i) for i in range(reader_count)]
             for reader in readers:
                 await reader.read_until_backend_is_done()
+                if half_closes:
+                    reader.peer.sock.shutdown(socket.SHUT_WR)
             peers = await crowd(listener, 3 * LIMIT)
             for reader in readers:
                 assert await reader.read_rest() == BODY
@@ -188,14 +191,17 @@
 
 
 @pytest.mark.usefixtures("short_timeouts")
+@pytest.mark.parametrize("half_closes", [False, True], ids=["", "half-closed"])
 @pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
 def test_client_that_reads_nothing_of_a_finished_response_is_disconnected(
-    tmp_path: Path, request_text: bytes
+    tmp_path: Path, request_text: bytes, half_closes: bool
 ) -> None:
     """Guards against connections that stay forever because their client does not read."""
 
     async def check(tmp: Path) -> None:
-        async with client_past_its_response(tmp, request_text % 1) as (listener, _):
+        async with client_past_its_response(tmp, request_text % 1) as (listener, reader):
+            if half_closes:
+                reader.peer.sock.shutdown(socket.SHUT_WR)
             while listener.connections or listener.lingering:
                 await asyncio.sleep(0.01)
             assert listener.node.counts["client_answer_cut_off"] == 1
@@ -268,6 +274,22 @@
 )
 
 
+@pytest.mark.usefixtures("short_timeouts")
+@pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
+def test_client_that_half_closes_below_a_finished_response_gets_all_of_it(
+    tmp_path: Path, request_text: bytes
+) -> None:
+    """Guards against taking the end of the requests for the end of the client."""
+
+    async def check(tmp: Path) -> None:
+        async with client_past_its_response(tmp, request_text % 1) as (_, reader):
+            reader.peer.sock.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(5 * CHECK_INTERVAL_S)
+            assert await reader.read_rest() == BODY
+
+    on_uvloop(check)(tmp_path)
+
+
 @pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize("request_text", [READ, CLOSE], ids=["kept", "last"])
 def test_client_that_reads_slowly_gets_its_whole_response(tmp_path: Path, request_text: bytes) -> None:
