--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 8: an answer of 60 KiB without a length, written over 3 s, ends 2 s after its request's time."""
+"""Case 8: a long order that a hung backend does not read is answered ten seconds after its time."""
 
 import asyncio
 import contextlib
@@ -9,92 +9,82 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 import rig
 
-ORDERS = 24
+MB = 2**20
+SIZES = tuple(size * MB // 2 for size in range(4, 20))  # 2 to 9.5 MB; up to 32 MB are allowed.
+ROUNDS = 2
 TIMEOUT_MS = 1000
 GRACE_S = 0.5 + 0.05  # Half a second after its time a request is lost; time limits grow by 50 ms.
-ANSWER_BYTES = 60 * 1024
-PIECES = 30
-WRITING_S = 3.0
+WATCHED_S = 15.0
 
 
-class SlowWriter(rig.Backend):
-    """A backend that begins its answers at once; one in three takes 3 s to write the rest."""
+class Hanging(rig.Backend):
+    """A backend that hangs: its machine accepts connections, it reads nothing and answers nothing."""
 
-    count = 0
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()
+        self.connections.add(writer)
+        self.record(f"backend {self.name}: a connection that it does not read")
 
-    async def answer(self, writer: asyncio.StreamWriter, status: int, body: bytes, extra: str = "") -> None:
-        if status != 200:
-            await super().answer(writer, status, body, extra)
-            return
-        SlowWriter.count += 1
-        is_slow = rig.trouble() and SlowWriter.count % 3 == 0
-        size = ANSWER_BYTES // PIECES
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        for number in range(PIECES):
-            piece = (body if number == 0 else b"").ljust(size, b".")
-            writer.write(b"%x\r\n%b\r\n" % (size, piece))
-            await writer.drain()
-            if is_slow:
-                await asyncio.sleep(WRITING_S / PIECES)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
 
+class LongReader(rig.Backend):
+    """A sound backend that reads long bodies and keeps only their length."""
 
-async def order(case: rig.Case, node: rig.Node, number: int) -> str:
-    """Send one order; tell how it ended: `whole`, `failed`, `broken off` or `late`."""
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.add(writer)
+        with contextlib.suppress(ConnectionError, OSError, asyncio.IncompleteReadError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                lines = [line.partition(":") for line in head.decode("latin-1").splitlines()]
+                headers = {name.lower(): value.strip() for name, _, value in lines}
+                left = int(headers.get("content-length", 0))
+                while left:
+                    data = await reader.read(min(left, MB))
+                    if not data:
+                        return
+                    left -= len(data)
+                await self.handle(rig.Message("", headers, b""), writer)
+        self.connections.discard(writer)
+        writer.close()
+
+
+async def order(case: rig.Case, node: rig.Node, size: int, number: int) -> str:
+    """Send one long order; tell how it ended: `served`, `failed`, `late`, or `unwritten` if not taken."""
     client = rig.Client(case.record, node.port, case.known_ids, f"c{number}")
     name = client.new_id()
     reader, writer = await asyncio.open_connection(rig.HOST, node.port)
+    writer.transport.set_write_buffer_limits(high=0)  # `drain` returns once the connection has the last byte.
     head = (
         f"POST /place-order HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {name}\r\n"
-        f"Request-Timeout: {TIMEOUT_MS}m\r\nContent-Length: 8\r\n\r\none soup"
+        f"Request-Timeout: {TIMEOUT_MS}m\r\nContent-Length: {size}\r\n\r\n"
     )
     began = time.monotonic()
-    writer.write(head.encode())
-    case.record(f"client: sends {name}")
-
-    answered = asyncio.create_task(read_whole(reader))
-    done, _ = await asyncio.wait({answered}, timeout=TIMEOUT_MS / 1000 + GRACE_S)
-    if not done:
-        result = "late"
-        with contextlib.suppress(Exception):
-            async with asyncio.timeout(6):
-                status, size, is_whole = await answered
-                took = time.monotonic() - began
-                end = "whole" if is_whole else "broken off"
-                case.record(
-                    f"client: {name} got {status}, {size} bytes, {end}, {took:.2f} s after it was sent"
-                )
-        case.record(f"LATE: {name} had no final answer {TIMEOUT_MS / 1000 + GRACE_S:.2f} s after it was sent")
-    else:
-        status, size, is_whole = answered.result()
-        took = time.monotonic() - began
-        result = "broken off" if not is_whole else "whole" if status == 200 else "failed"
-        case.record(f"client: {name} got {status}, {size} bytes, {result}, {took:.2f} s after it was sent")
-    writer.close()
-    return result
-
-
-async def read_whole(reader: asyncio.StreamReader) -> tuple[int, int, bool]:
-    """Return the status of an answer, the length of its body, and whether it was whole."""
-    size = 0
+    case.record(f"client: sends {name} with {size} bytes")
+    answer = asyncio.create_task(rig.read_message(reader, answers=True))
+    result = "unwritten"
     try:
-        first = await reader.readline()
-        status = int(first.split()[1])
-        length = None
-        while line := (await reader.readline()).strip().lower():
-            if line.startswith(b"content-length:"):
-                length = int(line.split(b":")[1])
-        if length is not None:
-            size = len(await reader.readexactly(length))
-            return status, size, True
-        while count := int(await reader.readline(), 16):
-            size += len(await reader.readexactly(count))
-            await reader.readline()
-        await reader.readline()
-    except (ConnectionError, asyncio.IncompleteReadError, ValueError, IndexError):
-        return 0, size, False
-    return status, size, True
+        writer.write(head.encode())
+        writer.write(bytes(size))
+        written = asyncio.create_task(writer.drain())
+        await asyncio.wait({written, answer}, timeout=WATCHED_S, return_when=asyncio.FIRST_COMPLETED)
+        if not written.done() or answer.done():
+            written.cancel()
+            case.record(f"client: {name} was not written whole before its answer or in {WATCHED_S:.0f} s")
+            return result
+        written.result()
+        written_at = time.monotonic()
+        case.record(f"client: {name} is written whole after {written_at - began:.2f} s")
+        await asyncio.wait({answer}, timeout=WATCHED_S)
+        took = time.monotonic() - written_at
+        status = answer.result().status if answer.done() and answer.result() is not None else None
+        is_late = status is None or took > TIMEOUT_MS / 1000 + GRACE_S
+        result = "late" if is_late else "served" if status == 200 else "failed"
+        case.record(f"client: {name} got {status} {took:.2f} s after its last byte: {result}")
+    except (ConnectionError, OSError, asyncio.IncompleteReadError) as err:
+        case.record(f"client: {name}: {err!r}")
+        result = "late" if result != "unwritten" else result
+    finally:
+        answer.cancel()
+        writer.close()
+    return result
 
 
 async def play(case: rig.Case) -> bool:
@@ -102,7 +92,8 @@
     case.discoveries.append(discovery)
     await discovery.start()
     for number in range(4):
-        backend = SlowWriter(case.record, f"s-{number}", case.known_ids)
+        kind = Hanging if number < 2 and rig.trouble() else LongReader
+        backend = kind(case.record, f"s-{number}", case.known_ids)
         case.backends.append(backend)
         await backend.start()
     discovery.put(*[backend.member() for backend in case.backends])
@@ -112,11 +103,14 @@
     await node.start()
     await node.wait_ready()
     results = []
-    for first in range(0, ORDERS, 6):
-        results += await asyncio.gather(*[order(case, node, number) for number in range(first, first + 6)])
-    counts = {result: results.count(result) for result in ("whole", "failed", "broken off", "late")}
-    case.record.say(f"{ORDERS} orders: " + ", ".join(f"{count} {result}" for result, count in counts.items()))
-    if not counts["whole"]:
+    for round_number in range(ROUNDS):
+        numbered = enumerate(SIZES * 2, round_number * 100)
+        results += await asyncio.gather(*[order(case, node, size, number) for number, size in numbered])
+    counts = {result: results.count(result) for result in ("served", "failed", "late", "unwritten")}
+    case.record.say(
+        f"{len(results)} orders: " + ", ".join(f"{count} {result}" for result, count in counts.items())
+    )
+    if not counts["served"]:
         raise rig.CannotRunError("no order was served")
     return counts["late"] > 0
 
