--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -455,9 +455,16 @@
 
     def memory_mb(self) -> float:
         """Return the resident memory of the process."""
+        return self._memory_mb("VmRSS:")
+
+    def peak_memory_mb(self) -> float:
+        """Return the most memory that was resident so far."""
+        return self._memory_mb("VmHWM:")
+
+    def _memory_mb(self, name: str) -> float:
         with contextlib.suppress(OSError):
             for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS:"):
+                if line.startswith(name):
                     return int(line.split()[1]) / 1024
         return 0.0
 
