--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -608,12 +608,18 @@
 
     async def run() -> int:
         case = Case(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await play(case)
         except CannotRunError as err:
             case.record.say(f"the case could not run: {err}")
             return NOT_RUN
+        except asyncio.CancelledError:
+            case.record.say("the case was ended before its end")
+            return NOT_RUN
         except Exception as err:
             case.record.say(f"the case could not run: {err!r}")
             return NOT_RUN
