Read the body of a request that offers a protocol upgrade

A console call with an offer is carried out and answered 400.

Cause: httptools ends such a request behind its head, before it raises HttpParserUpgrade; the node took that end for the end of the request.

Change: net/upgrade_offer.py ignores the end that is reported while the library is about to stop, and reads on with a parser that has the same framing headers and no offer. The console uses it too. CONNECT, which has no body, is an error (405) where it was closed without an answer.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -7,8 +7,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
 from balancer.net import socket_state
 from balancer.net.receive_timer import ReceiveTimer
 from balancer.net.request_head import RequestHead, read_head, render_request
@@ -135,8 +133,6 @@
         parser = self.parser
         try:
             parser.feed(data)
-        except httptools.HttpParserUpgrade:
-            self._end_after_upgrade()
         except BadRequestError as err:
             self._reject_request(err.status, str(err))
         if parser.exceeds_header_limit(len(data)):
@@ -235,12 +231,6 @@
         assert self.transport is not None
         return socket_state.has_unread_data(self.transport)
 
-    def _end_after_upgrade(self) -> None:
-        """Stop reading: the parser stops at an Upgrade request, which this node does not support."""
-        self.close_after_response()
-        if self.request_id is None:  # A connection with a request in progress first sends its response.
-            self.linger()
-
     def on_receive_timeout(self) -> None:
         """Close an idle connection, or reject a request that arrives too slowly."""
         if not self.parser.is_receiving:
--- a/balancer/net/console.py
+++ b/balancer/net/console.py
@@ -14,6 +14,7 @@
 
 from balancer.errors import BalancerError
 from balancer.net.endpoints import Address
+from balancer.net.upgrade_offer import FRAMING_HEADERS, UpgradeIgnoringParser
 
 log = logging.getLogger(__name__)
 
@@ -96,7 +97,8 @@
         """Create the protocol of a connection to `console`."""
         self._console = console
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self.headers: dict[bytes, bytes] = {}  # The framing headers of the call, by lower-case name.
+        self._parser = UpgradeIgnoringParser(self)
         self._timer: asyncio.TimerHandle | None = None
         self._target = b""
         self._header_bytes = 0
@@ -130,7 +132,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(CallError(400, "protocol upgrades are not supported"))
+            self._reject(CallError(405, "tunnels are not supported"))
         except httptools.HttpParserCallbackError:
             self._fail()
         except httptools.HttpParserError:
@@ -157,6 +159,15 @@
 
     # --- httptools callbacks
 
+    def on_message_begin(self) -> None:
+        """Begin the call; the state of the connection is that of its one call."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a framing header."""
+        key = name.lower()
+        if key in FRAMING_HEADERS:
+            self.headers[key] = value
+
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
         self._target += url
@@ -172,8 +183,8 @@
             self._reject(CallError(413, f"body exceeds {MAX_BODY_BYTES // 1024} KiB"))
 
     def on_message_complete(self) -> None:
-        """Execute the call, unless it is already rejected."""
-        if not self._is_answered and not self._is_executing:
+        """Execute the call, unless it is already rejected or the library stops at an offer to upgrade."""
+        if not self._is_answered and not self._is_executing and not self._parser.is_at_upgrade:
             self._is_executing = True
             self._console.start(self._execute(self._parser.get_method(), self._target))
 
--- a/balancer/net/request_parser.py
+++ b/balancer/net/request_parser.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from balancer.net.upgrade_offer import UpgradeIgnoringParser
+
 log = logging.getLogger(__name__)
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -51,19 +53,18 @@
         self._is_skipping = False  # True while the handler has declined the current request.
         self._header_size = 0  # Total length of the parsed header names and values, in bytes.
         self._header_bytes = 0  # Number of bytes received while the head was incomplete.
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = UpgradeIgnoringParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
         Raises:
             BadRequestError: the request is malformed, or the handler rejects it.
-            httptools.HttpParserUpgrade: the request asks for a protocol upgrade; the parser has stopped.
         """
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            raise
+            raise BadRequestError(405, "tunnels are not supported") from None
         except httptools.HttpParserError as err:
             cause = err.__context__
             if isinstance(cause, BadRequestError):
@@ -88,19 +89,17 @@
     @property
     def method(self) -> bytes:
         """The HTTP method of the request."""
-        method: bytes = self._parser.get_method()
-        return method
+        return self._parser.get_method()
 
     @property
     def is_http_1_1(self) -> bool:
         """Whether the request uses HTTP/1.1."""
-        version: str = self._parser.get_http_version()
-        return version == "1.1"
+        return self._parser.get_http_version() == "1.1"
 
     @property
     def keeps_alive(self) -> bool:
         """Whether the client allows another request on the connection."""
-        return bool(self._parser.should_keep_alive()) and self.is_http_1_1
+        return self._parser.should_keep_alive() and self.is_http_1_1
 
     @property
     def content_length(self) -> int | None:
@@ -155,7 +154,7 @@
             self._handler.body_received(body)
 
     def on_message_complete(self) -> None:
-        """Report the end of the request to the handler."""
-        if not self._is_skipping:
+        """Report the end of the request to the handler, unless the library stops at an offer to upgrade."""
+        if not self._is_skipping and not self._parser.is_at_upgrade:
             self.is_receiving = False
             self._handler.request_received()
