Limit trailers and chunk framing like heads, at clients, backends and the console

Cause: httptools buffers a field until its end, and the limit on headers ended with the head. Behind it only the time for a body counted.

Change: net/header_limit.py counts bytes without progress (the end of a head, a piece of a body); over 16 KiB, at the console 8, the message is an error. It replaces the three counts of the parsers of requests, responses and calls.

The parser of responses had the limit; discovery's has no callbacks for fields, so nothing is buffered there.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -135,8 +135,6 @@
             parser.feed(data)
         except BadRequestError as err:
             self._reject_request(err.status, str(err))
-        if parser.exceeds_header_limit(len(data)):
-            self._reject_request(431, "headers too long")
         if parser.is_receiving and not self.receive_timer.is_running and not self.is_closing:
             self.receive_timer.start()
 
--- a/balancer/net/console.py
+++ b/balancer/net/console.py
@@ -14,6 +14,7 @@
 
 from balancer.errors import BalancerError
 from balancer.net.endpoints import Address
+from balancer.net.header_limit import HeaderLimit
 from balancer.net.upgrade_offer import FRAMING_HEADERS, UpgradeIgnoringParser
 
 log = logging.getLogger(__name__)
@@ -101,9 +102,8 @@
         self._parser = UpgradeIgnoringParser(self)
         self._timer: asyncio.TimerHandle | None = None
         self._target = b""
-        self._header_bytes = 0
+        self._header_limit = HeaderLimit(MAX_HEADER_BYTES)
         self._body_bytes = 0
-        self._in_body = False
         self._is_executing = False
         self._is_answered = False
 
@@ -127,8 +127,6 @@
         """Parse the call; data after it is discarded."""
         if self._is_answered:
             return
-        if not self._in_body:
-            self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -137,7 +135,8 @@
             self._fail()
         except httptools.HttpParserError:
             self._reject(CallError(400, "malformed HTTP request"))
-        if not self._in_body and self._header_bytes > MAX_HEADER_BYTES:
+        self._header_limit.add(len(data))
+        if self._header_limit.is_exceeded and not self._is_executing:
             self._reject(CallError(431, "headers too long"))
 
     def _expire(self) -> None:
@@ -173,11 +172,12 @@
         self._target += url
 
     def on_headers_complete(self) -> None:
-        """Record that the body starts here."""
-        self._in_body = True
+        """Record that the head has ended."""
+        self._header_limit.progress()
 
     def on_body(self, body: bytes) -> None:
         """Discard a piece of the body, and reject a body that is too long."""
+        self._header_limit.progress()
         self._body_bytes += len(body)
         if self._body_bytes > MAX_BODY_BYTES:
             self._reject(CallError(413, f"body exceeds {MAX_BODY_BYTES // 1024} KiB"))
--- a/balancer/net/request_parser.py
+++ b/balancer/net/request_parser.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from balancer.net.header_limit import HeaderLimit
 from balancer.net.upgrade_offer import UpgradeIgnoringParser
 
 log = logging.getLogger(__name__)
@@ -52,15 +53,22 @@
         self._handler = handler
         self._is_skipping = False  # True while the handler has declined the current request.
         self._header_size = 0  # Total length of the parsed header names and values, in bytes.
-        self._header_bytes = 0  # Number of bytes received while the head was incomplete.
+        self._header_limit = HeaderLimit(MAX_HEADER_BYTES)
         self._parser = UpgradeIgnoringParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
         Raises:
-            BadRequestError: the request is malformed, or the handler rejects it.
+            BadRequestError: the request is malformed or its headers are too long, or the handler rejects it.
         """
+        self._parse(data)
+        if self.is_receiving:
+            self._header_limit.add(len(data))
+            if self._header_limit.is_exceeded:
+                raise BadRequestError(431, "headers too long")
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -76,16 +84,6 @@
                 raise BadRequestError(500, "internal error") from None
             raise BadRequestError(400, "malformed request") from None
 
-    def exceeds_header_limit(self, received: int) -> bool:
-        """Add `received` bytes to an incomplete head; return whether it exceeds the limit.
-
-        httptools buffers a header of any length and calls back only at its end, so this check bounds memory.
-        """
-        if not self.is_receiving or self.in_body:
-            return False
-        self._header_bytes += received
-        return self._header_bytes > MAX_HEADER_BYTES
-
     @property
     def method(self) -> bytes:
         """The HTTP method of the request."""
@@ -123,7 +121,7 @@
         self.headers = {}
         self.body_size = 0
         self._header_size = 0
-        self._header_bytes = 0
+        self._header_limit.reset()
         self.in_body = False
         self.is_receiving = True
 
@@ -145,11 +143,13 @@
         if self._header_size + len(self.target) > MAX_HEADER_BYTES:
             raise BadRequestError(431, "headers too long")
         self.in_body = True
+        self._header_limit.progress()
         self._handler.head_received()
 
     def on_body(self, body: bytes) -> None:
         """Pass a chunk of the body to the handler."""
         if not self._is_skipping:
+            self._header_limit.progress()
             self.body_size += len(body)
             self._handler.body_received(body)
 
--- a/balancer/net/response_parser.py
+++ b/balancer/net/response_parser.py
@@ -8,6 +8,7 @@
 
 from balancer.interface import AttemptStatus, LoadReport
 from balancer.net.attempt import AttemptResult, ResponseSink
+from balancer.net.header_limit import HeaderLimit
 from balancer.net.load_report import parse_load_report
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES
 
@@ -49,7 +50,7 @@
         self.is_complete = False
         self.has_excess = False  # True once a second, unsolicited response has begun.
         self.keep_alive = False
-        self._header_bytes = 0  # Number of bytes received since the last chunk of a body.
+        self._header_limit = HeaderLimit(MAX_HEADER_BYTES)
         self._in_body = False
         self._is_framed = False
         self._not_started = False
@@ -57,18 +58,18 @@
 
     def feed(self, data: bytes) -> str:
         """Parse received bytes; return a description of the error, or an empty string."""
-        self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
             # The parser's error has a callback's exception as its context; that one names the actual cause.
             return f"malformed response: {err.__context__ or err}"
+        self._header_limit.add(len(data))
         return ""
 
     @property
     def has_excessive_headers(self) -> bool:
-        """Whether the header exceeds its limit; httptools itself would buffer it without bound."""
-        return self._header_bytes > MAX_HEADER_BYTES
+        """Whether the head, the framing of a chunk or the trailers exceed their limit."""
+        return self._header_limit.is_exceeded
 
     def finish_at_eof(self) -> bool:
         """Complete a response that is delimited by connection close; return False if it is truncated."""
@@ -140,7 +141,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Stream or buffer a chunk of the body; bodies of statuses other than 200 are discarded."""
-        self._header_bytes = 0
+        self._header_limit.progress()
         if self.is_complete or not self._has_status_ok:
             return
         self.body_size += len(body)
