Hold short answers of unknown length until they are whole, or fail them in time

Cause: after 25 ms the node passed on what it had and could answer no error any more; at the deadline it guessed by the rate whether the answer would be long. At 16 KiB/s and more it went on, whatever its length.

Change: an answer of unknown length is passed on once it is over 64 KiB, once it will be whole or over that in time at its rate so far, or after 1.5 s. Held at the deadline, it becomes an error; passed on and short, it is broken off 0.25 s behind it. The timeout of an attempt does not end what has begun, as before.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -50,6 +50,9 @@
 The request states the time left to its client, which has become less.
 """
 
+ResponseTimeLeft = Callable[[], float]
+"""Callback that returns in how many seconds a response of unknown length has to be whole, or long."""
+
 
 def reject_stream(
     connection: BackendConnection, size: int | None, content_type: bytes
@@ -63,10 +66,18 @@
 
     `on_result` is called exactly once unless the attempt is cancelled. `request` holds the bytes of the
     complete request, or only of its head if its body is an upload. An attempt without `refresh` sends it
-    unchanged after a wait.
+    unchanged after a wait. The response to one without `response_time_left` may come at any time.
     """
 
-    __slots__ = ("connection", "on_result", "on_stream", "refresh", "request", "upload")
+    __slots__ = (
+        "connection",
+        "on_result",
+        "on_stream",
+        "refresh",
+        "request",
+        "response_time_left",
+        "upload",
+    )
 
     def __init__(
         self,
@@ -75,6 +86,7 @@
         on_stream: OnStream,
         upload: Upload | None,
         refresh: Refresh | None,
+        response_time_left: ResponseTimeLeft | None,
     ) -> None:
         """Create an attempt that has no connection yet."""
         self.request = request
@@ -82,6 +94,7 @@
         self.on_stream = on_stream
         self.upload = upload
         self.refresh = refresh
+        self.response_time_left = response_time_left
         self.connection: BackendConnection | None = None
 
     @property
@@ -96,9 +109,14 @@
 
     @property
     def has_long_response(self) -> bool:
-        """Whether a long response is being received, judged by its length or its rate so far."""
+        """Whether a long response is being passed on, judged by its length or by what has come of it."""
         return self.connection is not None and self.connection.has_long_response
 
+    @property
+    def is_holding_response(self) -> bool:
+        """Whether a part of a response of unknown length has been received and not been passed on."""
+        return self.connection is not None and self.connection.is_holding_response
+
     def finish(self, result: AttemptResult) -> None:
         """Report the result of the attempt."""
         self._detach()
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -19,10 +19,9 @@
 if TYPE_CHECKING:
     from balancer.net.connection_pool import ConnectionPool, EndpointConnections
 
-# A body of unknown length is buffered for 25 ms before it is streamed, as most are complete by then.
-STREAMING_DELAY_S = 0.025
-# A response of unknown length counts as a long response while it arrives at 16 KiB/s or more.
-MIN_LONG_RESPONSE_BYTES_PER_S = 16 * 1024
+STREAMING_DELAY_S = 0.025  # Most bodies of unknown length are complete 25 ms after their first byte.
+STREAMING_CHECK_INTERVAL_S = 0.1
+MAX_HOLD_S = 1.5  # The client of a long response waits less than 2 s for what has been received.
 # An attempt with a streamed body fails if the backend receives and sends no byte for 10 s.
 STALL_TIMEOUT_S = 10.0
 STALL_CHECK_INTERVAL_S = 1.0
@@ -54,8 +53,9 @@
         self._is_creating_transport = False
         self._is_request_started = False  # Bytes received before the first request are not a response.
         self._is_reading_paused = False
-        self.streaming_since = 0.0  # Loop time in seconds at which streaming began.
-        # Starts streaming a body of unknown length that is not complete after `STREAMING_DELAY_S`.
+        self._body_since = 0.0  # Loop time in seconds of the first byte of a body of unknown length.
+        self._first_body_bytes = 0  # Size of the part of that body that came first, at whatever rate.
+        # Checks whether to stream a body of unknown length that is not complete yet.
         self.streaming_timer: asyncio.TimerHandle | None = None
         # The timer runs while an attempt waits until the connection has been idle for `REUSE_DELAY_S`.
         self._reuse_timer: asyncio.TimerHandle | None = None
@@ -248,7 +248,9 @@
             )
             self._fail(AttemptStatus.RESET)
         elif response.body and response.length is None and self.streaming_timer is None:
-            self.streaming_timer = self.pool.loop.call_later(STREAMING_DELAY_S, self._begin_streaming)
+            self._body_since = self._last_progress
+            self._first_body_bytes = response.body_size
+            self._schedule_streaming_check(STREAMING_DELAY_S)
 
     # --- sending a request
 
@@ -345,6 +347,34 @@
 
     # --- receiving the response
 
+    @property
+    def is_holding_response(self) -> bool:
+        """Whether a part of a response of unknown length is buffered."""
+        return self.response.length is None and self.response.sink is None and bool(self.response.body)
+
+    def _schedule_streaming_check(self, delay_s: float) -> None:
+        self.streaming_timer = self.pool.loop.call_later(delay_s, self._check_streaming)
+
+    def _check_streaming(self) -> None:
+        """Stream a response of unknown length if, at its rate so far, it will be whole or long in time.
+
+        A short one is final with its last byte only. While it is held, the request can still be answered with
+        an error in time; once a part is passed on, a response that comes too late can only be broken off.
+        """
+        held_s = self.pool.loop.time() - self._body_since
+        if held_s >= MAX_HOLD_S or self._is_expected_in_time(held_s):
+            self._begin_streaming()
+        else:
+            self._schedule_streaming_check(STREAMING_CHECK_INTERVAL_S)
+
+    def _is_expected_in_time(self, held_s: float) -> bool:
+        """Return whether a response held for `held_s` will exceed the buffer in time, at its rate so far."""
+        if self.attempt is None or self.attempt.response_time_left is None:
+            return True
+        size = self.response.body_size
+        rate = (size - self._first_body_bytes) / held_s
+        return size + rate * self.attempt.response_time_left() > MAX_BUFFERED_BODY_BYTES
+
     def _begin_streaming(self) -> None:
         """Stream the rest of a response that is too long or too slow to buffer."""
         response = self.response
@@ -358,25 +388,20 @@
             self._fail(AttemptStatus.RESET)
             return
         self._watch_for_stall()
-        self.streaming_since = self.pool.loop.time()
         if response.body:
             response.sink.feed(response.take_body())
 
     @property
     def has_long_response(self) -> bool:
-        """Whether the streamed response is long, or arrives fast enough to become long.
+        """Whether the streamed response is long by its stated length or by what has come of it.
 
-        While a slow client pauses reading, the rate is not meaningful and the response counts as long.
+        While a slow client pauses reading, its length is not known and the response counts as long.
         """
         response = self.response
-        if response.sink is None:
-            return False
-        expected = MIN_LONG_RESPONSE_BYTES_PER_S * (self.pool.loop.time() - self.streaming_since)
-        return (
+        return response.sink is not None and (
             response.length is not None
             or self._is_reading_paused
             or response.body_size > MAX_BUFFERED_BODY_BYTES
-            or response.body_size >= expected
         )
 
     def pause_reading(self) -> None:
--- a/balancer/net/connection_pool.py
+++ b/balancer/net/connection_pool.py
@@ -17,6 +17,7 @@
     OnResult,
     OnStream,
     Refresh,
+    ResponseTimeLeft,
     reject_stream,
 )
 from balancer.net.backend_connection import REUSE_DELAY_S, BackendConnection
@@ -164,13 +165,14 @@
         on_stream: OnStream = reject_stream,
         upload: Upload | None = None,
         refresh: Refresh | None = None,
+        response_time_left: ResponseTimeLeft | None = None,
     ) -> Attempt:
         """Start an attempt on an idle connection or a new one; `on_result` may be called before it returns.
 
         If all idle connections were used less than `REUSE_DELAY_S` ago, the attempt waits for one of them.
         """
         endpoint = self.endpoint(name)
-        attempt = Attempt(request, on_result, on_stream, upload, refresh)
+        attempt = Attempt(request, on_result, on_stream, upload, refresh, response_time_left)
         if (connection := self._take_reusable(endpoint)) is not None:
             connection.send(attempt)
             return attempt
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -23,6 +23,8 @@
 
 # Interval between two checks whether a long response past its deadline is still being received.
 LONG_RESPONSE_CHECK_S = 0.25
+# A short response that is being passed on may end this long after the deadline; 500 ms later it is lost.
+RESPONSE_END_GRACE_MS = 250.0
 # Requests end 10 ms before the deadline, because the client counts from when it sent the request.
 DEADLINE_MARGIN_MS = 10.0
 # A request or attempt is logged as late if it was read or written at least 50 ms after the request arrived.
@@ -181,6 +183,7 @@
             partial(self._begin_stream, attempt),
             request.upload,
             partial(self._refresh, attempt, request, action.latest_start),
+            partial(self._response_time_left_s, request),
         )
         if attempt.is_sent:
             self._log_late_send(attempt, request)
@@ -225,10 +228,13 @@
     def expire_deadline(self, request: OpenRequest) -> None:
         """End all attempts and fail the request, unless a long response is being received.
 
-        A small response of unknown length that never ends does not count as long.
+        A response of unknown length is not long before it exceeds the size of those that are buffered.
         """
         if request.is_answered:
             return
+        if request.is_streaming and (left_s := self._response_time_left_s(request)) > 0:
+            request.deadline_timer = self._loop.call_later(left_s, self.expire_deadline, request)
+            return
         if any(item.attempt is not None and item.attempt.has_long_response for item in request.attempts):
             request.deadline_timer = self._loop.call_later(
                 LONG_RESPONSE_CHECK_S, self.expire_deadline, request
@@ -244,6 +250,11 @@
             self._answer(request, RequestOutcome.FAILED, lambda client: client.fail())
             self._handle_event(api.ClientDisconnected(request.request_id))
 
+    def _response_time_left_s(self, request: OpenRequest) -> float:
+        """Return in how many seconds a short response that is being passed on will be broken off."""
+        deadline = self._now() + request.timeout_ms if request.deadline_timer is None else request.deadline
+        return (deadline + RESPONSE_END_GRACE_MS - self._now()) / 1000
+
     def _start_timeout(self, attempt: RequestAttempt, request: OpenRequest) -> float:
         """Start the timeout timer of an attempt and return the timeout in ms."""
         timeout_ms = self._time_left_ms(attempt, request)
@@ -260,7 +271,12 @@
         return min(attempt.started_at + attempt.timeout_ms - now, left_ms) if attempt.timeout_ms else left_ms
 
     def expire_attempt(self, attempt: RequestAttempt) -> None:
-        """End an attempt whose timeout has passed, but first let its response be read if there is one."""
+        """End an attempt whose timeout has passed, but first let its response be read if there is one.
+
+        One whose response has begun goes on until the deadline.
+        """
+        if attempt.attempt is not None and attempt.attempt.is_holding_response:
+            return
         if not attempt.is_over and attempt.recheck.is_due():
             attempt.timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_attempt, attempt)
         else:
