Budget for short request bodies, which are let go with their request

Cause: resting connections kept the body of their last request or answer, bodies of up to 64 KiB had no budget, and the streams' budget left out the 128 KiB that an upload keeps for a retry.

Change: bodies are let go with their request or answer; those that are held whole share a budget as large as the streams', at least 1 MiB, and one that does not fit is refused (503, never sent); a retry keeps two windows of an upload.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -53,6 +53,7 @@
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
+        self._buffered_bytes = 0  # What the current request's body takes of the memory for short bodies.
         self._upload: Upload | None = None
         self._head: RequestHead | None = None  # None for a health check of the node itself.
         self._keeps_alive = True
@@ -154,7 +155,7 @@
             # A pipelined request would be lost if the response before it closed the connection.
             self.close_after_response()
             return False
-        self.body = bytearray()
+        self._release_body()
         self._upload = None
         self._head = None
         self.receive_timer.reset()
@@ -180,13 +181,22 @@
         if self._upload is not None:
             self._upload.feed(data)
             return
-        self.body += data
+        self._buffer_body(data)
         if size > MAX_BUFFERED_BODY_BYTES:
             self._upload = Upload(self.parser.content_length, self.node.memory, self._set_reading)
             self._upload.feed(self.body)
-            self.body = bytearray()
+            self._release_body()
             self._handle_request()
 
+    def _buffer_body(self, data: bytes) -> None:
+        """Add data to the buffered body. Raises BadRequestError if the memory for short bodies is in use."""
+        if not self.node.memory.buffer(len(data)):
+            if self._head is not None:
+                self.node.count_over_limit(self._head.event.class_name)
+            raise BadRequestError(503, "too many requests")
+        self._buffered_bytes += len(data)
+        self.body += data
+
     def request_received(self) -> None:
         """Handle a complete buffered request, or start the deadline of a streamed one."""
         if self.stage not in (Stage.OPEN, Stage.DRAINING):
@@ -267,6 +277,7 @@
         self.request_id = event.request
         parser = self.parser
         body = bytes(self.body)
+        self.body = bytearray()
         framing = self._backend_framing(body)
         render = partial(render_request, parser.method, parser.target, parser.headers, framing, body)
         node.requests.accept(event, self.responses, render, upload, unread_ms)
@@ -297,10 +308,17 @@
         if self._upload is not None:
             self._upload.discard()
             self._upload = None
+        self._release_body()
         self.close_after_response()
         self.node.counts[f"client_error_{status}"] += 1
         self.responses.write(status, reason.encode() + b"\n")
 
+    def _release_body(self) -> None:
+        """Drop the buffered body, and give back its share of the memory."""
+        self.body = bytearray()
+        self.node.memory.release(self._buffered_bytes)
+        self._buffered_bytes = 0
+
     def _disconnect_request(self) -> None:
         if self.request_id is not None:
             name = self.request_id
@@ -315,6 +333,7 @@
             self._linger_timer = None
         self.responses.end_stream()
         self._disconnect_request()
+        self._release_body()
         if self._upload is not None:
             self._upload.discard()
 
@@ -323,6 +342,7 @@
 
         `is_kept_alive` tells whether the head of the response announced keep-alive.
         """
+        self._release_body()
         if self.parser.is_receiving and self._upload is not None:
             # Closing while the client still sends would reset the connection and discard the response.
             self.stage = Stage.DRAINING
--- a/balancer/net/response_parser.py
+++ b/balancer/net/response_parser.py
@@ -87,9 +87,9 @@
         return data
 
     def result(self, report: LoadReport | None) -> AttemptResult:
-        """Return the attempt result for a complete response."""
+        """Return the attempt result for a complete response, with its buffered body."""
         if self._status == STATUS_OK:
-            return AttemptResult(AttemptStatus.OK, report, bytes(self.body), self.content_type)
+            return AttemptResult(AttemptStatus.OK, report, self.take_body(), self.content_type)
         if self._status in REJECTION_STATUSES and self._not_started:
             return AttemptResult(AttemptStatus.REJECTED, report)
         return AttemptResult(AttemptStatus.ERROR, report)
--- a/balancer/net/stream.py
+++ b/balancer/net/stream.py
@@ -6,14 +6,16 @@
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # Bodies over 64 KiB are streamed instead of buffered.
 MAX_BODY_BYTES = 32 * 1024 * 1024  # Request and response bodies over 32 MiB are rejected.
-# A streamed request body can be sent again in a retry until more than 128 KiB of it have been sent.
-MAX_REPLAY_BYTES = 2 * MAX_BUFFERED_BODY_BYTES
+# A streamed request body can be sent again in a retry until more than two windows of it have been sent.
+REPLAY_WINDOWS = 2
 MIN_WINDOW_BYTES = 8 * 1024
 MAX_WINDOW_BYTES = 64 * 1024
-# A stream holds up to three windows: the queued bytes, the bytes just read, and their framed copy.
-BUFFERS_PER_STREAM = 3
+MAX_REPLAY_BYTES = REPLAY_WINDOWS * MAX_WINDOW_BYTES
+# A stream holds the queued bytes, the bytes just read, their framed copy, and what a retry would send.
+BUFFERS_PER_STREAM = 3 + REPLAY_WINDOWS
 # A process uses 22 MB of memory without any bodies, including endpoint lists and small requests.
 BASE_MEMORY_MB = 22
+MIN_BUFFERED_BYTES = 1024 * 1024  # Under the smallest memory limits, short bodies share 1 MiB.
 UPGRADE_PROCESS_COUNT = 2  # Two processes share the memory limit of the node during an upgrade.
 # Allocators do not return all freed memory, so only half of it is planned for bodies.
 USABLE_FRACTION = 1 / 2
@@ -25,7 +27,8 @@
 class StreamMemory:
     """Memory budget for streamed bodies, divided evenly among the streams in progress.
 
-    `window_bytes` is the high watermark of each stream's buffer and the maximum size of a read.
+    `window_bytes` is the high watermark of each stream's buffer and the maximum size of a read. The
+    request bodies that are buffered whole have a budget of the same size.
     """
 
     def __init__(self, memory_mb: float) -> None:
@@ -33,6 +36,18 @@
         available_mb = max(0.0, memory_mb / UPGRADE_PROCESS_COUNT - BASE_MEMORY_MB)
         self.total_bytes = available_mb * USABLE_FRACTION * 1024 * 1024
         self.stream_count = 0
+        self._buffered_bytes = 0  # Size of the request bodies that are buffered, or were until their answer.
+
+    def buffer(self, byte_count: int) -> bool:
+        """Add bytes of a request body to the buffered ones; return False if the budget is exhausted."""
+        if self._buffered_bytes + byte_count > max(self.total_bytes, MIN_BUFFERED_BYTES):
+            return False
+        self._buffered_bytes += byte_count
+        return True
+
+    def release(self, byte_count: int) -> None:
+        """Take bytes of a request body off the buffered ones."""
+        self._buffered_bytes -= byte_count
 
     @property
     def stream_count(self) -> int:
@@ -108,7 +123,7 @@
         self._pending.clear()
         if not self.is_prefix_dropped:
             self._replay += data
-            if len(self._replay) > MAX_REPLAY_BYTES:
+            if len(self._replay) > REPLAY_WINDOWS * self._memory.window_bytes:
                 self._replay = bytearray()
                 self.is_prefix_dropped = True
         self._resume()
