Count the time of an upload while its last byte may lie unread

Cause: the time counted from the read of the last byte, and reading is paused while the backend takes nothing; the only end was the stall limit of 10 s.

Change: net/upload_clock.py counts from the first pause from which the last byte may lie unread, and anew once all that has come was read. At its end the attempt counts as not sent and the client is answered.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -14,6 +14,7 @@
 from balancer.net.response_delivery import CutReason, ResponseDelivery
 from balancer.net.response_writer import ResponseWriter
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload
+from balancer.net.upload_clock import UploadClock
 
 if TYPE_CHECKING:
     from balancer.net.listener import Listener
@@ -55,6 +56,7 @@
         )
         self._buffered_bytes = 0  # What the current request's body takes of the memory for short bodies.
         self._upload: Upload | None = None
+        self._upload_clock = UploadClock(listener.loop, self._missing_bytes, self._fail_overdue_upload)
         self._head: RequestHead | None = None  # None for a health check of the node itself.
         self._keeps_alive = True
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -136,6 +138,8 @@
             parser.feed(data)
         except BadRequestError as err:
             self._reject_request(err.status, str(err))
+        if self._upload_clock.is_running and not self.receive_timer.is_paused and not self.has_unread_data:
+            self._upload_clock.caught_up()
         if parser.is_receiving and not self.receive_timer.is_running and not self.is_closing:
             self.receive_timer.start()
 
@@ -213,8 +217,8 @@
             return
         self._upload.complete()
         if self.request_id is not None and self._head is not None:
-            assert self.transport is not None
-            arrived_at = self.node.now() - self.node.loop_monitor.unread_ms(self.transport)
+            arrived_at = self._upload_arrived_at()
+            self._upload_clock.stop()
             self.node.requests.body_received(self.request_id, arrived_at + self._head.timeout_ms)
 
     def _set_reading(self, is_reading: bool) -> None:
@@ -227,6 +231,27 @@
         else:
             self.receive_timer.pause()
             self.transport.pause_reading()
+            self._upload_clock.reading_paused()
+
+    def _upload_arrived_at(self) -> float:
+        """Return when the last byte of an upload, which was just read, may have been written (ms)."""
+        assert self.transport is not None
+        now = self.node.now()
+        arrived_at = now - self.node.loop_monitor.unread_ms(self.transport)
+        if (unread_since := self._upload_clock.unread_since) is not None:
+            arrived_at = min(arrived_at, now - (self.listener.loop.time() - unread_since) * 1000)
+        return arrived_at
+
+    def _missing_bytes(self) -> int | None:
+        """Return how many bytes of the body this machine has not received; None without a stated length."""
+        length = self.parser.content_length
+        if length is None or self.transport is None:
+            return None
+        return length - self.parser.body_size - socket_state.unread_bytes(self.transport)
+
+    def _fail_overdue_upload(self) -> None:
+        if self.request_id is not None:
+            self.node.requests.expire_upload(self.request_id)
 
     @property
     def has_disconnected(self) -> bool:
@@ -274,6 +299,8 @@
         unread_ms = node.loop_monitor.unread_ms(self.transport)
         event.deadline = node.now() - unread_ms + self._head.timeout_ms
         event.body_pending = upload is not None
+        if upload is not None:
+            self._upload_clock.begin(self._head.timeout_ms / 1000)
         self.request_id = event.request
         parser = self.parser
         body = bytes(self.body)
@@ -320,6 +347,7 @@
         self._buffered_bytes = 0
 
     def _disconnect_request(self) -> None:
+        self._upload_clock.stop()
         if self.request_id is not None:
             name = self.request_id
             self.request_id = None
@@ -343,6 +371,7 @@
         `is_kept_alive` tells whether the head of the response announced keep-alive.
         """
         self._release_body()
+        self._upload_clock.stop()
         if self.parser.is_receiving and self._upload is not None:
             # Closing while the client still sends would reset the connection and discard the response.
             self.stage = Stage.DRAINING
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -84,6 +84,7 @@
         "deadline_timer",
         "is_answered",
         "is_streaming",
+        "is_upload_overdue",
         "render",
         "request_id",
         "timeout_ms",
@@ -109,6 +110,7 @@
         self.arrived_at = 0.0  # Time in ms at which the request's last byte, or an upload's head, arrived.
         self.timeout_ms = 0.0  # Time that the client allows after its last byte has been received.
         self.is_streaming = False  # True once a streamed response has begun.
+        self.is_upload_overdue = False  # True once the time is over although the body has not been read.
         self.attempts: list[RequestAttempt] = []
         self.is_answered = False
         self.deadline_timer: asyncio.TimerHandle | None = None
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -102,6 +102,16 @@
                 self._start_timeout(attempt, request)
         self._handle_event(api.RequestBodyReceived(request_id, deadline))
 
+    def expire_upload(self, request_id: str) -> None:
+        """End a request whose backend takes its body too slowly, so that its time is over before its end."""
+        request = self.open.get(request_id)
+        if request is None or request.is_answered or request.is_streaming or not request.is_receiving:
+            return
+        self._counts["upload_overdue"] += 1
+        request.deadline = self._now()
+        request.is_upload_overdue = True
+        self.expire_deadline(request)
+
     def client_disconnected(self, request_id: str) -> None:
         """Close a request whose client has disconnected, and cancel its attempts as needed."""
         request = self.open.get(request_id)
@@ -264,6 +274,8 @@
 
     def _time_left_ms(self, attempt: RequestAttempt, request: OpenRequest) -> float:
         """Return the time in ms until an attempt times out; it does not pass while a body is received."""
+        if request.is_upload_overdue:
+            return 0.0
         if request.is_receiving:
             return min(attempt.timeout_ms or math.inf, request.timeout_ms)
         now = self._now()
--- a/balancer/net/socket_state.py
+++ b/balancer/net/socket_state.py
@@ -22,7 +22,12 @@
 
 def has_unread_data(transport: asyncio.Transport) -> bool:
     """Return whether the kernel holds received bytes that the event loop has not read."""
-    return _queued_bytes(transport, termios.FIONREAD) > 0
+    return unread_bytes(transport) > 0
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many received bytes the kernel holds that the event loop has not read."""
+    return _queued_bytes(transport, termios.FIONREAD)
 
 
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
