Read little of small requests and chunks in a turn of the event loop

Cause: a turn of the event loop reads a connection up to 32 times while its reads are full, 64 KiB each; of small parts that is thousands of callbacks.

Change: a read behind which less than nine tenths were body is 4 KiB at most, and behind a full one the connection waits for the next turn.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from balancer.net.listener import Listener
 
+# A turn of the event loop reads this much of small requests or chunks from a connection, others come then.
+SHORT_READ_BYTES = 4 * 1024
+MIN_BODY_FRACTION = 0.9  # Share of the body in a read behind which the next one may be long.
 LINGER_TIMEOUT_S = 1.0  # A client has 1 s to read its last response and close its side.
 
 
@@ -54,6 +57,7 @@
         self.receive_timer = ReceiveTimer(
             listener.loop, self.parser, lambda: self.has_unread_data, self.on_receive_timeout
         )
+        self._reads_body = False  # The last read was a part of a body, which costs little to parse.
         self._buffered_bytes = 0  # What the current request's body takes of the memory for short bodies.
         self._upload: Upload | None = None
         self._upload_clock = UploadClock(listener.loop, self._missing_bytes, self._fail_overdue_upload)
@@ -122,12 +126,31 @@
         self._abandon_request()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the shared read buffer; its size caps how much one read can queue for a slow backend."""
-        return self.node.memory.read_buffer()
+        """Return the shared read buffer; its size caps how much one read can queue for a slow backend.
+
+        Many small requests or chunks take long to parse, and other clients wait for that.
+        """
+        buffer = self.node.memory.read_buffer()
+        return buffer if self._reads_body else buffer[:SHORT_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes that asyncio has read into the shared buffer."""
+        body_bytes = self.parser.total_body_bytes
         self.data_received(self.node.memory.copy_read(nbytes))
+        self._reads_body = self.parser.total_body_bytes - body_bytes >= MIN_BODY_FRACTION * nbytes
+        if nbytes >= SHORT_READ_BYTES and not self._reads_body and not self.is_closing:
+            self._let_others_read()
+
+    def _let_others_read(self) -> None:
+        """Read on in the next turn of the event loop, which would go on with this connection otherwise."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.listener.loop.call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        is_paused = self.receive_timer.is_paused or self.responses.is_reading_paused
+        if self.transport is not None and not self.transport.is_closing() and not is_paused:
+            self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse requests; answer a malformed one with an error and close the connection."""
--- a/balancer/net/request_parser.py
+++ b/balancer/net/request_parser.py
@@ -64,6 +64,7 @@
         self.target = b""
         self.headers: dict[bytes, bytes] = {}  # Values of `STORED_HEADERS` by lower-case name.
         self.body_size = 0  # Number of body bytes received so far.
+        self.total_body_bytes = 0  # Number of body bytes of all requests so far.
         self.is_receiving = False  # True while a request has been received in part only.
         self.in_body = False
         self._handler = handler
@@ -168,6 +169,7 @@
         if not self._is_skipping:
             self._header_limit.progress()
             self.body_size += len(body)
+            self.total_body_bytes += len(body)
             self._handler.body_received(body)
 
     def on_message_complete(self) -> None:
