Refuse an order that comes again with the id of one that may have run

Cause: an id counted as in use only while its request was open.

An id that no backend has seen may come again at once.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -307,8 +307,8 @@
             self.responses.write(200 if node.is_up else 503, b"up\n" if node.is_up else b"not up\n")
             return
         event = self._head.event
-        if event.request in node.requests.open:
-            self._reject_request(409, "Request-Id is in use")
+        if node.requests.is_repeated(event.request):
+            self._reject_request(409, "Request-Id is in use or has been used")
             return
         if is_over_limit := self.listener.is_over_limit:
             self.close_after_response()
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -29,6 +29,7 @@
         "status",
         "timeout_ms",
         "timer",
+        "was_sent",
     )
 
     def __init__(
@@ -49,6 +50,7 @@
         self.timeout_ms = 0.0  # An attempt with a timeout of 0 may run until the client's deadline.
         self.recheck = UnreadRecheck(loop_time, self._has_unread_response)
         self.is_over = False
+        self.was_sent = False  # Whether the request had been sent when the attempt was cancelled.
         self.status: AttemptStatus | None = None  # Final status; None while the attempt is in progress.
 
     @property
@@ -68,6 +70,7 @@
         """Stop the timeout timer and close the connection."""
         self.cancel_timer()
         if self.attempt is not None:
+            self.was_sent = self.is_sent
             self.attempt.cancel()
             self.attempt = None
 
@@ -89,6 +92,7 @@
         "request_id",
         "timeout_ms",
         "upload",
+        "writes",
     )
 
     def __init__(
@@ -107,6 +111,7 @@
         self.deadline = deadline
         self.render = render
         self.upload = upload
+        self.writes = False  # True if a second execution would do harm.
         self.arrived_at = 0.0  # Time in ms at which the request's last byte, or an upload's head, arrived.
         self.timeout_ms = 0.0  # Time that the client allows after its last byte has been received.
         self.is_streaming = False  # True once a streamed response has begun.
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -16,6 +16,7 @@
 from balancer.net.connection_pool import ConnectionPool
 from balancer.net.node_ports import Client
 from balancer.net.open_request import OpenRequest, Render, RequestAttempt
+from balancer.net.recent_requests import RecentRequests
 from balancer.net.request_log import RequestLog
 from balancer.net.statistics import RequestOutcome, RequestStatistics
 from balancer.net.stream import Upload
@@ -47,6 +48,7 @@
     ) -> None:
         """Create an empty table; `clock` returns ms, `handle_event` receives the events of requests."""
         self.open: dict[str, OpenRequest] = {}  # Open requests by request id.
+        self._recent = RecentRequests()
         self._pool = pool
         self._statistics = statistics
         self._counts = counts
@@ -61,6 +63,10 @@
         """Number of requests that have not been answered yet."""
         return sum(not request.is_answered for request in self.open.values())
 
+    def is_repeated(self, request_id: str) -> bool:
+        """Return whether a request is open, or may have run lately and is not to run again."""
+        return request_id in self.open or self._recent.may_have_run(request_id, self._now())
+
     # --- events from clients
 
     def accept(
@@ -78,6 +84,7 @@
         self._counts["taken"] += 1
         deadline = event.deadline - DEADLINE_MARGIN_MS
         request = OpenRequest(event.request, event.class_name, client, deadline, render, upload)
+        request.writes = event.writes
         self.open[event.request] = request
         request.arrived_at = self._now() - unread_ms
         if unread_ms >= LOGGED_DELAY_MS:
@@ -371,6 +378,8 @@
             )
         request = self.open.get(attempt.request_id)
         if request is not None:
+            if request.writes and (attempt.was_sent or status is not AttemptStatus.CANCELLED):
+                self._recent.attempt_ended(attempt.request_id, status, self._now())
             self._answer_with_result(request, result)
         is_closed = request is None or request.is_answered
         is_prefix_dropped = request is not None and request.is_upload_prefix_dropped
