--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from tests.sockets import Backend, Message, http_response, running_node
+from tests.sockets import Backend, Message, http_response, running_node, started_node
+from tests.test_console import CONSOLE
+from tests.test_upgrade import reserved_port
 
 WORK_S = 0.2
 
@@ -59,3 +61,22 @@
             client = await rig.connect()
             client.writer.write(b"GET /read HTTP/1.1\r\nRequest-Id: a1\r\n\r\n")
             assert (await client.read_response()).status == 200
+
+
+async def test_unsafe_request_that_comes_again_at_the_new_process_of_an_upgrade_runs_once(
+    tmp_path: Path,
+) -> None:
+    """An order that the old process has sent must not run again where its client comes to the new one."""
+    backend = Backend("b0", respond_after_work)
+    with reserved_port() as port:
+        async with running_node(tmp_path, backend, console=CONSOLE, listen=f"127.0.0.1:{port}") as old:
+            first = await old.connect()
+            first.writer.write(once("a1"))
+            await asyncio.sleep(WORK_S / 2)
+            first.writer.transport.abort()
+            async with started_node(old.config, old.discovery) as new:
+                await asyncio.sleep(1.5)  # New connections are steered to the new process.
+                again = await new.connect()
+                again.writer.write(once("a1"))
+                assert (await again.read_response()).status == 409
+                assert backend.requests.qsize() == 1
