Tests: close the stand-ins' connections; collect garbage before source is parsed

Need: one whole run beside four busy processes was red in test_architecture.py: `SystemError: AST constructor recursion depth mismatch`, the fault of two entries in KNOWN-RED.txt. Traced before: the collector runs within `ast.parse`, the finalizer of a stream that an earlier test left open raises, pytest formats that and parses in turn, which Python 3.11.6 does not bear. This work's crowds of clients left more such streams.

Change: discovery's stand-in and the crowds close all their connections; before the tests of the two files that parse source the garbage is collected. No check is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 `FRESH_EXAMPLES_FACTOR` times as many.
 """
 
+import gc
 import os
 
 import pytest
@@ -19,6 +20,16 @@
 settings.register_profile("fixed", derandomize=True, database=None, deadline=None)
 settings.load_profile("fixed")
 
+# Tests in which Python source is parsed. Python 3.11 does not bear a parse within a parse, which follows from
+# a finalizer that raises while the collector runs, as pytest formats that exception.
+PARSING_TESTS = ("test_architecture", "test_known_red")
+
+
+def pytest_runtest_setup(item: pytest.Item) -> None:
+    """Run the finalizers of earlier tests before a test that parses source."""
+    if item.path.stem in PARSING_TESTS:
+        gc.collect()
+
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """If BALANCER_HUNT is set, select only property tests and let them draw fresh examples."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -177,6 +177,7 @@
 
     watch_targets: asyncio.Queue[str] = field(default_factory=asyncio.Queue)
     writer: asyncio.StreamWriter | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
     port: int = 0
     server: asyncio.Server | None = None
 
@@ -185,7 +186,15 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def stop(self) -> None:
+        """Stop listening and abort all connections."""
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            abort_connection(writer)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             message = await read_message(reader)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -364,7 +373,6 @@
         async with started_node(path, discovery) as rig:
             yield rig
     finally:
-        assert discovery.server is not None
-        discovery.server.close()
+        discovery.stop()
         for backend in backends:
             backend.stop()
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -49,19 +49,25 @@
 
 async def serve_backend(reader: Reader, writer: Writer) -> None:
     """Read requests, and answer with 60 kB after some work, or with megabytes."""
-    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-        while True:
-            text = await reader.readuntil(b"\r\n\r\n")
-            found = re.search(rb"Content-Length: (\d+)", text)
-            await reader.readexactly(int(found[1]) if found else 0)
-            await asyncio.sleep(0.3)
-            size = LONG_RESPONSE_BYTES if b"/long" in text else 60_000
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
-            for _ in range(0, size, 60_000):
-                writer.write(b"y" * min(60_000, size))
-                size -= 60_000
-                await writer.drain()
-    abort_connection(writer)
+    try:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await serve_request(reader, writer)
+    finally:
+        abort_connection(writer)
+
+
+async def serve_request(reader: Reader, writer: Writer) -> None:
+    text = await reader.readuntil(b"\r\n\r\n")
+    found = re.search(rb"Content-Length: (\d+)", text)
+    await reader.readexactly(int(found[1]) if found else 0)
+    await asyncio.sleep(0.3)
+    size = LONG_RESPONSE_BYTES if b"/long" in text else 60_000
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    while size > 0:
+        writer.write(b"y" * min(60_000, size))
+        size -= 60_000
+        await writer.drain()
 
 
 async def send_short_fields(draws: random.Random, reader: Reader, writer: Writer) -> None:
@@ -158,19 +164,18 @@
         process.wait()
         for server in servers:
             server.close()
-        assert discovery.server is not None
-        discovery.server.close()
+        discovery.stop()
 
 
 async def crowd_client(kind: str, node: CrowdedNode, draws: random.Random) -> None:
     while True:
-        writer = None
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
             reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
-            async with asyncio.timeout(6.0):
-                await KINDS[kind](draws, reader, writer)
-        if writer is not None:
-            writer.transport.abort()
+            try:
+                async with asyncio.timeout(6.0):
+                    await KINDS[kind](draws, reader, writer)
+            finally:
+                writer.transport.abort()
         await asyncio.sleep(draws.uniform(0.0, 0.1))
 
 
@@ -185,7 +190,8 @@
             node.refused += b" 200 " not in text
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             node.lost += 1
-        writer.transport.abort()
+        finally:
+            writer.transport.abort()
         await asyncio.sleep(0.1)
 
 
