--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from balancer.interface import AttemptStatus, LoadReport
+from balancer.net.response_progress import ResponseProgress
 from balancer.net.statistics import CloseReason
 from balancer.net.stream import Upload
 
@@ -117,6 +118,11 @@
         """Whether a part of a response of unknown length has been received and not been passed on."""
         return self.connection is not None and self.connection.is_holding_response
 
+    @property
+    def unknown_length_progress(self) -> ResponseProgress | None:
+        """Progress of a response of unknown length, or None if it has a length or no body byte has come."""
+        return None if self.connection is None else self.connection.unknown_length_progress
+
     def finish(self, result: AttemptResult) -> None:
         """Report the result of the attempt."""
         self._detach()
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -12,6 +12,7 @@
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.load_report import LoadReportError
 from balancer.net.response_parser import MAX_HEADER_BYTES, ResponseParser
+from balancer.net.response_progress import ResponseProgress
 from balancer.net.send_queue import SendQueue
 from balancer.net.statistics import CloseReason
 from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
@@ -352,6 +353,16 @@
         """Whether a part of a response of unknown length is buffered."""
         return self.response.length is None and self.response.sink is None and bool(self.response.body)
 
+    @property
+    def unknown_length_progress(self) -> ResponseProgress | None:
+        """Progress of a response of unknown length, or None if it has a length or no body byte has come."""
+        if self.response.length is not None or not self.response.body_size:
+            return None
+        now = self.pool.loop.time()
+        return ResponseProgress(
+            self.response.body_size, (now - self._body_since) * 1000, (now - self._last_progress) * 1000
+        )
+
     def _schedule_streaming_check(self, delay_s: float) -> None:
         self.streaming_timer = self.pool.loop.call_later(delay_s, self._check_streaming)
 
--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -273,8 +273,9 @@
         return length - self.parser.body_size - socket_state.unread_bytes(self.transport)
 
     def _fail_overdue_upload(self) -> None:
-        if self.request_id is not None:
-            self.node.requests.expire_upload(self.request_id)
+        if self.request_id is not None and self.transport is not None:
+            unread_bytes = socket_state.unread_bytes(self.transport)
+            self.node.requests.expire_upload(self.request_id, self.parser.body_size, unread_bytes)
 
     @property
     def has_disconnected(self) -> bool:
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -109,12 +109,16 @@
                 self._start_timeout(attempt, request)
         self._handle_event(api.RequestBodyReceived(request_id, deadline))
 
-    def expire_upload(self, request_id: str) -> None:
-        """End a request whose backend takes its body too slowly, so that its time is over before its end."""
+    def expire_upload(self, request_id: str, read_bytes: int, unread_bytes: int) -> None:
+        """End a request whose backend takes its body too slowly, so that its time is over before its end.
+
+        The log tells how much of the body was read, and how much lies unread in the kernel.
+        """
         request = self.open.get(request_id)
         if request is None or request.is_answered or request.is_streaming or not request.is_receiving:
             return
         self._counts["upload_overdue"] += 1
+        self._log.upload_overdue(request_id, read_bytes, unread_bytes, request.stage)
         request.deadline = self._now()
         request.is_upload_overdue = True
         self.expire_deadline(request)
@@ -261,12 +265,20 @@
             request.deadline_timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_deadline, request)
             return
         for attempt in request.attempts:
+            self._log_ended_response(attempt, request)
             self._time_out(attempt)
         if not request.is_answered:
             self._counts["overdue"] += 1
             self._answer(request, RequestOutcome.FAILED, lambda client: client.fail())
             self._handle_event(api.ClientDisconnected(request.request_id))
 
+    def _log_ended_response(self, attempt: RequestAttempt, request: OpenRequest) -> None:
+        """Count and log a response of unknown length that ends because the time of its request is over."""
+        if attempt.attempt is None or (progress := attempt.attempt.unknown_length_progress) is None:
+            return
+        self._counts["no_length_broken_off" if request.is_streaming else "no_length_not_passed_on"] += 1
+        self._log.response_ended(request.request_id, attempt.endpoint, progress, request.is_streaming)
+
     def _response_time_left_s(self, request: OpenRequest) -> float:
         """Return in how many seconds a short response that is being passed on will be broken off."""
         deadline = self._now() + request.timeout_ms if request.deadline_timer is None else request.deadline
@@ -356,6 +368,9 @@
             request.deadline = self._now() + request.timeout_ms
             self._start_deadline(request)
         request.is_streaming = True
+        if (progress := backend.unknown_length_progress) is not None:
+            self._counts["no_length_passed_on"] += 1
+            self._log.response_passed_on(request.request_id, attempt.endpoint, progress)
         request.client.begin_stream(backend, size, content_type)
         elapsed_ms = self._now() - attempt.started_at
         self._handle_event(
--- a/balancer/net/request_log.py
+++ b/balancer/net/request_log.py
@@ -10,6 +10,7 @@
 
 from balancer.interface import AttemptStatus
 from balancer.net.rate_limited_log import RateLimitedLog
+from balancer.net.response_progress import ResponseProgress
 
 log = logging.getLogger(__name__)
 
@@ -59,3 +60,21 @@
         """Log a request that was rejected or has failed."""
         text = f"{response}, reason {reason}, attempts {attempts}"
         self._lines.log(f"{response} {reason}", f"request {request_id}: {text}")
+
+    def response_passed_on(self, request_id: str, backend: str, progress: ResponseProgress) -> None:
+        """Log a response of unknown length of which a part goes to the client before its end is known."""
+        text = f"response of {backend} without a length is passed on: {progress}"
+        self._lines.log("passed on", f"request {request_id}: {text}")
+
+    def response_ended(
+        self, request_id: str, backend: str, progress: ResponseProgress, is_passed_on: bool
+    ) -> None:
+        """Log a response of unknown length that is ended for its deadline, held or in the middle."""
+        how = "broken off" if is_passed_on else "not passed on"
+        text = f"response of {backend} without a length is {how} for its deadline: {progress}"
+        self._lines.log(f"deadline {how}", f"request {request_id}: {text}")
+
+    def upload_overdue(self, request_id: str, read_bytes: int, unread_bytes: int, stage: str) -> None:
+        """Log a request whose time is over although its body has not been read to its end."""
+        text = f"upload overdue, {read_bytes} bytes read, {unread_bytes} received and not read, {stage}"
+        self._lines.log("upload overdue", f"request {request_id}: {text}")
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,6 +12,7 @@
 from balancer.net.change_summary import MAX_NAMES_PER_CHANGE, ChangeSummary
 from balancer.net.rate_limited_log import PERIOD_S, RateLimitedLog
 from balancer.net.request_log import RequestLog
+from balancer.net.response_progress import ResponseProgress
 from tests.helpers import entry, member
 from tests.virtual_discovery import DiscoverySimulation
 
@@ -112,3 +113,23 @@
         "request r2: client left 75 ms after the request arrived, attempt sent, attempts 1",
         "request r3: attempt 1 at b0: moot after 0 ms, client has left",
     ]
+
+
+def test_ended_responses_without_a_length_are_logged_with_their_progress(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    lines = RequestLog(lambda: 0.0)
+    progress = ResponseProgress(54_000, 612.4, 600.2)
+    with caplog.at_level(logging.INFO):
+        lines.response_passed_on("1", "b0", progress)
+        lines.response_ended("1", "b0", progress, is_passed_on=True)
+        lines.response_ended("2", "b1", progress, is_passed_on=False)
+        lines.upload_overdue("3", 65_536, 131_072, "attempt waits for its connection")
+    came = "54000 bytes, the first 612 ms ago, the last 600 ms ago"
+    assert caplog.messages == [
+        f"request 1: response of b0 without a length is passed on: {came}",
+        f"request 1: response of b0 without a length is broken off for its deadline: {came}",
+        f"request 2: response of b1 without a length is not passed on for its deadline: {came}",
+        "request 3: upload overdue, 65536 bytes read, 131072 received and not read,"
+        " attempt waits for its connection",
+    ]
