--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -10,7 +10,7 @@
 import pytest
 
 from balancer.net.backend_connection import BackendConnection
-from tests.sockets import Backend, running_node
+from tests.sockets import Backend, http_response, running_node
 from tests.test_closing import Peer, on_uvloop, running_listener
 
 TIMEOUT_S = 0.8
@@ -127,3 +127,81 @@
         written_at = loop.time()
         assert (await client.read_response()).status == 502
         assert 0.5 * TIMEOUT_S < loop.time() - written_at < TIMEOUT_S + MAX_OVERRUN_S
+
+
+class UnreachableBackend(Backend):
+    """Fake backend whose machine drops what would open a connection, as long as its queue is full."""
+
+    async def start(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fillers = [socket.socket() for _ in range(3)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(self.listener.getsockname())
+        await asyncio.sleep(0.05)
+
+    def stop(self) -> None:
+        for sock in (*self.fillers, self.listener):
+            sock.close()
+
+
+class BodyCountingBackend(Backend):
+    """Fake backend that answers an upload with the number of bytes that its body has."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            writer.write(http_response(b"%d" % len(await reader.readexactly(length))))
+
+
+class LateBackend(BodyCountingBackend):
+    """Fake backend whose connections come up once the kernel tries again to open them, after 1 s."""
+
+    async def start(self) -> None:
+        self.gate = UnreachableBackend("gate")
+        await self.gate.start()
+        self.port = self.gate.port
+        self.opening = asyncio.create_task(self._open())
+
+    async def _open(self) -> None:
+        await asyncio.sleep(0.5)
+        for filler in self.gate.fillers:
+            filler.close()
+        self.server = await asyncio.start_server(self._serve, sock=self.gate.listener)
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+async def test_upload_whose_backends_cannot_be_reached_is_answered_in_time(
+    tmp_path: Path, chunked: bool
+) -> None:
+    """Guards against a final answer seconds late: connections that never come up, one behind the other."""
+    backends = [UnreachableBackend(f"b{number}") for number in range(4)]
+    async with running_node(tmp_path, *backends) as rig:
+        client, loop = await rig.connect(), asyncio.get_running_loop()
+        client.writer.write(framed(300_000, chunked))
+        await client.writer.drain()
+        written_at = loop.time()
+        assert (await client.read_response()).status == 503
+        assert loop.time() - written_at < TIMEOUT_S + MAX_OVERRUN_S + ALLOWED_DELAY_S
+
+
+async def test_upload_that_is_still_written_waits_for_a_connection_that_comes_up_late(
+    tmp_path: Path,
+) -> None:
+    """The time of a request whose last byte has not been written does not pass, whatever waits for it."""
+    body_bytes, rate = 250_000, 100_000
+    limits = {"connect-timeout": 3000}
+    async with running_node(tmp_path, LateBackend("b0"), limits=limits) as rig:
+        client = await rig.connect()
+        text = framed(body_bytes, False)
+        for begin in range(0, len(text), rate // 20):
+            client.writer.write(text[begin : begin + rate // 20])
+            await asyncio.sleep(0.05)
+        answer = await client.read_response()
+        assert (answer.status, answer.body) == (200, b"%d" % body_bytes)
