Count the time of an upload from its first pause, and not while its client writes

Cause: reading pauses while the body's first 64 KiB wait for a connection. The clock was begun behind that pause and learned of the next one only, so the time of connecting did not count.

Change: the clock is begun with the pause that is there. As that alone would refuse clients that still write (the counterpart), bytes that come while nothing is read show that the client writes, and its time counts from them. UploadProgress holds what has come of a body; the log line takes it.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -14,7 +14,7 @@
 from balancer.net.response_delivery import CutReason, ResponseDelivery
 from balancer.net.response_writer import ResponseWriter
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload
-from balancer.net.upload_clock import UploadClock
+from balancer.net.upload_clock import UploadClock, UploadProgress
 
 if TYPE_CHECKING:
     from balancer.net.listener import Listener
@@ -60,7 +60,7 @@
         self._reads_body = False  # The last read was a part of a body, which costs little to parse.
         self._buffered_bytes = 0  # What the current request's body takes of the memory for short bodies.
         self._upload: Upload | None = None
-        self._upload_clock = UploadClock(listener.loop, self._missing_bytes, self._fail_overdue_upload)
+        self._upload_clock = UploadClock(listener.loop, self._upload_progress, self._fail_overdue_upload)
         self._head: RequestHead | None = None  # None for a health check of the node itself.
         self._keeps_alive = True
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -265,17 +265,14 @@
             arrived_at = min(arrived_at, now - (self.listener.loop.time() - unread_since) * 1000)
         return arrived_at
 
-    def _missing_bytes(self) -> int | None:
-        """Return how many bytes of the body this machine has not received; None without a stated length."""
-        length = self.parser.content_length
-        if length is None or self.transport is None:
-            return None
-        return length - self.parser.body_size - socket_state.unread_bytes(self.transport)
+    def _upload_progress(self) -> UploadProgress:
+        """Return how much of the body has come."""
+        unread_bytes = 0 if self.transport is None else socket_state.unread_bytes(self.transport)
+        return UploadProgress(self.parser.content_length, self.parser.body_size, unread_bytes)
 
     def _fail_overdue_upload(self) -> None:
-        if self.request_id is not None and self.transport is not None:
-            unread_bytes = socket_state.unread_bytes(self.transport)
-            self.node.requests.expire_upload(self.request_id, self.parser.body_size, unread_bytes)
+        if self.request_id is not None:
+            self.node.requests.expire_upload(self.request_id, self._upload_progress())
 
     @property
     def has_disconnected(self) -> bool:
@@ -324,7 +321,7 @@
         event.deadline = node.now() - unread_ms + self._head.timeout_ms
         event.body_pending = upload is not None
         if upload is not None:
-            self._upload_clock.begin(self._head.timeout_ms / 1000)
+            self._upload_clock.begin(self._head.timeout_ms / 1000, self.receive_timer.is_paused)
         self.request_id = event.request
         parser = self.parser
         body = bytes(self.body)
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -21,6 +21,7 @@
 from balancer.net.statistics import RequestOutcome, RequestStatistics
 from balancer.net.stream import Upload
 from balancer.net.unread_recheck import RECHECK_DELAY_S
+from balancer.net.upload_clock import UploadProgress
 
 # Interval between two checks whether a long response past its deadline is still being received.
 LONG_RESPONSE_CHECK_S = 0.25
@@ -109,16 +110,16 @@
                 self._start_timeout(attempt, request)
         self._handle_event(api.RequestBodyReceived(request_id, deadline))
 
-    def expire_upload(self, request_id: str, read_bytes: int, unread_bytes: int) -> None:
+    def expire_upload(self, request_id: str, progress: UploadProgress) -> None:
         """End a request whose backend takes its body too slowly, so that its time is over before its end.
 
-        The log tells how much of the body was read, and how much lies unread in the kernel.
+        The log tells how much of it has come.
         """
         request = self.open.get(request_id)
         if request is None or request.is_answered or request.is_streaming or not request.is_receiving:
             return
         self._counts["upload_overdue"] += 1
-        self._log.upload_overdue(request_id, read_bytes, unread_bytes, request.stage)
+        self._log.upload_overdue(request_id, progress, request.stage)
         request.deadline = self._now()
         request.is_upload_overdue = True
         self.expire_deadline(request)
--- a/balancer/net/request_log.py
+++ b/balancer/net/request_log.py
@@ -11,6 +11,7 @@
 from balancer.interface import AttemptStatus
 from balancer.net.rate_limited_log import RateLimitedLog
 from balancer.net.response_progress import ResponseProgress
+from balancer.net.upload_clock import UploadProgress
 
 log = logging.getLogger(__name__)
 
@@ -74,7 +75,8 @@
         text = f"response of {backend} without a length is {how} for its deadline: {progress}"
         self._lines.log(f"deadline {how}", f"request {request_id}: {text}")
 
-    def upload_overdue(self, request_id: str, read_bytes: int, unread_bytes: int, stage: str) -> None:
+    def upload_overdue(self, request_id: str, progress: UploadProgress, stage: str) -> None:
         """Log a request whose time is over although its body has not been read to its end."""
-        text = f"upload overdue, {read_bytes} bytes read, {unread_bytes} received and not read, {stage}"
+        came = f"{progress.read_bytes} bytes read, {progress.unread_bytes} received and not read"
+        text = f"upload overdue, {came}, {stage}"
         self._lines.log("upload overdue", f"request {request_id}: {text}")
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -13,6 +13,7 @@
 from balancer.net.rate_limited_log import PERIOD_S, RateLimitedLog
 from balancer.net.request_log import RequestLog
 from balancer.net.response_progress import ResponseProgress
+from balancer.net.upload_clock import UploadProgress
 from tests.helpers import entry, member
 from tests.virtual_discovery import DiscoverySimulation
 
@@ -124,7 +125,9 @@
         lines.response_passed_on("1", "b0", progress)
         lines.response_ended("1", "b0", progress, is_passed_on=True)
         lines.response_ended("2", "b1", progress, is_passed_on=False)
-        lines.upload_overdue("3", 65_536, 131_072, "attempt waits for its connection")
+        lines.upload_overdue(
+            "3", UploadProgress(300_000, 65_536, 131_072), "attempt waits for its connection"
+        )
     came = "54000 bytes, the first 612 ms ago, the last 600 ms ago"
     assert caplog.messages == [
         f"request 1: response of b0 without a length is passed on: {came}",
