Let streams of a `streamed` class go on behind their request's deadline

Cause: the node reads the setting, but neither the deadline nor the timeout of an attempt asks for it.

Change: RequestHead tells that the class is streamed.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -108,6 +108,10 @@
         """Whether bytes of the response have been received that the event loop has not read yet."""
         return self.connection is not None and self.connection.has_unread_data
 
+    def pass_on(self) -> bool:
+        """Pass on what has come of the response; return whether a response is being passed on."""
+        return self.connection is not None and self.connection.pass_on()
+
     def continue_past_deadline(self) -> bool:
         """Return whether a long response goes on behind the deadline; one that was held is passed on."""
         return self.connection is not None and self.connection.continue_past_deadline()
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -396,8 +396,13 @@
         self._growth.record(self._now_ms(), response.body_size)
         if not self._growth.may_outlast_deadline(self._now_ms()):
             return False
-        self._begin_streaming()
-        return response.sink is not None
+        return self.pass_on()
+
+    def pass_on(self) -> bool:
+        """Pass on a response whose head has come; return whether one is being passed on."""
+        if self.response.has_begun:
+            self._begin_streaming()
+        return self.response.sink is not None
 
     def _begin_streaming(self) -> None:
         """Stream the rest of a response that is too long or too slow to buffer."""
--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -328,7 +328,8 @@
         self.body = bytearray()
         framing = self._backend_framing(body)
         render = partial(render_request, parser.method, parser.target, parser.headers, framing, body)
-        node.requests.accept(event, self.responses, render, upload, unread_ms)
+        is_streamed = self._head.is_streamed
+        node.requests.accept(event, self.responses, render, upload, unread_ms, is_streamed)
 
     def _backend_framing(self, body: bytes) -> bytes:
         """Return the framing header for the backend request; it is empty for a request without a body."""
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -91,6 +91,7 @@
         "deadline",
         "deadline_timer",
         "is_answered",
+        "is_streamed_class",
         "is_streaming",
         "is_upload_overdue",
         "render",
@@ -119,6 +120,7 @@
         self.writes = False  # True if a second execution would do harm.
         self.arrived_at = 0.0  # Time in ms at which the request's last byte, or an upload's head, arrived.
         self.timeout_ms = 0.0  # Time that the client allows after its last byte has been received.
+        self.is_streamed_class = False  # True if a response that has begun may take any time.
         self.is_streaming = False  # True once a streamed response has begun.
         self.is_upload_overdue = False  # True once the time is over although the body has not been read.
         self.attempts: list[RequestAttempt] = []
--- a/balancer/net/request_head.py
+++ b/balancer/net/request_head.py
@@ -23,6 +23,7 @@
 
     event: RequestArrived
     timeout_ms: float  # Time that the client allows after its last byte has been received.
+    is_streamed: bool = False  # The class of the request has no deadline for a response that has begun.
 
 
 def parse_timeout(value: bytes) -> float:
@@ -63,7 +64,7 @@
     event = _create_event(request_class, query, headers, settings)
     if b"request-timeout" in headers:
         timeout_ms = min(timeout_ms, parse_timeout(headers[b"request-timeout"]))
-    return RequestHead(event, timeout_ms)
+    return RequestHead(event, timeout_ms, request_class.streamed)
 
 
 def _create_event(
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -77,15 +77,18 @@
         render: Render,
         upload: Upload | None = None,
         unread_ms: float = 0.0,
+        is_streamed: bool = False,
     ) -> None:
         """Open a request whose last bytes were received `unread_ms` before they were read.
 
-        `render` omits the body of an `upload`, and `body_received` starts its deadline.
+        `render` omits the body of an `upload`, and `body_received` starts its deadline. The deadline of a
+        class that is `streamed` stops once its response has begun.
         """
         self._counts["taken"] += 1
         deadline = event.deadline - DEADLINE_MARGIN_MS
         request = OpenRequest(event.request, event.class_name, client, deadline, render, upload)
         request.writes = event.writes
+        request.is_streamed_class = is_streamed
         self.open[event.request] = request
         request.arrived_at = self._now() - unread_ms
         if unread_ms >= LOGGED_DELAY_MS:
@@ -205,7 +208,7 @@
             partial(self._begin_stream, attempt),
             request.upload,
             partial(self._refresh, attempt, request, action.latest_start),
-            partial(self._response_time_left_s, request),
+            None if request.is_streamed_class else partial(self._response_time_left_s, request),
         )
         if attempt.is_sent:
             self._log_late_send(attempt, request)
@@ -254,6 +257,8 @@
         """
         if request.is_answered:
             return
+        if any([self._passes_on_stream(attempt) for attempt in request.attempts]):
+            return
         if request.has_begun_response and (left_s := self._response_time_left_s(request)) > 0:
             request.deadline_timer = self._loop.call_later(left_s, self.expire_deadline, request)
             return
@@ -308,13 +313,19 @@
 
         One whose response has begun goes on until the deadline.
         """
-        if attempt.is_holding_response:
+        if attempt.is_holding_response or self._passes_on_stream(attempt):
             return
         if not attempt.is_over and attempt.recheck.is_due():
             attempt.timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_attempt, attempt)
         else:
             self._time_out(attempt)
 
+    def _passes_on_stream(self, attempt: RequestAttempt) -> bool:
+        """Pass on a response of a streamed class that has begun; return whether there is one."""
+        request = self.open.get(attempt.request_id)
+        is_streamed = request is not None and request.is_streamed_class
+        return is_streamed and attempt.attempt is not None and attempt.attempt.pass_on()
+
     def _time_out(self, attempt: RequestAttempt) -> None:
         if attempt.is_over:
             return
--- a/balancer/net/response_parser.py
+++ b/balancer/net/response_parser.py
@@ -134,6 +134,11 @@
         ):
             self._begin_streaming()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the head of a response with status 200 has come, and the response is not complete."""
+        return self._in_body and not self.is_complete and self._has_status_ok
+
     @property
     def _has_status_ok(self) -> bool:
         status: int = self._parser.get_status_code()
--- a/tests/response_patterns.py
+++ b/tests/response_patterns.py
@@ -16,10 +16,14 @@
 
 
 class Framing(enum.Enum):
-    """How a backend marks the end of a response whose length it does not state; the values are headers."""
+    """How a backend marks the end of a response; the values are header lines."""
 
     CHUNKED = b"Transfer-Encoding: chunked\r\n"
     CLOSE = b""
+    LENGTH = b"Content-Length: %d\r\n"
+
+
+UNKNOWN_LENGTH = (Framing.CHUNKED, Framing.CLOSE)
 
 
 @dataclass(frozen=True)
@@ -90,7 +94,8 @@
     async def respond(backend: Backend, message: Message, writer: asyncio.StreamWriter) -> None:
         play = plays[int(message.start_line.split(" ")[1].rpartition("/")[2])]
         is_chunked = play.framing is Framing.CHUNKED
-        writer.write(b"HTTP/1.1 200 OK\r\n" + play.framing.value + b"\r\n")
+        line = play.framing.value
+        writer.write(b"HTTP/1.1 200 OK\r\n%b\r\n" % (line % play.size if b"%" in line else line))
         for piece in play.pieces:
             await asyncio.sleep(piece.pause_s)
             body = b"x" * piece.size
@@ -98,7 +103,7 @@
             await writer.drain()
         if is_chunked:
             writer.write(LAST_CHUNK)
-        else:
+        elif play.framing is Framing.CLOSE:
             writer.close()
 
     return respond
@@ -144,5 +149,5 @@
 
 
 def with_framings(patterns: list[list[Piece]], timeouts_s: list[float]) -> list[Play]:
-    """Return each pattern in each framing and with each time."""
-    return [Play(*drawn) for drawn in itertools.product(patterns, Framing, timeouts_s)]
+    """Return each pattern in each framing without a length, and with each time."""
+    return [Play(*drawn) for drawn in itertools.product(patterns, UNKNOWN_LENGTH, timeouts_s)]
--- a/tests/test_unknown_length.py
+++ b/tests/test_unknown_length.py
@@ -4,13 +4,16 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
 from balancer.policy.response_growth import MAX_UNPROVEN_MS
 from tests.response_patterns import (
+    ALLOWED_DELAY_S,
     MAX_OVERRUN_S,
     End,
     Ending,
+    Framing,
     Play,
     PlayingBackend,
     lumps,
@@ -27,10 +30,12 @@
 QUICK_CLASSES = [entry | {"objective": 100, "late-worth": 0.5} for entry in CLASSES]
 
 
-async def play_all(tmp_path: Path, plays: list[Play]) -> list[Ending]:
+async def play_all(
+    tmp_path: Path, plays: list[Play], classes: list[dict[str, Any]] = QUICK_CLASSES
+) -> list[Ending]:
     """Play all responses side by side at one node."""
     backends = [PlayingBackend(f"b{number}", plays) for number in range(4)]
-    async with running_node(tmp_path, *backends, **{"request-classes": QUICK_CLASSES}) as rig:
+    async with running_node(tmp_path, *backends, **{"request-classes": classes}) as rig:
         return await asyncio.gather(
             *[play_response(await rig.connect(), plays, number) for number in range(len(plays))]
         )
@@ -89,3 +94,13 @@
     for ending in await play_all(tmp_path, plays):
         assert ending.end is End.TRUNCATED and ending.size == 40_000, ending
         assert ending.took_s < ending.play.timeout_s + MAX_UNPROVEN_MS / 1000 + 2 * MAX_OVERRUN_S, ending
+
+
+async def test_response_of_a_streamed_class_has_no_deadline(tmp_path: Path) -> None:
+    """Guards against a stream that has begun and is ended at its request's time."""
+    plays = with_framings([steady(6_000, 3.0, 60), lumps(100, 100, pause_s=2.5)], TIMEOUTS_S[:1])
+    plays.append(Play(steady(6_000, 3.0, 60), Framing.LENGTH, TIMEOUTS_S[0]))
+    streamed = [entry | {"streamed": True} for entry in QUICK_CLASSES]
+    for ending in await play_all(tmp_path, plays, streamed):
+        assert ending.end is End.WHOLE and ending.size == ending.play.size, ending
+        assert ending.first_s < ending.play.timeout_s + ALLOWED_DELAY_S, ending
