--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -294,6 +294,11 @@
             self.log.append(line)
         return line
 
+    async def read_log(self) -> None:
+        """Read the log until the process ends."""
+        while await self._line():
+            pass
+
     def terminate(self) -> None:
         """Send SIGTERM to the node."""
         self.process.send_signal(signal.SIGTERM)
@@ -306,8 +311,7 @@
     async def wait_for_exit(self) -> int:
         """Wait until the node process ends and return its exit code."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while await self._line():
-                pass
+            await self.read_log()
             return await self.process.wait()
 
 
