Give the holding of responses without a length a module of its own

Change: net/response_hold.py has the timer, the growth and the progress of a held response; the connection asks it. The tests name the timer at its new place. Behaviour is unchanged.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -124,7 +124,7 @@
     @property
     def unknown_length_progress(self) -> ResponseProgress | None:
         """Progress of a response of unknown length, or None if it has a length or no body byte has come."""
-        return None if self.connection is None else self.connection.unknown_length_progress
+        return None if self.connection is None else self.connection.hold.progress
 
     def finish(self, result: AttemptResult) -> None:
         """Report the result of the attempt."""
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -11,18 +11,14 @@
 from balancer.net import socket_state
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.load_report import LoadReportError
+from balancer.net.response_hold import ResponseHold
 from balancer.net.response_parser import MAX_HEADER_BYTES, ResponseParser
-from balancer.net.response_progress import ResponseProgress
 from balancer.net.send_queue import SendQueue
 from balancer.net.statistics import CloseReason
-from balancer.net.stream import MAX_BUFFERED_BODY_BYTES
-from balancer.policy.response_growth import ResponseGrowth
 
 if TYPE_CHECKING:
     from balancer.net.connection_pool import ConnectionPool, EndpointConnections
 
-STREAMING_DELAY_S = 0.025  # Most bodies of unknown length are complete 25 ms after their first byte.
-STREAMING_CHECK_INTERVAL_S = 0.1
 # An attempt with a streamed body fails if the backend receives and sends no byte for 10 s.
 STALL_TIMEOUT_S = 10.0
 STALL_CHECK_INTERVAL_S = 1.0
@@ -54,14 +50,12 @@
         self._is_creating_transport = False
         self._is_request_started = False  # Bytes received before the first request are not a response.
         self._is_reading_paused = False
-        self._growth: ResponseGrowth | None = None  # Of a response of unknown length whose body has begun.
-        # Checks whether to stream a body of unknown length that is not complete yet.
-        self.streaming_timer: asyncio.TimerHandle | None = None
         # The timer runs while an attempt waits until the connection has been idle for `REUSE_DELAY_S`.
         self._reuse_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
         self._send_queue = SendQueue()
         self.response = ResponseParser(self._begin_streaming)
+        self.hold = ResponseHold(pool.loop, self._begin_streaming)
 
     # --- connecting and closing
 
@@ -248,7 +242,7 @@
             )
             self._fail(AttemptStatus.RESET)
         elif response.body_size and response.length is None:
-            self._record_growth()
+            self.hold.received(response.body_size, response.sink is None)
 
     # --- sending a request
 
@@ -269,7 +263,7 @@
         self._reuse_timer = None
         self._is_reading_paused = False
         self.response.reset()
-        self._growth = None
+        self.hold.begin(attempt.response_time_left)
         self._is_request_started = True
         self.transport.write(attempt.request)
         if attempt.upload is not None:
@@ -337,11 +331,11 @@
         self._schedule_stall_check()
 
     def _cancel_timers(self) -> None:
-        for timer in (self._stall_timer, self.streaming_timer, self._reuse_timer):
+        self.hold.cancel()
+        for timer in (self._stall_timer, self._reuse_timer):
             if timer is not None:
                 timer.cancel()
         self._stall_timer = None
-        self.streaming_timer = None
         self._reuse_timer = None
 
     # --- receiving the response
@@ -351,52 +345,12 @@
         """Whether a part of a response of unknown length is buffered."""
         return self.response.length is None and self.response.sink is None and bool(self.response.body)
 
-    @property
-    def unknown_length_progress(self) -> ResponseProgress | None:
-        """Progress of a response of unknown length, or None if it has a length or no body byte has come."""
-        if (growth := self._growth) is None:
-            return None
-        now = self._now_ms()
-        return ResponseProgress(growth.size, growth.age_ms(now), now - self._last_progress * 1000)
-
-    def _now_ms(self) -> float:
-        return self.pool.loop.time() * 1000
-
-    def _record_growth(self) -> None:
-        """Record what has come of a response of unknown length, and hold it for a while."""
-        size = self.response.body_size
-        if self._growth is not None:
-            self._growth.record(self._now_ms(), size)
-            return
-        self._growth = ResponseGrowth(MAX_BUFFERED_BODY_BYTES, self._now_ms(), size)
-        if self.response.sink is None:
-            self._schedule_streaming_check(STREAMING_DELAY_S)
-
-    def _schedule_streaming_check(self, delay_s: float) -> None:
-        self.streaming_timer = self.pool.loop.call_later(delay_s, self._check_streaming)
-
-    def _check_streaming(self) -> None:
-        """Pass on a response of unknown length, or hold it further."""
-        growth, attempt = self._growth, self.attempt
-        if growth is None or attempt is None:
-            return
-        time_left = attempt.response_time_left
-        if time_left is None or growth.may_be_passed_on(self._now_ms(), time_left() * 1000):
-            self._begin_streaming()
-        else:
-            self._schedule_streaming_check(STREAMING_CHECK_INTERVAL_S)
-
     def continue_past_deadline(self) -> bool:
         """Return whether the response is, or is taken for, a long one; pass it on if it has been held."""
         response = self.response
         if response.sink is not None and (response.length is not None or self._is_reading_paused):
             return True  # While a slow client pauses reading, more may have come than is known.
-        if self._growth is None:
-            return False
-        self._growth.record(self._now_ms(), response.body_size)
-        if not self._growth.may_outlast_deadline(self._now_ms()):
-            return False
-        return self.pass_on()
+        return self.hold.may_outlast_deadline(response.body_size) and self.pass_on()
 
     def pass_on(self) -> bool:
         """Pass on a response whose head has come; return whether one is being passed on."""
@@ -407,9 +361,7 @@
     def _begin_streaming(self) -> None:
         """Stream the rest of a response that is too long or too slow to buffer."""
         response = self.response
-        if self.streaming_timer is not None:
-            self.streaming_timer.cancel()
-            self.streaming_timer = None
+        self.hold.cancel()
         if self.attempt is None or response.sink is not None or response.is_complete:
             return
         response.sink = self.attempt.on_stream(self, response.length, response.content_type)
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -381,7 +381,7 @@
             request.deadline = self._now() + request.timeout_ms
             self._start_deadline(request)
         request.is_streaming = True
-        if (progress := backend.unknown_length_progress) is not None:
+        if (progress := backend.hold.progress) is not None:
             self._counts["no_length_passed_on"] += 1
             self._log.response_passed_on(request.request_id, attempt.endpoint, progress)
         request.client.begin_stream(backend, size, content_type)
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from balancer.interface import AttemptStatus, Idempotency, RequestClass, Settings
-from balancer.net import backend_connection, response_parser
+from balancer.net import response_hold, response_parser
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.backend_connection import BackendConnection
 from balancer.net.connection_pool import ConnectionPool
@@ -453,7 +453,7 @@
     run_in_loop: RunInLoop, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a streaming timer that outlives its response and starts streaming the next one."""
-    monkeypatch.setattr(backend_connection, "STREAMING_DELAY_S", 2 * WAIT_TIMEOUT_S)
+    monkeypatch.setattr(response_hold, "STREAMING_DELAY_S", 2 * WAIT_TIMEOUT_S)
 
     async def body(harness: PoolHarness) -> None:
         harness.start()
@@ -462,7 +462,7 @@
         peer.send(first)
         await harness.wait_until_read(len(first))
         connection = next(iter(harness.connections))
-        timer = connection.streaming_timer
+        timer = connection.hold.timer
         assert timer is not None and not harness.streamed
         peer.send(chunk(MAX_BUFFERED_BODY_BYTES))
         await harness.wait_until_read(len(chunk(MAX_BUFFERED_BODY_BYTES)))
@@ -475,7 +475,7 @@
         harness.make_reusable()
         harness.start()
         await harness.wait_for_request(peer)
-        assert connection.streaming_timer is None
+        assert connection.hold.timer is None
         peer.send(HELLO)
         assert (await harness.attempt_result()).body == b"hello" and not harness.streamed
         peer.close()
@@ -501,7 +501,7 @@
 def test_long_response_is_distinguished_from_an_endless_one(
     run_in_loop: RunInLoop, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(backend_connection, "STREAMING_DELAY_S", 0.0)
+    monkeypatch.setattr(response_hold, "STREAMING_DELAY_S", 0.0)
 
     async def body(harness: PoolHarness) -> None:
         for head in (b"", b"Content-Length: %d\r\n" % (2 * MAX_BUFFERED_BODY_BYTES)):
