--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -63,6 +63,10 @@
         """Whether a part of a response of unknown length has been received and not been passed on."""
         return self.attempt is not None and self.attempt.is_holding_response
 
+    def continue_past_deadline(self) -> bool:
+        """Return whether a long response goes on behind the deadline; one that was held is passed on."""
+        return self.attempt is not None and self.attempt.continue_past_deadline()
+
     def _has_unread_response(self) -> bool:
         return self.attempt is not None and self.attempt.has_unread_response
 
--- a/balancer/net/request_lifecycle.py
+++ b/balancer/net/request_lifecycle.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -17,16 +16,12 @@
 from balancer.net.node_ports import Client
 from balancer.net.open_request import OpenRequest, Render, RequestAttempt
 from balancer.net.recent_requests import RecentRequests
+from balancer.net.request_deadlines import RequestDeadlines
 from balancer.net.request_log import RequestLog
 from balancer.net.statistics import RequestOutcome, RequestStatistics
 from balancer.net.stream import Upload
-from balancer.net.unread_recheck import RECHECK_DELAY_S
 from balancer.net.upload_clock import UploadProgress
 
-# Interval between two checks whether a long response past its deadline is still being received.
-LONG_RESPONSE_CHECK_S = 0.25
-# A short response that has begun may end this long after the deadline; 500 ms later it is lost.
-RESPONSE_END_GRACE_MS = 250.0
 # Requests end 10 ms before the deadline, because the client counts from when it sent the request.
 DEADLINE_MARGIN_MS = 10.0
 # A request or attempt is logged as late if it was read or written at least 50 ms after the request arrived.
@@ -57,6 +52,9 @@
         self._handle_event = handle_event
         self._loop = pool.loop
         self._log = RequestLog(pool.loop.time)
+        self.deadlines = RequestDeadlines(
+            pool.loop, clock, counts, self._log, self._end_attempt, self._fail_overdue
+        )
         self._drained: asyncio.Event | None = None  # Created by `finish`, and set when no request is open.
 
     @property
@@ -96,7 +94,7 @@
             self._log.read_late(event.request, unread_ms)
         request.timeout_ms = request.deadline - self._now()
         if upload is None:
-            self._start_deadline(request)
+            self.deadlines.start(request)
         self._handle_event(event)
 
     def body_received(self, request_id: str, deadline: float) -> None:
@@ -106,11 +104,11 @@
             return
         request.deadline = deadline - DEADLINE_MARGIN_MS
         now = self._now()
-        self._start_deadline(request)
+        self.deadlines.start(request)
         for attempt in request.attempts:
             if not attempt.is_over:
                 attempt.started_at = now
-                self._start_timeout(attempt, request)
+                self.deadlines.start_timeout(attempt, request)
         self._handle_event(api.RequestBodyReceived(request_id, deadline))
 
     def expire_upload(self, request_id: str, progress: UploadProgress) -> None:
@@ -125,7 +123,7 @@
         self._log.upload_overdue(request_id, progress, request.stage)
         request.deadline = self._now()
         request.is_upload_overdue = True
-        self.expire_deadline(request)
+        self.deadlines.expire(request)
 
     def client_disconnected(self, request_id: str) -> None:
         """Close a request whose client has disconnected, and cancel its attempts as needed."""
@@ -195,7 +193,7 @@
             self._log.retried(action.request, number, action.backend, status)
         request.attempts.append(attempt)
         attempt.timeout_ms = action.timeout_ms
-        timeout_ms = self._start_timeout(attempt, request)
+        timeout_ms = self.deadlines.start_timeout(attempt, request)
         if reason := self._obstacle(request, action.backend, timeout_ms, action.latest_start):
             # The check whether the client is still there may have ended this attempt with its request.
             if not attempt.is_over:
@@ -208,14 +206,14 @@
             partial(self._begin_stream, attempt),
             request.upload,
             partial(self._refresh, attempt, request, action.latest_start),
-            None if request.is_streamed_class else partial(self._response_time_left_s, request),
+            None if request.is_streamed_class else partial(self.deadlines.response_time_left_s, request),
         )
         if attempt.is_sent:
             self._log_late_send(attempt, request)
         if attempt.is_over:
             attempt.attempt = None
         elif action.latest_start:
-            self._loop.call_later((action.latest_start - now) / 1000, self._cancel_unsent, attempt)
+            self._loop.call_later((action.latest_start - now) / 1000, self.deadlines.cancel_unsent, attempt)
 
     def _obstacle(self, request: OpenRequest, backend: str, timeout_ms: float, latest_start: float) -> str:
         """Return why an attempt must not be sent any more, or an empty string."""
@@ -244,104 +242,6 @@
         self._log.unserved(request_id, response, reason, len(request.attempts) if request else 0)
         return request
 
-    # --- deadlines and attempt timeouts
-
-    def _start_deadline(self, request: OpenRequest) -> None:
-        delay_s = max(0.0, request.deadline - self._now()) / 1000
-        request.deadline_timer = self._loop.call_later(delay_s, self.expire_deadline, request)
-
-    def expire_deadline(self, request: OpenRequest) -> None:
-        """End all attempts and fail the request, unless a long response is being received.
-
-        A response of unknown length that has begun has some more time to end, or to show that it is long.
-        """
-        if request.is_answered:
-            return
-        if any([self._passes_on_stream(attempt) for attempt in request.attempts]):
-            return
-        if request.has_begun_response and (left_s := self._response_time_left_s(request)) > 0:
-            request.deadline_timer = self._loop.call_later(left_s, self.expire_deadline, request)
-            return
-        in_progress = [item.attempt for item in request.attempts if item.attempt is not None]
-        if any([attempt.continue_past_deadline() for attempt in in_progress]):
-            request.deadline_timer = self._loop.call_later(
-                LONG_RESPONSE_CHECK_S, self.expire_deadline, request
-            )
-            return
-        if any([not attempt.is_over and attempt.recheck.is_due() for attempt in request.attempts]):
-            request.deadline_timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_deadline, request)
-            return
-        for attempt in request.attempts:
-            self._log_ended_response(attempt, request)
-            self._time_out(attempt)
-        if not request.is_answered:
-            self._counts["overdue"] += 1
-            self._answer(request, RequestOutcome.FAILED, lambda client: client.fail())
-            self._handle_event(api.ClientDisconnected(request.request_id))
-
-    def _log_ended_response(self, attempt: RequestAttempt, request: OpenRequest) -> None:
-        """Count and log a response of unknown length that ends because the time of its request is over."""
-        if attempt.attempt is None or (progress := attempt.attempt.unknown_length_progress) is None:
-            return
-        self._counts["no_length_broken_off" if request.is_streaming else "no_length_not_passed_on"] += 1
-        self._log.response_ended(request.request_id, attempt.endpoint, progress, request.is_streaming)
-
-    def _response_time_left_s(self, request: OpenRequest) -> float:
-        """Return in how many seconds a response that is not taken for a long one will be ended."""
-        deadline = self._now() + request.timeout_ms if request.deadline_timer is None else request.deadline
-        return (deadline + RESPONSE_END_GRACE_MS - self._now()) / 1000
-
-    def _start_timeout(self, attempt: RequestAttempt, request: OpenRequest) -> float:
-        """Start the timeout timer of an attempt and return the timeout in ms."""
-        timeout_ms = self._time_left_ms(attempt, request)
-        if timeout_ms > 0 and not request.is_receiving:
-            attempt.timer = self._loop.call_later(timeout_ms / 1000, self.expire_attempt, attempt)
-        return timeout_ms
-
-    def _time_left_ms(self, attempt: RequestAttempt, request: OpenRequest) -> float:
-        """Return the time in ms until an attempt times out; it does not pass while a body is received."""
-        if request.is_upload_overdue:
-            return 0.0
-        if request.is_receiving:
-            return min(attempt.timeout_ms or math.inf, request.timeout_ms)
-        now = self._now()
-        left_ms = request.deadline - now
-        return min(attempt.started_at + attempt.timeout_ms - now, left_ms) if attempt.timeout_ms else left_ms
-
-    def expire_attempt(self, attempt: RequestAttempt) -> None:
-        """End an attempt whose timeout has passed, but first let its response be read if there is one.
-
-        One whose response has begun goes on until the deadline.
-        """
-        if attempt.is_holding_response or self._passes_on_stream(attempt):
-            return
-        if not attempt.is_over and attempt.recheck.is_due():
-            attempt.timer = self._loop.call_later(RECHECK_DELAY_S, self.expire_attempt, attempt)
-        else:
-            self._time_out(attempt)
-
-    def _passes_on_stream(self, attempt: RequestAttempt) -> bool:
-        """Pass on a response of a streamed class that has begun; return whether there is one."""
-        request = self.open.get(attempt.request_id)
-        is_streamed = request is not None and request.is_streamed_class
-        return is_streamed and attempt.attempt is not None and attempt.attempt.pass_on()
-
-    def _time_out(self, attempt: RequestAttempt) -> None:
-        if attempt.is_over:
-            return
-        is_sent = attempt.is_sent
-        attempt.cancel()
-        # A backend cannot have executed a request that was not sent completely.
-        status = AttemptStatus.TIMEOUT if is_sent else AttemptStatus.CONNECT_FAILED
-        self._end_attempt(attempt, AttemptResult(status))
-
-    def _cancel_unsent(self, attempt: RequestAttempt) -> None:
-        """Cancel an unsent attempt, because a backend may no longer recognize the request as a duplicate."""
-        if not attempt.is_over and not attempt.is_sent:
-            attempt.cancel()
-            result = AttemptResult(AttemptStatus.NOT_STARTED, reason="deduplication window has passed")
-            self._end_attempt(attempt, result)
-
     # --- progress and end of attempts
 
     def _is_wanted(self, request: OpenRequest) -> bool:
@@ -355,7 +255,7 @@
 
         The timers that end attempts may be late themselves, so the clock is read once more.
         """
-        timeout_ms = self._time_left_ms(attempt, request)
+        timeout_ms = self.deadlines.time_left_ms(attempt, request)
         if self._obstacle(request, attempt.endpoint, timeout_ms, latest_start):
             return None
         self._log_late_send(attempt, request)
@@ -379,7 +279,7 @@
         # A response before the end of the upload makes the rest of it useless: the deadline starts now.
         if request.deadline_timer is None:
             request.deadline = self._now() + request.timeout_ms
-            self._start_deadline(request)
+            self.deadlines.start(request)
         request.is_streaming = True
         if (progress := backend.hold.progress) is not None:
             self._counts["no_length_passed_on"] += 1
@@ -456,6 +356,14 @@
                 lambda client: client.send_response(result.body, result.content_type),
             )
 
+    def _fail_overdue(self, request: OpenRequest) -> None:
+        """Fail a request whose deadline has passed and whose attempts have ended, unless it is answered."""
+        if request.is_answered:
+            return
+        self._counts["overdue"] += 1
+        self._answer(request, RequestOutcome.FAILED, lambda client: client.fail())
+        self._handle_event(api.ClientDisconnected(request.request_id))
+
     def _answer(
         self, request: OpenRequest, outcome: RequestOutcome, respond: Callable[[Client], None]
     ) -> None:
--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -396,8 +396,8 @@
         connection = item.attempt.connection if item.attempt is not None else None
         assert connection is not None
         due: dict[str, Callable[[], None]] = {
-            "deadline": partial(module.requests.expire_deadline, request),
-            "timeout": partial(module.requests.expire_attempt, item),
+            "deadline": partial(module.requests.deadlines.expire, request),
+            "timeout": partial(module.requests.deadlines.expire_attempt, item, request),
             "answer": partial(connection.data_received, http_response(b"x")),
         }
         for name_of_event in order:
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -22,7 +22,8 @@
 from balancer.net.attempt import Attempt, AttemptResult
 from balancer.net.backend_connection import BackendConnection
 from balancer.net.connection_pool import ConnectionPool
-from balancer.net.request_lifecycle import DEADLINE_MARGIN_MS, LONG_RESPONSE_CHECK_S, RESPONSE_END_GRACE_MS
+from balancer.net.request_deadlines import LONG_RESPONSE_CHECK_S, RESPONSE_END_GRACE_MS
+from balancer.net.request_lifecycle import DEADLINE_MARGIN_MS
 from balancer.net.response_parser import MAX_HEADER_BYTES
 from balancer.net.statistics import CloseReason, RequestStatistics
 from balancer.net.stream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, StreamMemory
