--- a/tests/body_soak.py
+++ b/tests/body_soak.py
@@ -56,6 +56,7 @@
 KILL_AFTER_TERM_S = GIVE_UP_MS / 1000 + 0.7  # The earliest SIGKILL behind a SIGTERM.
 LAST_ANSWERS_S = 0.3  # A process answers what is left, also what is not whole, this long before SIGKILL.
 UNANSWERED_AT_KILL_S = 0.7  # Requests that came this soon after SIGTERM may be unanswered at SIGKILL.
+MAX_HOLD_UP_S = 0.15
 PATIENCE_S = 12.0
 MAX_RIG_LAG_S = 0.1  # A run in which the rig itself was held up for longer is void.
 SOAK_CLASSES = [entry | {"objective": 100, "give-up": GIVE_UP_MS, "late-worth": 0.5} for entry in CLASSES]
@@ -421,6 +422,15 @@
     return rig
 
 
+async def hold_up_in_series(rig: Rig, draws: random.Random) -> None:
+    """Stop the process for as long as the pages allow for, some times."""
+    for _ in range(draws.randrange(2, 5)):
+        rig.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(draws.uniform(0.05, MAX_HOLD_UP_S))
+        rig.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(draws.uniform(0.1, 0.6))
+
+
 async def reload_in_series(rig: Rig, draws: random.Random) -> None:
     """Give new configurations in quick succession."""
     table = json.loads(rig.config.read_text())
@@ -439,9 +449,11 @@
             await asyncio.sleep(draws.uniform(1.2, 2.5))
             if loop.time() > stops_at - KILL_AFTER_TERM_S:
                 break
-            step = draws.choice(["reload", "restart", "upgrade", "upgrade"])
+            step = draws.choice(["hold up", "reload", "restart", "upgrade", "upgrade"])
             run.ends[f"signal: {step}"] += 1
-            if step == "reload":
+            if step == "hold up":
+                await hold_up_in_series(rig, draws)
+            elif step == "reload":
                 await reload_in_series(rig, draws)
             elif step == "restart":
                 async with terminated(run, rig, draws):
