Stop the clock of an upload once all that has come was read and nothing comes

Cause: the clock runs from the first pause of reading on. Only bytes that come stopped it, so it ran on where reading went on and nothing came.

--- a/balancer/net/client_connection.py
+++ b/balancer/net/client_connection.py
@@ -268,7 +268,9 @@
     def _upload_progress(self) -> UploadProgress:
         """Return how much of the body has come."""
         unread_bytes = 0 if self.transport is None else socket_state.unread_bytes(self.transport)
-        return UploadProgress(self.parser.content_length, self.parser.body_size, unread_bytes)
+        return UploadProgress(
+            self.parser.content_length, self.parser.body_size, unread_bytes, self.receive_timer.is_paused
+        )
 
     def _fail_overdue_upload(self) -> None:
         if self.request_id is not None:
--- a/balancer/net/upload_clock.py
+++ b/balancer/net/upload_clock.py
@@ -18,6 +18,7 @@
     length: int | None  # Stated length of the body in bytes, if there is one.
     read_bytes: int
     unread_bytes: int  # Received by this machine, and not read.
+    is_reading_paused: bool
 
     @property
     def may_be_written(self) -> bool:
@@ -26,6 +27,11 @@
             return True
         return self.length - self.read_bytes - self.unread_bytes <= MAX_SEND_BUFFER_BYTES
 
+    @property
+    def is_read(self) -> bool:
+        """Whether all that has come was read, and what comes next will be."""
+        return not self.unread_bytes and not self.is_reading_paused
+
     def has_grown_unread(self, earlier: UploadProgress) -> bool:
         """Return whether bytes have come since `earlier` and none were read.
 
@@ -95,6 +101,9 @@
     def _check(self) -> None:
         now = self._loop.time()
         progress = self._progress()
+        if progress.is_read and progress == self._checked:
+            self.caught_up()  # The client's machine has had time to send what it held.
+            return
         if self._checked is not None and progress.has_grown_unread(self._checked):
             self.unread_since = None
         self._checked = progress
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -126,7 +126,7 @@
         lines.response_ended("1", "b0", progress, is_passed_on=True)
         lines.response_ended("2", "b1", progress, is_passed_on=False)
         lines.upload_overdue(
-            "3", UploadProgress(300_000, 65_536, 131_072), "attempt waits for its connection"
+            "3", UploadProgress(300_000, 65_536, 131_072, True), "attempt waits for its connection"
         )
     came = "54000 bytes, the first 612 ms ago, the last 600 ms ago"
     assert caplog.messages == [
--- a/tests/test_slow_uploads.py
+++ b/tests/test_slow_uploads.py
@@ -191,6 +191,19 @@
         assert loop.time() - written_at < TIMEOUT_S + MAX_OVERRUN_S + ALLOWED_DELAY_S
 
 
+async def test_time_of_an_upload_does_not_pass_while_its_client_pauses(tmp_path: Path) -> None:
+    """Guards against a clock that runs on although all that has come was read."""
+    body_bytes = 250_000
+    async with running_node(tmp_path, BodyCountingBackend("b0")) as rig:
+        client = await rig.connect()
+        text = framed(body_bytes, False)
+        client.writer.write(text[:66_000])  # All of this is read before the first pause.
+        await asyncio.sleep(1.5 * TIMEOUT_S)
+        client.writer.write(text[66_000:])
+        answer = await client.read_response()
+        assert (answer.status, answer.body) == (200, b"%d" % body_bytes)
+
+
 async def test_upload_that_is_still_written_waits_for_a_connection_that_comes_up_late(
     tmp_path: Path,
 ) -> None:
