Fail a short response at its deadline again, and pass on only what may become long

Reason: since every response without a length that had begun got 0.25 s more, so that requests whose answer was short got their error behind their time.

Change: at the deadline a held response is passed on only if, at its latest rate, it would be long or taken for long 0.25 s later; else its request fails at once. What is passed on is decided 0.25 s behind, as before.

--- a/balancer/net/attempt.py
+++ b/balancer/net/attempt.py
@@ -112,6 +112,10 @@
         """Pass on what has come of the response; return whether a response is being passed on."""
         return self.connection is not None and self.connection.pass_on()
 
+    def pass_on_undecided(self, time_left_s: float) -> bool:
+        """Pass on a held response if it may turn out long in time; return whether one is being passed on."""
+        return self.connection is not None and self.connection.pass_on_undecided(time_left_s)
+
     def continue_past_deadline(self) -> bool:
         """Return whether a long response goes on behind the deadline; one that was held is passed on."""
         return self.connection is not None and self.connection.continue_past_deadline()
--- a/balancer/net/backend_connection.py
+++ b/balancer/net/backend_connection.py
@@ -345,6 +345,12 @@
         """Whether a part of a response of unknown length is buffered."""
         return self.response.length is None and self.response.sink is None and bool(self.response.body)
 
+    def pass_on_undecided(self, time_left_s: float) -> bool:
+        """Pass on a held response if it may turn out long in time; return whether one is being passed on."""
+        if self.response.sink is None and not self.hold.may_become_long(time_left_s):
+            return False
+        return self.pass_on()
+
     def continue_past_deadline(self) -> bool:
         """Return whether the response is, or is taken for, a long one; pass it on if it has been held."""
         response = self.response
--- a/balancer/net/open_request.py
+++ b/balancer/net/open_request.py
@@ -63,6 +63,10 @@
         """Whether a part of a response of unknown length has been received and not been passed on."""
         return self.attempt is not None and self.attempt.is_holding_response
 
+    def pass_on_undecided(self, time_left_s: float) -> bool:
+        """Pass on a held response if it may turn out long in time; return whether one is being passed on."""
+        return self.attempt is not None and self.attempt.pass_on_undecided(time_left_s)
+
     def continue_past_deadline(self) -> bool:
         """Return whether a long response goes on behind the deadline; one that was held is passed on."""
         return self.attempt is not None and self.attempt.continue_past_deadline()
@@ -140,11 +144,6 @@
         """Whether the request body is still being received."""
         return self.upload is not None and not self.upload.is_complete
 
-    @property
-    def has_begun_response(self) -> bool:
-        """Whether a response is being passed on, or a part of one without a length is held."""
-        return self.is_streaming or any(attempt.is_holding_response for attempt in self.attempts)
-
     @property
     def stage(self) -> str:
         """How far the request has got, as written to the log."""
--- a/balancer/net/request_deadlines.py
+++ b/balancer/net/request_deadlines.py
@@ -60,15 +60,17 @@
     def expire(self, request: OpenRequest) -> None:
         """End all attempts and fail the request, unless a long response is being received.
 
-        A response of unknown length that has begun has some more time to end, or to show that it is long. One
-        of a streamed class has no deadline once it has begun.
+        A response of unknown length that is passed on has some more time to end, or to show that it is long;
+        one that is held is passed on for that only if it may turn out long. One of a streamed class has no
+        deadline once it has begun.
         """
         if request.is_answered:
             return
         attempts = request.attempts
         if any([self._passes_on_stream(attempt, request) for attempt in attempts]):
             return
-        if request.has_begun_response and (left_s := self.response_time_left_s(request)) > 0:
+        left_s = self.response_time_left_s(request)
+        if left_s > 0 and any([attempt.pass_on_undecided(left_s) for attempt in attempts]):
             self._schedule(request, left_s)
         elif any([attempt.continue_past_deadline() for attempt in attempts]):
             self._schedule(request, LONG_RESPONSE_CHECK_S)
--- a/balancer/net/response_hold.py
+++ b/balancer/net/response_hold.py
@@ -56,6 +56,10 @@
         now = self._now_ms()
         return ResponseProgress(growth.size, growth.age_ms(now), now - self._last_at)
 
+    def may_become_long(self, time_left_s: float) -> bool:
+        """Return whether a held response may still turn out long within `time_left_s`."""
+        return self._growth is not None and self._growth.may_become_long(self._now_ms(), time_left_s * 1000)
+
     def may_outlast_deadline(self, size: int) -> bool:
         """Return whether the response, of `size` bytes now, may go on behind its request's time."""
         if self._growth is None:
--- a/balancer/policy/response_growth.py
+++ b/balancer/policy/response_growth.py
@@ -12,6 +12,7 @@
 # What a response brings in this time before its latest byte is expected of it once more.
 RECENT_MS = 500.0
 MARK_INTERVAL_MS = 10.0  # Arrivals less than 10 ms apart count as one.
+MIN_RATE_INTERVAL_MS = 100.0  # A rate is measured over at least this time.
 MAX_HOLD_MS = 1500.0  # The client of a long response waits less than 2 s for what has been received.
 # A response that was taken for a long one, behind its request's time, has this long to become one.
 MAX_UNPROVEN_MS = 3000.0
@@ -77,6 +78,15 @@
         rate = (self.size - self._first_size) / held_ms if held_ms > 0 else 0.0
         return self.size + rate * time_left_ms > self._long_bytes
 
+    def may_become_long(self, now: float, time_left_ms: float) -> bool:
+        """Return whether it is too early to tell, `time_left_ms` before a short response has to be whole.
+
+        At its latest rate the response would be long, or be taken for a long one, by then.
+        """
+        since, size_before = self._marks[0]
+        rate = (self.size - size_before) / max(MIN_RATE_INTERVAL_MS, now - since)
+        return self.take_for_long() or self.size + rate * (time_left_ms + RECENT_MS) > self._long_bytes
+
     def may_outlast_deadline(self, now: float) -> bool:
         """Return whether the response may go on at `now` (ms), too late for a short one."""
         if self._overdue_since is None:
--- a/tests/test_response_growth.py
+++ b/tests/test_response_growth.py
@@ -53,6 +53,16 @@
     assert growth.may_outlast_deadline(60_000.0)
 
 
+def test_response_at_its_deadline_may_become_long_by_its_latest_rate() -> None:
+    left_ms = 250.0
+    assert at_rate(64_000, 400).may_become_long(400.0, left_ms)
+    assert not at_rate(20_480, 1000).may_become_long(1000.0, left_ms)
+    assert not grown((0.0, 5_000)).may_become_long(400.0, left_ms)
+    assert grown((0.0, 20_000)).may_become_long(100.0, left_ms)
+    assert not grown((0.0, 20_000)).may_become_long(400.0, left_ms)
+    assert grown((0.0, 40_000)).may_become_long(60_000.0, left_ms)
+
+
 def test_response_is_held_unless_it_will_be_whole_or_long_in_time() -> None:
     assert not grown((0.0, 2_000), (100.0, 2_000)).may_be_passed_on(100.0, 1000.0)
     assert grown((0.0, 2_000), (100.0, 8_000)).may_be_passed_on(100.0, 1000.0)
